Lay out the workspace, its checks and the shared messages

Cause: nothing exists yet; every lane needs the same messages and the same checks. Change: seven packages with one-way dependencies, locked dependencies, format, lint, strict types, import contracts and tests behind one command; the model package holds identifiers, verdicts, commands and the messages between processes.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Every target makes what it needs: .venv from requirements.lock, then the workspace packages.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+export PIP_DISABLE_PIP_VERSION_CHECK = 1
+PACKAGES := model state policy consensus wire daemon cli
+SOURCES := packages tests tools
+READY := $(VENV)/.ready
+
+.PHONY: env format lint types imports unit test lock clean
+
+env: $(READY)
+
+$(READY): requirements.lock $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --require-hashes -r requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(foreach p,$(PACKAGES),-e packages/bergamotchute-$(p))
+	touch $@
+
+format: env
+	$(BIN)/ruff check --fix --quiet $(SOURCES)
+	$(BIN)/black --quiet $(SOURCES)
+
+lint: env
+	$(BIN)/black --check --quiet $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
+
+types: env
+	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/bergamotchute-$(p)/src)
+
+imports: env
+	$(BIN)/lint-imports --no-cache
+
+unit: env
+	$(BIN)/pytest
+
+test: lint types imports unit
+
+lock:
+	uv pip compile --generate-hashes --no-header --universal --python-version 3.11 requirements.in -o requirements.lock
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/packages/bergamotchute-cli/src/bergamotchute_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operator and caller command."""
--- /dev/null
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log: election, replication, membership change, snapshots and disk."""
--- /dev/null
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The processes of bergamotchute: filters, controllers, tasks and the composition root."""
--- /dev/null
+++ b/packages/bergamotchute-model/src/bergamotchute_model/__init__.py
@@ -0,0 +1,1 @@
+"""Frozen data that every bergamotchute process shares; it does no input or output."""
--- /dev/null
+++ b/packages/bergamotchute-model/src/bergamotchute_model/control_messages.py
@@ -0,0 +1,177 @@
+"""Messages between entries and agents, relays and control voters.
+
+A child (entry or agent) talks to a relay; a relay talks to the voters. A relay holds the whole
+view, answers its children from it, and carries their proposals to the leader.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Annotated, Literal
+
+from pydantic import Discriminator
+
+from bergamotchute_model.commands import Command, CommandResult
+from bergamotchute_model.identifiers import Address
+from bergamotchute_model.membership import EndpointAnnouncement, EntryAnnouncement, Role
+from bergamotchute_model.view import ViewChange
+
+
+@dataclass(frozen=True)
+class Hello:
+    """The first message each way on every link.
+
+    :param process: the sender's name.
+    :param incarnation: fresh at each start of the sender.
+    """
+
+    process: str
+    role: Role
+    incarnation: str
+    protocol: int = 1
+    kind: Literal["hello"] = "hello"
+
+
+@dataclass(frozen=True)
+class Ping:
+    """Either way: a heartbeat; the peer answers with :class:`Pong` of the same number."""
+
+    number: int
+    kind: Literal["ping"] = "ping"
+
+
+@dataclass(frozen=True)
+class Pong:
+    """Either way: the answer to :class:`Ping`."""
+
+    number: int
+    kind: Literal["pong"] = "pong"
+
+
+@dataclass(frozen=True)
+class RenewLease:
+    """Child to relay, and relay to voter: confirm my view.
+
+    :param number: matches the grant; the sender measures the lease from when it sent this.
+    :param revision: the newest revision the sender has applied.
+    """
+
+    number: int
+    revision: int
+    kind: Literal["renew_lease"] = "renew_lease"
+
+
+@dataclass(frozen=True)
+class LeaseGrant:
+    """The view at ``revision`` is confirmed; the lease runs from when the renewal was sent.
+
+    A holder whose own revision is lower than ``revision`` must catch up before it uses the lease.
+
+    :param duration_s: how long the lease holds, in seconds.
+    :param revision: the newest revision that a quorum had committed after the renewal was sent.
+    """
+
+    number: int
+    duration_s: float
+    revision: int
+    kind: Literal["lease_grant"] = "lease_grant"
+
+
+@dataclass(frozen=True)
+class ViewDelta:
+    """Relay to child, and voter to relay: changes from ``base`` to ``revision``.
+
+    :param base: the revision it applies to; 0 means that it holds the whole view.
+    """
+
+    base: int
+    revision: int
+    changes: tuple[ViewChange, ...]
+    kind: Literal["view_delta"] = "view_delta"
+
+
+@dataclass(frozen=True)
+class Subscribe:
+    """Child to relay, and relay to voter: send me changes after ``revision``; 0 for all."""
+
+    revision: int
+    kind: Literal["subscribe"] = "subscribe"
+
+
+@dataclass(frozen=True)
+class Propose:
+    """Child to relay, and relay to voter: commit this command and tell me its result.
+
+    :param proposal_id: unique over all proposers; a repeat gets the first result where it is
+        still kept.
+    """
+
+    proposal_id: str
+    command: Command
+    kind: Literal["propose"] = "propose"
+
+
+@dataclass(frozen=True)
+class Proposed:
+    """The command was committed and gave this result."""
+
+    proposal_id: str
+    revision: int
+    result: CommandResult
+    kind: Literal["proposed"] = "proposed"
+
+
+@dataclass(frozen=True)
+class ProposalFailed:
+    """The command was not taken here.
+
+    :param committed_maybe: whether it may still be committed.
+    :param leader: whom to ask instead, where known.
+    """
+
+    proposal_id: str
+    committed_maybe: bool
+    detail: str
+    leader: Address | None = None
+    kind: Literal["proposal_failed"] = "proposal_failed"
+
+
+@dataclass(frozen=True)
+class Announce:
+    """Child to relay: renew my membership."""
+
+    endpoints: tuple[EndpointAnnouncement, ...] = ()
+    entries: tuple[EntryAnnouncement, ...] = ()
+    kind: Literal["announce"] = "announce"
+
+
+@dataclass(frozen=True)
+class MembershipDelta:
+    """Relay to child or relay: members that changed, and names that lapsed.
+
+    :param complete: the lists hold all that the receiver watches, not only changes.
+    """
+
+    endpoints: tuple[EndpointAnnouncement, ...] = ()
+    entries: tuple[EntryAnnouncement, ...] = ()
+    lapsed_endpoints: tuple[str, ...] = ()
+    lapsed_entries: tuple[str, ...] = ()
+    complete: bool = False
+    kind: Literal["membership_delta"] = "membership_delta"
+
+
+ControlMessage = Annotated[
+    Hello
+    | Ping
+    | Pong
+    | RenewLease
+    | LeaseGrant
+    | ViewDelta
+    | Subscribe
+    | Propose
+    | Proposed
+    | ProposalFailed
+    | Announce
+    | MembershipDelta,
+    Discriminator("kind"),
+]
--- /dev/null
+++ b/packages/bergamotchute-model/src/bergamotchute_model/events.py
@@ -0,0 +1,92 @@
+"""The catalogue of numbered events; docs/EVENTS.md lists the same."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class EventKind:
+    """One kind of event in the time line.
+
+    :param number: stable; never used again for another meaning.
+    :param name: the short name in logs.
+    :param level: a level of :mod:`logging`.
+    :param meaning: one sentence for the catalogue.
+    """
+
+    number: int
+    name: str
+    level: int
+    meaning: str
+
+
+CATALOGUE: dict[int, EventKind] = {}
+
+
+def _define(number: int, name: str, meaning: str, level: int = logging.INFO) -> EventKind:
+    """Add a kind to the catalogue."""
+    if number in CATALOGUE:
+        raise ValueError(f"event {number} is defined twice")
+    kind = EventKind(number, name, level, meaning)
+    CATALOGUE[number] = kind
+    return kind
+
+
+# 1000-1099: processes.
+PROCESS_STARTED = _define(1000, "process_started", "A process started; fields give its settings.")
+PROCESS_READY = _define(1001, "process_ready", "A process began to serve.")
+PROCESS_DRAINING = _define(1002, "process_draining", "A process was told to stop and drains.")
+PROCESS_STOPPED = _define(1003, "process_stopped", "A process ended in order.")
+DRAIN_OVERRUN = _define(
+    1004, "drain_overrun", "Work outlasted the drain bound and was cut off.", logging.ERROR
+)
+LINK_OPENED = _define(1010, "link_opened", "A link to a peer opened.")
+LINK_CLOSED = _define(1011, "link_closed", "A link to a peer closed.")
+LINK_MUTE = _define(1012, "link_mute", "A link went silent and is being replaced.", logging.WARNING)
+
+# 1100-1199: requests at an entry.
+REQUEST_RECEIVED = _define(1100, "request_received", "A caller's request was read in full.")
+REQUEST_REFUSED = _define(1101, "request_refused", "A request was refused; it did not run.")
+REQUEST_DISPATCHED = _define(1102, "request_dispatched", "An attempt was sent to an endpoint.")
+REQUEST_COMPLETED = _define(1103, "request_completed", "A whole answer was given to its caller.")
+REQUEST_FAILED = _define(
+    1104, "request_failed", "A request ended without a whole answer.", logging.WARNING
+)
+REQUEST_RETRIED = _define(1105, "request_retried", "A request goes on at another endpoint.")
+ANSWER_DROPPED = _define(
+    1106,
+    "answer_dropped",
+    "An answer matched no attempt in flight and was dropped.",
+    logging.WARNING,
+)
+CLAIM_TAKEN = _define(1110, "claim_taken", "A non-idempotent request was claimed by its key.")
+CLAIM_SETTLED = _define(1111, "claim_settled", "The outcome of a claimed request was recorded.")
+CLAIM_RELEASED = _define(1112, "claim_released", "A claimed attempt was proved not to have run.")
+CLAIM_REPLAYED = _define(1113, "claim_replayed", "A resend got the recorded outcome.")
+
+# 1200-1299: attempts at an agent.
+ATTEMPT_STARTED = _define(1200, "attempt_started", "An agent gave an attempt to its endpoint.")
+ATTEMPT_COMPLETED = _define(1201, "attempt_completed", "An endpoint gave a whole answer.")
+ATTEMPT_FAILED = _define(
+    1202, "attempt_failed", "An attempt ended without a whole answer.", logging.WARNING
+)
+ATTEMPT_BARRED = _define(1203, "attempt_barred", "An attempt was barred; it can never start.")
+ATTEMPT_REFUSED = _define(1204, "attempt_refused", "An agent refused an attempt; it did not run.")
+
+# 1300-1399: the control group.
+LEADER_ELECTED = _define(1300, "leader_elected", "A voter became leader of its term.")
+LEADER_STEPPED_DOWN = _define(1301, "leader_stepped_down", "A leader gave up its term.")
+FILE_APPLIED = _define(1310, "file_applied", "A file came into force.")
+FILE_REFUSED = _define(1311, "file_refused", "A file was refused.", logging.WARNING)
+
+# 1400-1499: views and membership.
+VIEW_CONFIRMED = _define(1400, "view_confirmed", "A process holds a view that a quorum confirmed.")
+VIEW_EXPIRED = _define(
+    1401, "view_expired", "A process lost its view lease and takes no new work.", logging.WARNING
+)
+VIEW_ADVANCED = _define(1402, "view_advanced", "A process took a newer revision into use.")
+MEMBER_JOINED = _define(1410, "member_joined", "An endpoint or entry announced itself.")
+MEMBER_LAPSED = _define(1411, "member_lapsed", "A member's lease lapsed.", logging.WARNING)
+MEMBER_DRAINING = _define(1412, "member_draining", "A member takes no new work.")
--- /dev/null
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: scheduling, limits, retries, address answers, map planning."""
--- /dev/null
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Links between processes, and HTTP towards callers, operators and engines."""
--- /dev/null
+++ b/tests/model/test_verdicts.py
@@ -0,0 +1,21 @@
+"""Verdicts of several attempts combine towards caution."""
+
+from __future__ import annotations
+
+import pytest
+
+from bergamotchute_model.verdict import Verdict, combine
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "expected"),
+    [
+        (Verdict.NOT_RUN, Verdict.NOT_RUN, Verdict.NOT_RUN),
+        (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.MAY_HAVE_RUN),
+        (Verdict.MAY_HAVE_RUN, Verdict.COMPLETED, Verdict.COMPLETED),
+        (Verdict.COMPLETED, Verdict.NOT_RUN, Verdict.COMPLETED),
+    ],
+)
+def test_two_attempts_together(first: Verdict, second: Verdict, expected: Verdict) -> None:
+    assert combine(first, second) is expected
+    assert combine(second, first) is expected
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Checks that CI runs and programs that measure."""
