Write numbered events as JSON lines with hybrid stamps

Processes need one ordered time line over all of them, whatever their clocks do. EventLog writes each numbered event through logging with a hybrid logical clock stamp, process, role and life; fields whose name sounds like a secret are redacted.

--- /dev/null
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/event_log.py
@@ -0,0 +1,153 @@
+"""Numbered events of one process, written as JSON lines through :mod:`logging`."""
+
+from __future__ import annotations
+
+import json
+import logging
+from collections import deque
+from collections.abc import Callable
+from pathlib import Path
+
+from bergamotchute_model.event_record import EventRecord, FieldValue
+from bergamotchute_model.events import EventKind
+from bergamotchute_model.hybrid_clock import HybridClock, HybridStamp
+
+RECENT_EVENTS = 4096
+REDACTED = "[redacted]"
+LOGGER_NAME = "bergamotchute"
+_SECRET_WORDS = ("token", "secret", "password", "authorization", "bearer", "credential")
+_PLAIN_NAMES = frozenset({"tokens", "work_left_tokens", "resume_tokens", "max_tokens"})
+
+WallClock = Callable[[], int]
+
+
+def wall_clock(started_unix_us: int, started_s: float, current_s: Callable[[], float]) -> WallClock:
+    """Return wall time in microseconds that advances with the runtime clock.
+
+    :param started_unix_us: wall time when the process started.
+    :param started_s: the runtime clock at that moment.
+    :param current_s: reads the runtime clock, such as :func:`anyio.current_time`.
+    """
+    return lambda: started_unix_us + round((current_s() - started_s) * 1_000_000)
+
+
+class EventLog:
+    """Writes the numbered events of one process and keeps the newest for the admin interface.
+
+    :param process: the process's name.
+    :param role: what the process does.
+    :param incarnation: the life of the process, fresh at each start.
+    :param wall_us: wall time in microseconds, from the runtime clock.
+    :param clock: the hybrid clock that orders this process's events among all others.
+    """
+
+    def __init__(
+        self,
+        process: str,
+        role: str,
+        incarnation: str,
+        wall_us: WallClock,
+        clock: HybridClock | None = None,
+    ) -> None:
+        self.process = process
+        self.role = role
+        self.incarnation = incarnation
+        self.wall_us = wall_us
+        self.clock = clock or HybridClock()
+        self.sequence = 0
+        self.recent: deque[EventRecord] = deque(maxlen=RECENT_EVENTS)
+        self.logger = logging.getLogger(f"{LOGGER_NAME}.events.{process}")
+
+    def emit(
+        self,
+        kind: EventKind,
+        *,
+        request_id: str = "",
+        endpoint: str = "",
+        group: str = "",
+        revision: int = -1,
+        **fields: FieldValue,
+    ) -> EventRecord:
+        """Write one event and return it.
+
+        A field whose name sounds like a secret is written as :data:`REDACTED`.
+        """
+        self.sequence += 1
+        record = EventRecord(
+            stamp=str(self.clock.stamp(self.wall_us())),
+            sequence=self.sequence,
+            number=kind.number,
+            event=kind.name,
+            level=logging.getLevelName(kind.level),
+            process=self.process,
+            role=self.role,
+            incarnation=self.incarnation,
+            request_id=request_id,
+            endpoint=endpoint,
+            group=group,
+            revision=revision,
+            fields={name: _open_value(name, value) for name, value in fields.items()},
+        )
+        self.recent.append(record)
+        self.logger.log(kind.level, kind.name, extra={"event_record": record})
+        return record
+
+    def stamp(self) -> HybridStamp:
+        """Return a stamp to send along with a message."""
+        return self.clock.stamp(self.wall_us())
+
+    def witness(self, remote: HybridStamp) -> None:
+        """Take note of the stamp that came with a message, so that what follows sorts after it."""
+        self.clock.witness(remote, self.wall_us())
+
+    def since(self, incarnation: str, sequence: int) -> list[EventRecord]:
+        """Return kept events after ``sequence`` of ``incarnation``; all of them for another life."""
+        after = sequence if incarnation == self.incarnation else 0
+        return [record for record in self.recent if record.sequence > after]
+
+
+def _open_value(name: str, value: FieldValue) -> FieldValue:
+    if name in _PLAIN_NAMES or not any(word in name.lower() for word in _SECRET_WORDS):
+        return value
+    return REDACTED
+
+
+class JsonLines(logging.Formatter):
+    """Formats numbered events as their JSON line, and any other log record as a JSON message."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return one line of JSON without a line end."""
+        event = getattr(record, "event_record", None)
+        if isinstance(event, EventRecord):
+            return event.to_json()
+        plain = {"level": record.levelname, "logger": record.name, "message": record.getMessage()}
+        if record.exc_info:
+            plain["exception"] = self.formatException(record.exc_info)
+        return json.dumps(plain)
+
+
+def write_events(event_file: Path | None, stderr_level: int | None) -> Callable[[], None]:
+    """Send all logging to stderr and to a file; return a function that undoes it.
+
+    :param event_file: appended to; ``None`` for no file.
+    :param stderr_level: the lowest level shown on stderr; ``None`` for nothing there.
+    :raises OSError: when the file can't be opened.
+    """
+    handlers: list[logging.Handler] = []
+    if event_file is not None:
+        handlers.append(logging.FileHandler(event_file, encoding="utf-8"))
+    if stderr_level is not None:
+        handlers.append(logging.StreamHandler())
+        handlers[-1].setLevel(stderr_level)
+    root = logging.getLogger()
+    logging.getLogger(LOGGER_NAME).setLevel(logging.INFO)
+    for handler in handlers:
+        handler.setFormatter(JsonLines())
+        root.addHandler(handler)
+
+    def undo() -> None:
+        for handler in handlers:
+            root.removeHandler(handler)
+            handler.close()
+
+    return undo
