--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SOURCES := packages tests tools
 READY := $(VENV)/.ready
 
-.PHONY: env format lint types imports unit test lock clean
+.PHONY: env format lint types imports events unit test lock clean
 
 env: $(READY)
 
@@ -31,10 +31,13 @@
 imports: env
 	$(BIN)/lint-imports --no-cache
 
+events: env
+	$(BIN)/python -m tools.check_events
+
 unit: env
 	$(BIN)/pytest
 
-test: lint types imports unit
+test: lint types imports events unit
 
 lock:
 	uv pip compile --generate-hashes --no-header --universal --python-version 3.11 requirements.in -o requirements.lock
