Carry messages over WebSocket links with heartbeats

Cause: processes need ordered, checked messages and must notice a peer that went silent. Conclusion: entries, agents, relays and voters can be written against one interface.

--- /dev/null
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/web_socket_link.py
@@ -0,0 +1,150 @@
+"""Links over WebSocket: the library's Sans-I/O protocol on an anyio byte stream."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Generic, TypeVar
+
+import anyio
+from anyio.abc import ByteStream
+from websockets.frames import Frame, Opcode
+from websockets.protocol import Protocol, State
+
+from bergamotchute_wire.link import LinkClosed
+from bergamotchute_wire.message_codec import MalformedMessageError, MessageCodec
+
+Message = TypeVar("Message")
+
+HEARTBEAT_S = 1.0
+"""How often a link pings its peer."""
+
+MUTE_S = 3.5
+"""Silence after which a link counts as gone."""
+
+CLOSE_S = 1.0
+"""Bound on saying goodbye."""
+
+RECEIVE_BYTES = 65_536
+
+
+class WebSocketLink(Generic[Message]):
+    """A :class:`~bergamotchute_wire.link.Link` over one WebSocket.
+
+    Messages that wait for the transport together leave in one write.
+
+    :param stream: the byte stream, with the handshake done.
+    :param protocol: the library's protocol state, open.
+    :param codec: the messages that may pass.
+    :param peer: the other side's address, for logs.
+    """
+
+    def __init__(
+        self, stream: ByteStream, protocol: Protocol, codec: MessageCodec[Message], peer: str
+    ) -> None:
+        self.peer = peer
+        self.last_received_at = anyio.current_time()
+        self.closed_reason = ""
+        self._stream = stream
+        self._protocol = protocol
+        self._codec = codec
+        self._received: deque[Frame] = deque()
+        self._outgoing: list[bytes] = []
+        self._write_lock = anyio.Lock()
+
+    async def send(self, message: Message) -> None:
+        """Send a message; returns once the transport took it.
+
+        :raises LinkClosed: when the link is gone; the message may or may not arrive.
+        """
+        if self.closed_reason or self._protocol.state is not State.OPEN:
+            raise LinkClosed(self.closed_reason or "closing")
+        self._protocol.send_binary(self._codec.encode(message))
+        await self._flush()
+
+    async def receive(self) -> Message:
+        """Return the next message.
+
+        :raises LinkClosed: when no more will come, or the peer sent what is no message.
+        """
+        while True:
+            while self._received:
+                frame = self._received.popleft()
+                if frame.opcode is Opcode.BINARY:
+                    return await self._decode(bytes(frame.data))
+            await self._read_more()
+
+    async def aclose(self) -> None:
+        """Say goodbye if the transport still takes it, then close; safe to call again."""
+        if not self.closed_reason:
+            with anyio.move_on_after(CLOSE_S, shield=True):
+                if self._protocol.state is State.OPEN:
+                    self._protocol.send_close(1000)
+                await self._flush_quietly()
+        await self._abort("closed here")
+
+    async def keep_alive(self) -> None:
+        """Ping the peer until it goes silent or the link closes; close the link, then return."""
+        while not self.closed_reason and self._protocol.state is State.OPEN:
+            await anyio.sleep(HEARTBEAT_S)
+            if anyio.current_time() - self.last_received_at > MUTE_S:
+                await self._abort("mute")
+            elif not self.closed_reason and not self._write_lock.locked():
+                self._protocol.send_ping(b"")
+                await self._flush_quietly()
+
+    async def _decode(self, data: bytes) -> Message:
+        """Decode one message; a malformed one closes the link."""
+        try:
+            return self._codec.decode(data)
+        except MalformedMessageError as error:
+            await self._abort(f"malformed message: {error}")
+            raise LinkClosed(self.closed_reason) from error
+
+    async def _read_more(self) -> None:
+        """Feed the protocol with the next bytes, and answer what it must."""
+        if self.closed_reason:
+            raise LinkClosed(self.closed_reason)
+        try:
+            data = await self._stream.receive(RECEIVE_BYTES)
+        except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            await self._abort("closed by peer")
+            raise LinkClosed(self.closed_reason) from error
+        self.last_received_at = anyio.current_time()
+        self._protocol.receive_data(data)
+        self._received.extend(
+            event for event in self._protocol.events_received() if isinstance(event, Frame)
+        )
+        await self._flush_quietly()
+        if self._protocol.state is not State.OPEN and not self._received:
+            await self._abort("closed by peer")
+
+    async def _flush(self) -> None:
+        """Write all that waits; a caller that finds nothing left was served by another's write."""
+        self._outgoing.extend(self._protocol.data_to_send())
+        async with self._write_lock:
+            if not self._outgoing:
+                return
+            data = b"".join(self._outgoing)
+            self._outgoing.clear()
+            try:
+                await self._stream.send(data)
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+                await self._abort("closed by peer")
+                raise LinkClosed(self.closed_reason) from error
+            except anyio.get_cancelled_exc_class():
+                # A write cut short leaves half a frame behind, so the stream is of no more use.
+                await self._abort("write cancelled")
+                raise
+
+    async def _flush_quietly(self) -> None:
+        """Write all that waits; a closed link is left for the next call to report."""
+        try:
+            await self._flush()
+        except LinkClosed:
+            return
+
+    async def _abort(self, reason: str) -> None:
+        """Close the transport at once and keep the first reason."""
+        self.closed_reason = self.closed_reason or reason
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(self._stream)
--- /dev/null
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/web_socket_transport.py
@@ -0,0 +1,187 @@
+"""Opens and accepts WebSocket links over TCP."""
+
+from __future__ import annotations
+
+import hmac
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream
+from websockets.client import ClientProtocol
+from websockets.exceptions import InvalidHandshake
+from websockets.http11 import Request, Response
+from websockets.protocol import State
+from websockets.server import ServerProtocol
+from websockets.uri import parse_uri
+
+from bergamotchute_model.identifiers import Address
+from bergamotchute_wire.link import Dial, DialFailed, LinkHandler
+from bergamotchute_wire.message_codec import MessageCodec
+from bergamotchute_wire.web_socket_link import RECEIVE_BYTES, WebSocketLink
+
+Message = TypeVar("Message")
+
+HANDSHAKE_S = 3.0
+"""Bound on opening a link."""
+
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+
+
+@dataclass(frozen=True)
+class LinkRoute:
+    """Links of one kind that a process accepts.
+
+    :param codec: the messages that pass.
+    :param handler: serves one link until it returns.
+    """
+
+    codec: MessageCodec[Any]
+    handler: LinkHandler[Any]
+
+
+def web_socket_dial(
+    path: str, codec: MessageCodec[Message], cluster_token: str = ""
+) -> Dial[Message]:
+    """Return a function that opens links of one kind.
+
+    :param path: names the kind, such as ``/attempts``.
+    :param cluster_token: the secret that all processes of the deployment share.
+    """
+
+    @asynccontextmanager
+    async def dial(address: Address) -> AsyncIterator[WebSocketLink[Message]]:
+        link = await _open(address, path, codec, cluster_token)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(link.keep_alive)
+            try:
+                yield link
+            finally:
+                await link.aclose()
+                tasks.cancel_scope.cancel()
+
+    return dial
+
+
+async def _open(
+    address: Address, path: str, codec: MessageCodec[Message], cluster_token: str
+) -> WebSocketLink[Message]:
+    """Connect and shake hands."""
+    stream: SocketStream | None = None
+    try:
+        with anyio.fail_after(HANDSHAKE_S):
+            stream = await anyio.connect_tcp(address.host, address.port)
+            protocol = ClientProtocol(
+                parse_uri(f"ws://{address}{path}"), max_size=MAX_MESSAGE_BYTES
+            )
+            request = protocol.connect()
+            request.headers["Authorization"] = f"Bearer {cluster_token}"
+            protocol.send_request(request)
+            await stream.send(b"".join(protocol.data_to_send()))
+            while protocol.state is State.CONNECTING and protocol.handshake_exc is None:
+                protocol.receive_data(await stream.receive(RECEIVE_BYTES))
+                protocol.events_received()
+            if protocol.handshake_exc is not None:
+                raise protocol.handshake_exc
+    except (OSError, TimeoutError, anyio.EndOfStream, anyio.BrokenResourceError) as error:
+        await _discard(stream)
+        raise DialFailed(f"{address}: {error or type(error).__name__}") from error
+    except InvalidHandshake as error:
+        await _discard(stream)
+        raise DialFailed(f"{address}: {error}") from error
+    except BaseException:
+        await _discard(stream)
+        raise
+    return WebSocketLink(stream, protocol, codec, str(address))
+
+
+async def _discard(stream: SocketStream | None) -> None:
+    """Close a stream that came to nothing."""
+    if stream is not None:
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(stream)
+
+
+async def serve_web_socket_links(
+    address: Address,
+    routes: Mapping[str, LinkRoute],
+    cluster_token: str = "",
+    *,
+    on_listening: Callable[[], Awaitable[None]] | None = None,
+) -> None:
+    """Accept links until cancelled.
+
+    :param address: where to listen.
+    :param routes: what to accept, by path.
+    :param cluster_token: the secret that a peer must present.
+    :param on_listening: told once connections are accepted.
+    """
+
+    async def accept(stream: SocketStream) -> None:
+        async with stream:
+            await _serve_stream(stream, routes, cluster_token)
+
+    listener = await anyio.create_tcp_listener(
+        local_host=address.host, local_port=address.port, reuse_port=False
+    )
+    async with listener:
+        if on_listening is not None:
+            await on_listening()
+        await listener.serve(accept)
+
+
+async def _serve_stream(
+    stream: SocketStream, routes: Mapping[str, LinkRoute], cluster_token: str
+) -> None:
+    """Shake hands with one peer and serve its link."""
+    protocol = ServerProtocol(max_size=MAX_MESSAGE_BYTES)
+    try:
+        with anyio.fail_after(HANDSHAKE_S):
+            request = await _read_request(stream, protocol)
+            response = _respond(protocol, request, routes, cluster_token)
+            protocol.send_response(response)
+            await stream.send(b"".join(protocol.data_to_send()))
+    except (TimeoutError, anyio.EndOfStream, anyio.BrokenResourceError):
+        return
+    if request is None or protocol.state is not State.OPEN:
+        return
+    route = routes[request.path]
+    peer = str(stream.extra(SocketAttribute.remote_address))
+    link = WebSocketLink(stream, protocol, route.codec, peer)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(link.keep_alive)
+        try:
+            await route.handler(link)
+        finally:
+            await link.aclose()
+            tasks.cancel_scope.cancel()
+
+
+async def _read_request(stream: SocketStream, protocol: ServerProtocol) -> Request | None:
+    """Return the peer's opening request; ``None`` when what came is none."""
+    while True:
+        protocol.receive_data(await stream.receive(RECEIVE_BYTES))
+        for event in protocol.events_received():
+            if isinstance(event, Request):
+                return event
+        if protocol.handshake_exc is not None:
+            return None
+
+
+def _respond(
+    protocol: ServerProtocol,
+    request: Request | None,
+    routes: Mapping[str, LinkRoute],
+    cluster_token: str,
+) -> Response:
+    """Accept or refuse the opening request."""
+    if request is None:
+        return protocol.reject(400, "not a WebSocket opening\n")
+    presented = request.headers.get("Authorization", "")
+    if not hmac.compare_digest(presented.encode(), f"Bearer {cluster_token}".encode()):
+        return protocol.reject(401, "wrong cluster token\n")
+    if request.path not in routes:
+        return protocol.reject(404, "no such link\n")
+    return protocol.accept(request)
--- /dev/null
+++ b/tests/wire/test_links.py
@@ -0,0 +1,128 @@
+"""Links carry messages in order, notice a silent peer and refuse what is malformed."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Awaitable, Callable
+from functools import partial
+
+import anyio
+import pytest
+
+from bergamotchute_model.control_messages import ControlMessage, Hello, Ping, Pong
+from bergamotchute_model.identifiers import Address
+from bergamotchute_model.membership import Role
+from bergamotchute_wire import web_socket_link
+from bergamotchute_wire.link import DialFailed, Link, LinkClosed
+from bergamotchute_wire.message_codec import MalformedMessageError, MessageCodec
+from bergamotchute_wire.web_socket_transport import (
+    LinkRoute,
+    serve_web_socket_links,
+    web_socket_dial,
+)
+
+CODEC: MessageCodec[ControlMessage] = MessageCodec(ControlMessage)
+
+
+def free_address() -> Address:
+    """Return a loopback address that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return Address("127.0.0.1", probe.getsockname()[1])
+
+
+async def echo(link: Link[ControlMessage]) -> None:
+    try:
+        while True:
+            message = await link.receive()
+            assert isinstance(message, Ping)
+            await link.send(Pong(message.number))
+    except LinkClosed:
+        return
+
+
+async def with_server(
+    body: Callable[[Address], Awaitable[None]],
+    handler: Callable[[Link[ControlMessage]], Awaitable[None]] = echo,
+) -> None:
+    """Run ``body`` against a server of links."""
+    address = free_address()
+    listening = anyio.Event()
+
+    async def on_listening() -> None:
+        listening.set()
+
+    async with anyio.create_task_group() as tasks:
+        routes = {"/control": LinkRoute(CODEC, handler)}
+        serve = partial(serve_web_socket_links, on_listening=on_listening)
+        tasks.start_soon(serve, address, routes, "secret")
+        await listening.wait()
+        await body(address)
+        tasks.cancel_scope.cancel()
+
+
+def test_messages_arrive_in_order() -> None:
+    async def body(address: Address) -> None:
+        async with web_socket_dial("/control", CODEC, "secret")(address) as link:
+            for number in range(200):
+                await link.send(Ping(number))
+            assert [await link.receive() for _ in range(200)] == [Pong(n) for n in range(200)]
+
+    anyio.run(with_server, body)
+
+
+@pytest.mark.parametrize(("path", "token"), [("/control", "wrong"), ("/other", "secret")])
+def test_a_stranger_is_refused(path: str, token: str) -> None:
+    async def body(address: Address) -> None:
+        with pytest.raises(DialFailed):
+            async with web_socket_dial(path, CODEC, token)(address):
+                pass
+
+    anyio.run(with_server, body)
+
+
+def test_nobody_listens() -> None:
+    async def body() -> None:
+        with pytest.raises(DialFailed):
+            async with web_socket_dial("/control", CODEC)(free_address()):
+                pass
+
+    anyio.run(body)
+
+
+def test_a_malformed_message_ends_the_link() -> None:
+    hello: MessageCodec[object] = MessageCodec(dict[str, str])
+
+    async def body(address: Address) -> None:
+        async with web_socket_dial("/control", hello, "secret")(address) as link:
+            await link.send({"kind": "nothing"})
+            with pytest.raises(LinkClosed):
+                await link.receive()
+
+    anyio.run(with_server, body)
+
+
+def test_a_peer_that_goes_silent_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(web_socket_link, "HEARTBEAT_S", 0.01)
+    monkeypatch.setattr(web_socket_link, "MUTE_S", 0.05)
+
+    async def never_read(link: Link[ControlMessage]) -> None:
+        await anyio.sleep_forever()
+
+    async def body(address: Address) -> None:
+        async with web_socket_dial("/control", CODEC, "secret")(address) as link:
+            with pytest.raises(LinkClosed, match=r"mute|closed by peer"):
+                await link.receive()
+
+    anyio.run(with_server, body, never_read)
+
+
+def test_messages_survive_the_codec() -> None:
+    message = Hello("entry-1", Role.ENTRY, "a1")
+    assert CODEC.decode(CODEC.encode(message)) == message
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff", b"\xa0", b"\xa1dkinddnone", b"\x9f" * 5000])
+def test_bytes_that_are_no_message(data: bytes) -> None:
+    with pytest.raises(MalformedMessageError):
+        CODEC.decode(data)
