Let load reports say how much of the load is the reader's own

An entry corrects a late report by what it sent since. Without knowing which attempts the report counts it has to guess the lag; with the agent's count of the entry's own attempts it needs none.

--- a/packages/bergamotchute-model/src/bergamotchute_model/attempt_messages.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/attempt_messages.py
@@ -160,6 +160,12 @@
     :param work_left_tokens: the agent's estimate of tokens still to generate.
     :param slots: attempts that the engine runs side by side.
     :param sequence: grows with each report of one incarnation.
+    :param long: how many of all attempts are long work.
+    :param yours: how many of all attempts came from the entry that this report goes to; -1 where
+        the agent can't tell. The rest of the report is then the load of other entries, however
+        late the report comes.
+    :param yours_long: how many of these are long work.
+    :param entries: entries that sent attempts in the last seconds, at least 1.
     """
 
     endpoint: str
@@ -170,6 +176,10 @@
     work_left_tokens: int
     slots: int
     draining: bool = False
+    long: int = 0
+    yours: int = -1
+    yours_long: int = 0
+    entries: int = 1
     kind: Literal["endpoint_load"] = "endpoint_load"
 
 
