--- /dev/null
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/scheduler.py
@@ -0,0 +1,147 @@
+"""The scheduler of one service at one entry: queue, book and choice together."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+from bergamotchute_model.attempt_messages import EndpointLoad
+from bergamotchute_model.membership import EndpointAnnouncement
+from bergamotchute_model.problem import ProblemCode
+from bergamotchute_policy.admission import AdmissionQueue
+from bergamotchute_policy.endpoint_book import EndpointBook, Finish
+from bergamotchute_policy.endpoint_record import EndpointRecord
+from bergamotchute_policy.picker import pick
+from bergamotchute_policy.scheduling_settings import SchedulingSettings
+from bergamotchute_policy.work import Decision, Dispatch, Size, Work
+
+RECHECK_S = 0.1
+LONG_PRIORITY_OFFSET = 100
+
+Pick = Callable[[EndpointBook, Work, str, Random, float], EndpointRecord | None]
+
+
+class ServiceScheduler:
+    """Decides where and when the requests of one service run.
+
+    Every method that may free room returns the decisions that follow, in order. Each request that
+    is offered gets exactly one decision, unless :meth:`cancel` takes it back; one for which none
+    has come yet waits. Carry out each :class:`Dispatch` at once and report its end by
+    :meth:`on_finish`, however it ends; to try again, :meth:`offer` the request again. While
+    :meth:`next_deadline` gives a time, call :meth:`on_tick` then.
+
+    :param availability_zone: the entry's own.
+    :param random: the source of all draws.
+    :param weights: fair-share weight of each team; others have 1.
+    """
+
+    def __init__(
+        self,
+        availability_zone: str,
+        random: Random,
+        settings: SchedulingSettings | None = None,
+        weights: dict[str, float] | None = None,
+        pick: Pick = pick,
+    ) -> None:
+        self.availability_zone = availability_zone
+        self.random = random
+        self.settings = settings or SchedulingSettings()
+        self.book = EndpointBook(self.settings)
+        self.queue = AdmissionQueue(self.settings, weights)
+        self.pick = pick
+
+    def offer(self, work: Work, now: float) -> list[Decision]:
+        """Take a request in: it is dispatched, refused, or waits.
+
+        Others may be refused for it, when the queue is full and their team waits with more.
+
+        :raises ValueError: when a request of this id waits already.
+        """
+        if not self.queue.waits(work.size):
+            endpoint = self._choose(work, now)
+            if endpoint is not None:
+                self.queue.charge(work)
+                return [self._dispatch(work, endpoint, now)]
+        decisions: list[Decision] = []
+        rate = self.book.drain_rate(work.size, now)
+        decisions.extend(self.queue.offer(work, rate, self.book.mean_speed, now))
+        decisions.extend(self.on_tick(now))
+        return decisions
+
+    def cancel(self, request_id: str) -> bool:
+        """Drop a waiting request whose caller gave up; return whether it waited.
+
+        One that is already dispatched is ended by its endpoint, not here.
+        """
+        return self.queue.remove(request_id) is not None
+
+    def on_announcement(self, announcement: EndpointAnnouncement, now: float) -> list[Decision]:
+        """Take an endpoint in, or renew what is known of it."""
+        self.book.on_announcement(announcement, now)
+        return self.on_tick(now)
+
+    def on_lapse(self, endpoint: str) -> None:
+        """Forget an endpoint whose announcement lapsed."""
+        self.book.on_lapse(endpoint)
+
+    def on_draining(self, endpoint: str, incarnation: str) -> None:
+        """Send no more work to this life of an endpoint, whatever it announces later."""
+        self.book.on_draining(endpoint, incarnation)
+
+    def on_drains(self, endpoints: frozenset[str], now: float) -> list[Decision]:
+        """Send no more work to the endpoints that the files in force drain; the rest may work."""
+        self.book.on_drains(endpoints)
+        return self.on_tick(now)
+
+    def on_load_report(self, load: EndpointLoad, now: float) -> list[Decision]:
+        """Take a load report, late as it may be."""
+        self.book.on_load_report(load, now)
+        return self.on_tick(now)
+
+    def on_finish(
+        self, dispatch: Dispatch, finish: Finish, now: float, tokens: float = 0.0
+    ) -> list[Decision]:
+        """Take the end of an attempt.
+
+        :param tokens: what a completed attempt really generated; 0 where it is not known.
+        """
+        request_id = dispatch.work.request_id
+        self.book.on_finish(
+            dispatch.endpoint, dispatch.incarnation, request_id, finish, now=now, tokens=tokens
+        )
+        return self.on_tick(now)
+
+    def on_tick(self, now: float) -> list[Decision]:
+        """Refuse what can't be served any more, and dispatch what has room."""
+        if not len(self.queue):
+            return []
+        decisions: list[Decision] = list(self.queue.expire(now))
+        blocked: set[Size] = set()
+        while (size := self.queue.next_size(blocked)) is not None:
+            work = self.queue.peek(size)
+            endpoint = self._choose(work, now)
+            if endpoint is None:
+                blocked.add(size)
+                continue
+            self.queue.take(work)
+            decisions.append(self._dispatch(work, endpoint, now))
+        return decisions
+
+    def refuse_waiting(self, code: ProblemCode, detail: str) -> list[Decision]:
+        """Refuse all that wait, as when the entry stops or its view lease lapses."""
+        return list(self.queue.clear(code, detail))
+
+    def next_deadline(self, now: float) -> float | None:
+        """Return when to call :meth:`on_tick`; ``None`` while nothing waits."""
+        deadline = self.queue.next_deadline()
+        return None if deadline is None else max(now, min(deadline, now + RECHECK_S))
+
+    def _choose(self, work: Work, now: float) -> EndpointRecord | None:
+        """Return an endpoint with room for the request."""
+        return self.pick(self.book, work, self.availability_zone, self.random, now)
+
+    def _dispatch(self, work: Work, endpoint: EndpointRecord, now: float) -> Dispatch:
+        """Count the request at its endpoint and return the decision."""
+        self.book.on_dispatch(endpoint.endpoint, work, now)
+        offset = LONG_PRIORITY_OFFSET if work.size is Size.LONG else 0
+        return Dispatch(work, endpoint.endpoint, endpoint.incarnation, work.priority + offset)
--- /dev/null
+++ b/tests/policy/test_scheduler.py
@@ -0,0 +1,245 @@
+"""Dispatch, waiting, refusal and cancellation at one entry."""
+
+from __future__ import annotations
+
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bergamotchute_model.attempt_messages import EndpointLoad
+from bergamotchute_model.identifiers import Address
+from bergamotchute_model.membership import EndpointAnnouncement
+from bergamotchute_model.problem import ProblemCode
+from bergamotchute_model.verdict import Verdict
+from bergamotchute_policy.endpoint_book import Finish
+from bergamotchute_policy.scheduler import ServiceScheduler
+from bergamotchute_policy.scheduling_settings import SchedulingSettings
+from bergamotchute_policy.work import Decision, Dispatch, Shed, Size, Work
+
+
+def announce(name: str, slots: int = 4, zone: str = "z1", life: str = "a") -> EndpointAnnouncement:
+    return EndpointAnnouncement(
+        name, life, 1, f"vm-{name}", zone, Address("127.0.0.1", 9), ("draft",), slots
+    )
+
+
+def scheduler_of(*names: str, slots: int = 4, **changes: float) -> ServiceScheduler:
+    chosen = SchedulingSettings(slow_start_s=0.0, **changes)  # type: ignore[arg-type]
+    scheduler = ServiceScheduler("z1", Random(1), chosen)
+    for name in names:
+        scheduler.on_announcement(announce(name, slots), 0.0)
+    return scheduler
+
+
+def work(
+    number: int, tokens: float = 30.0, team: str = "t", deadline: float = 100.0, body: int = 10
+) -> Work:
+    size = Size.LONG if tokens >= 300 else Size.SHORT
+    return Work(f"r{number}", "draft", team, tokens, size, deadline, body)
+
+
+def dispatched(decisions: list[Decision]) -> list[str]:
+    return [d.work.request_id for d in decisions if isinstance(d, Dispatch)]
+
+
+def shed(decisions: list[Decision]) -> list[Shed]:
+    return [d for d in decisions if isinstance(d, Shed)]
+
+
+def test_a_request_with_room_is_dispatched_at_once() -> None:
+    scheduler = scheduler_of("a")
+    (decision,) = scheduler.offer(work(1), 0.0)
+    assert isinstance(decision, Dispatch)
+    assert (decision.endpoint, decision.incarnation) == ("a", "a")
+
+
+def test_a_request_waits_without_room_and_goes_when_one_finishes() -> None:
+    scheduler = scheduler_of("a", slots=1, overcommit=0)
+    (first,) = scheduler.offer(work(1), 0.0)
+    assert isinstance(first, Dispatch)
+    assert scheduler.offer(work(2), 0.0) == []
+    assert dispatched(scheduler.on_finish(first, Finish.COMPLETED, 1.0, 30)) == ["r2"]
+    assert scheduler.next_deadline(1.0) is None
+
+
+def test_short_work_goes_before_long_and_long_work_keeps_its_floor() -> None:
+    scheduler = scheduler_of("a", slots=1, overcommit=0, long_floor=0.5)
+    (running,) = scheduler.offer(work(0), 0.0)
+    scheduler.offer(work(100, tokens=300), 0.0)
+    for number in range(1, 40):
+        scheduler.offer(work(number), 0.0)
+    order = []
+    for step in range(30):
+        assert isinstance(running, Dispatch)
+        (running,) = scheduler.on_finish(running, Finish.COMPLETED, 0.1 * step)
+        order.append(running.work.request_id)
+    assert order.index("r100") == 20
+
+
+def test_long_work_never_takes_the_slots_kept_for_short_work() -> None:
+    scheduler = scheduler_of("a", "b", slots=4, long_share=0.5)
+    decisions = [d for n in range(20) for d in scheduler.offer(work(n, tokens=900), 0.0)]
+    assert len(dispatched(decisions)) == 4
+    assert dispatched(scheduler.offer(work(99), 0.0)) == ["r99"]
+
+
+def test_a_deadline_out_of_reach_is_refused_at_once_as_not_run() -> None:
+    scheduler = scheduler_of("a", slots=1, overcommit=0)
+    scheduler.offer(work(1, tokens=290), 0.0)
+    scheduler.offer(work(2, tokens=290), 0.0)
+    (refusal,) = shed(scheduler.offer(work(3, deadline=5.0), 0.0))
+    assert refusal.problem.verdict is Verdict.NOT_RUN
+    assert refusal.problem.code is ProblemCode.DEADLINE_UNREACHABLE
+    assert refusal.problem.retry_after_s is not None
+    assert refusal.problem.retry_after_s > 5
+
+
+def test_a_waiting_request_is_refused_when_its_time_is_up_not_later() -> None:
+    scheduler = scheduler_of("a", slots=1, overcommit=0)
+    scheduler.offer(work(1), 0.0)
+    scheduler.offer(work(2, deadline=3.0), 0.0)
+    assert scheduler.on_tick(1.9) == []
+    assert [s.work.request_id for s in shed(scheduler.on_tick(2.0))] == ["r2"]
+    assert scheduler.next_deadline(2.0) is None
+
+
+def test_the_full_queue_refuses_the_team_that_waits_with_most() -> None:
+    scheduler = scheduler_of("a", slots=1, overcommit=0, queue_count=10)
+    scheduler.offer(work(0), 0.0)
+    for number in range(1, 11):
+        assert scheduler.offer(work(number, team="large"), 0.0) == []
+    (refusal,) = shed(scheduler.offer(work(50, team="small"), 0.0))
+    assert refusal.work.team == "large"
+    assert refusal.problem.code is ProblemCode.OVERLOADED
+    assert scheduler.cancel("r50")
+
+
+def test_the_queue_is_bounded_in_bytes() -> None:
+    scheduler = scheduler_of("a", slots=1, overcommit=0, queue_bytes=100)
+    scheduler.offer(work(0), 0.0)
+    refusals = [s for n in range(1, 9) for s in shed(scheduler.offer(work(n, body=30), 0.0))]
+    assert len(refusals) == 5
+    assert scheduler.queue.bytes == 90
+
+
+def test_late_and_foreign_reports_change_nothing() -> None:
+    scheduler = scheduler_of("a", slots=4)
+    scheduler.on_load_report(EndpointLoad("a", "a", 5, 3, 0, 90, 4, yours=0), 0.0)
+    scheduler.on_load_report(EndpointLoad("a", "a", 4, 0, 0, 0, 4, yours=0), 0.0)
+    scheduler.on_load_report(EndpointLoad("a", "old", 9, 0, 0, 0, 4, yours=0), 0.0)
+    assert scheduler.book.records["a"].others == 3
+
+
+def test_a_report_is_cleared_of_what_this_entry_sent_itself() -> None:
+    scheduler = scheduler_of("a", slots=4)
+    scheduler.offer(work(1), 0.0)
+    scheduler.offer(work(2), 0.0)
+    scheduler.on_load_report(EndpointLoad("a", "a", 1, 3, 0, 90, 4, yours=1), 0.5)
+    assert scheduler.book.records["a"].busy() == 4
+
+
+def test_an_entry_that_learns_late_still_gets_its_share_of_a_full_endpoint() -> None:
+    scheduler = scheduler_of("a", slots=4, overcommit=0)
+    scheduler.on_load_report(EndpointLoad("a", "a", 1, 4, 0, 90, 4, yours=0, entries=2), 0.0)
+    decisions = [d for n in range(4) for d in scheduler.offer(work(n), 0.0)]
+    assert len(dispatched(decisions)) == 2
+
+
+def test_a_new_incarnation_starts_empty_and_an_end_of_the_old_one_is_ignored() -> None:
+    scheduler = scheduler_of("a", slots=1, overcommit=0)
+    (old,) = scheduler.offer(work(1), 0.0)
+    assert isinstance(old, Dispatch)
+    scheduler.on_announcement(announce("a", 1, life="b"), 1.0)
+    (new,) = scheduler.offer(work(2), 1.0)
+    assert isinstance(new, Dispatch)
+    assert new.incarnation == "b"
+    scheduler.on_finish(old, Finish.FAILED, 1.0)
+    assert scheduler.book.records["a"].busy() == 1
+
+
+def test_a_draining_endpoint_gets_nothing_more() -> None:
+    scheduler = scheduler_of("a", "b")
+    scheduler.on_draining("a", "a")
+    decisions = [d for n in range(4) for d in scheduler.offer(work(n), 0.0)]
+    assert {d.endpoint for d in decisions if isinstance(d, Dispatch)} == {"b"}
+
+
+def test_a_drain_by_file_can_be_withdrawn_and_an_announced_one_can_not() -> None:
+    scheduler = scheduler_of("a")
+    scheduler.on_drains(frozenset({"a"}), 0.0)
+    assert scheduler.offer(work(1), 0.0) == []
+    assert dispatched(scheduler.on_drains(frozenset(), 0.0)) == ["r1"]
+    scheduler.on_draining("a", "a")
+    scheduler.on_announcement(announce("a"), 0.0)
+    assert scheduler.offer(work(2), 0.0) == []
+
+
+def test_ejection_never_sets_aside_the_majority() -> None:
+    scheduler = scheduler_of("a", "b", "c", "d", "e", slots=100)
+    for number in range(400):
+        for decision in scheduler.offer(work(number), 0.0):
+            if isinstance(decision, Dispatch):
+                scheduler.on_finish(decision, Finish.FAILED, 0.0)
+    assert len(scheduler.book.usable(0.0)) == 3
+    assert len(scheduler.book.usable(1000.0)) == 5
+
+
+def test_work_spills_over_when_the_own_zone_is_gone() -> None:
+    scheduler = scheduler_of("a")
+    scheduler.on_announcement(announce("far", zone="z2"), 0.0)
+    assert all(d.endpoint == "a" for d in scheduler.offer(work(0), 0.0) if isinstance(d, Dispatch))
+    scheduler.on_lapse("a")
+    (decision,) = scheduler.offer(work(1), 0.0)
+    assert isinstance(decision, Dispatch)
+    assert decision.endpoint == "far"
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["offer", "finish", "fail", "cancel", "tick", "lapse", "return"]),
+            st.integers(0, 5),
+            st.floats(0, 0.5),
+        ),
+        max_size=120,
+    )
+)
+def test_each_request_gets_exactly_one_decision(steps: list[tuple[str, int, float]]) -> None:
+    scheduler = scheduler_of("a", "b", slots=2, queue_count=12)
+    offered: set[str] = set()
+    decided: list[str] = []
+    cancelled: set[str] = set()
+    running: list[Dispatch] = []
+    now = 0.0
+
+    def take(decisions: list[Decision]) -> None:
+        decided.extend(d.work.request_id for d in decisions)
+        running.extend(d for d in decisions if isinstance(d, Dispatch))
+
+    for index, (kind, pick, pause) in enumerate(steps):
+        now += pause
+        if kind == "offer":
+            request = work(index, (10, 30, 400)[pick % 3], f"t{pick}", now + 0.5 + pick * 3)
+            offered.add(request.request_id)
+            take(scheduler.offer(request, now))
+        elif kind in ("finish", "fail") and running:
+            ended = running.pop(pick % len(running))
+            how = Finish.COMPLETED if kind == "finish" else Finish.FAILED
+            take(scheduler.on_finish(ended, how, now, ended.work.tokens))
+        elif kind == "cancel" and offered:
+            victim = sorted(offered)[pick % len(offered)]
+            if scheduler.cancel(victim):
+                cancelled.add(victim)
+        elif kind == "tick":
+            take(scheduler.on_tick(now))
+        elif kind == "lapse":
+            scheduler.on_lapse("ab"[pick % 2])
+        elif kind == "return":
+            take(scheduler.on_announcement(announce("ab"[pick % 2], 2), now))
+    while (deadline := scheduler.next_deadline(now)) is not None:
+        now = max(deadline, now + 0.01)
+        take(scheduler.on_tick(now))
+    assert sorted(decided) == sorted(offered - cancelled)
+    assert scheduler.queue.bytes == 0
