Merge the events of all processes into one time line, with a picture

Event files or running processes are merged by hybrid stamp, so an effect sorts after its cause although wall clocks disagree; filters, follow, JSON lines, and an SVG or HTML page with a lane a process.

--- /dev/null
+++ b/packages/bergamotchute-cli/src/bergamotchute_cli/timeline.py
@@ -0,0 +1,244 @@
+"""``bergamotchute timeline``: the events of all processes as one ordered list."""
+
+from __future__ import annotations
+
+import argparse
+import os
+import sys
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from pathlib import Path
+
+import anyio
+import httpx
+
+from bergamotchute_cli._picture import draw_html, draw_svg
+from bergamotchute_model.event_record import EventRecord, parse_event
+from bergamotchute_model.hybrid_clock import HybridStamp
+
+POLL_S = 0.5
+FETCH_TIMEOUT_S = 5.0
+EVENTS_PATH = "/v1/admin/events"
+ADMIN_TOKEN_VARIABLE = "BERGAMOTCHUTE_ADMIN_TOKEN"
+DESCRIPTION = """Merge the numbered events of all processes into one ordered time line.
+
+SOURCE is an event file, a folder of *.jsonl event files, or the HOST:PORT of a running process,
+which is asked with the admin token. docs/EVENTS.md lists the events.
+
+  bergamotchute timeline out/events --request r-17
+  bergamotchute timeline 10.0.0.1:8080 10.0.0.2:8080 --follow
+  bergamotchute timeline out/events --picture out/timeline.html
+"""
+
+
+@dataclass(frozen=True)
+class Selection:
+    """Which events to show; an empty field lets all through.
+
+    :param revision: -1 for any.
+    """
+
+    request_id: str = ""
+    endpoint: str = ""
+    group: str = ""
+    process: str = ""
+    event: str = ""
+    revision: int = -1
+
+    def takes(self, record: EventRecord) -> bool:
+        """Return whether ``record`` is to be shown."""
+        texts = ("request_id", "endpoint", "group", "process", "event")
+        if any(getattr(self, name) not in ("", getattr(record, name)) for name in texts):
+            return False
+        return self.revision in (-1, record.revision)
+
+
+def merge(records: Iterable[EventRecord]) -> list[EventRecord]:
+    """Return the events in the order of their stamps, each once."""
+    unique = {(r.process, r.incarnation, r.sequence): r for r in records}
+    return sorted(unique.values(), key=lambda record: record.order)
+
+
+def format_line(record: EventRecord) -> str:
+    """Return one event as one line for a person."""
+    clock = datetime.fromtimestamp(HybridStamp.parse(record.stamp).wall_us / 1e6, UTC)
+    named = {"request": record.request_id, "endpoint": record.endpoint, "group": record.group}
+    shown = [f"{name}={value}" for name, value in named.items() if value]
+    if record.revision >= 0:
+        shown.append(f"revision={record.revision}")
+    shown += [f"{name}={value}" for name, value in record.fields.items()]
+    head = f"{clock:%H:%M:%S.%f} {record.number} {record.process:<14} {record.event:<20}"
+    return " ".join([head, *shown]).rstrip()
+
+
+class EventFiles:
+    """Reads event files, each time only what was added since.
+
+    :param offsets: bytes read so far of each file.
+    """
+
+    def __init__(self, sources: list[Path]) -> None:
+        self.sources = sources
+        self.offsets: dict[Path, int] = {}
+
+    async def read(self) -> list[EventRecord]:
+        """Return events not returned before; a torn last line waits until it is whole.
+
+        :raises OSError: when a source can't be read.
+        """
+        return [record for path in self._files() for record in self._read_file(path)]
+
+    def _files(self) -> Iterator[Path]:
+        for source in self.sources:
+            if source.is_dir():
+                yield from sorted(source.rglob("*.jsonl"))
+            else:
+                yield source
+
+    def _read_file(self, path: Path) -> Iterator[EventRecord]:
+        with path.open("rb") as file:
+            file.seek(self.offsets.get(path, 0))
+            data = file.read()
+        whole, newline, _torn = data.rpartition(b"\n")
+        self.offsets[path] = self.offsets.get(path, 0) + len(whole) + len(newline)
+        for line in whole.splitlines():
+            record = parse_event(line)
+            if record is not None:
+                yield record
+
+
+class LiveProcesses:
+    """Asks running processes for their newest events.
+
+    :param places: the life and the last sequence number seen of each address.
+    """
+
+    def __init__(self, addresses: list[str], admin_token: str) -> None:
+        self.addresses = addresses
+        self.headers = {"authorization": f"Bearer {admin_token}"}
+        self.places: dict[str, tuple[str, int]] = {}
+
+    async def read(self) -> list[EventRecord]:
+        """Return events not returned before; a process that can't be reached gives a warning."""
+        found: list[EventRecord] = []
+
+        async def ask(client: httpx.AsyncClient, address: str) -> None:
+            try:
+                found.extend(await self._ask(client, address))
+            except httpx.HTTPError as error:
+                reason = str(error) or type(error).__name__
+                print(f"timeline: {address}: {reason}", file=sys.stderr)
+
+        async with (
+            httpx.AsyncClient(timeout=FETCH_TIMEOUT_S, headers=self.headers) as client,
+            anyio.create_task_group() as group,
+        ):
+            for address in self.addresses:
+                group.start_soon(ask, client, address)
+        return found
+
+    async def _ask(self, client: httpx.AsyncClient, address: str) -> list[EventRecord]:
+        incarnation, sequence = self.places.get(address, ("", 0))
+        query: dict[str, str | int] = {"incarnation": incarnation, "after": sequence}
+        response = await client.get(f"http://{address}{EVENTS_PATH}", params=query)
+        response.raise_for_status()
+        records = [r for line in response.text.splitlines() if (r := parse_event(line))]
+        if records:
+            self.places[address] = (records[-1].incarnation, records[-1].sequence)
+        return records
+
+
+def _sources(names: list[str], admin_token: str) -> list[EventFiles | LiveProcesses]:
+    files = [Path(name) for name in names if Path(name).exists() or ":" not in name]
+    live = [name for name in names if ":" in name and not Path(name).exists()]
+    sources: list[EventFiles | LiveProcesses] = []
+    if files:
+        sources.append(EventFiles(files))
+    if live:
+        sources.append(LiveProcesses(live, admin_token))
+    return sources
+
+
+async def _read_all(sources: list[EventFiles | LiveProcesses]) -> list[EventRecord]:
+    records: list[EventRecord] = []
+    for source in sources:
+        records += await source.read()
+    return records
+
+
+async def _follow(
+    sources: list[EventFiles | LiveProcesses], show: Callable[[EventRecord], None]
+) -> None:
+    """Show events as they come, each held for one poll so that processes may interleave."""
+    held: list[EventRecord] = []
+    while True:
+        fresh = merge(await _read_all(sources))
+        ready = held + [record for record in fresh if held and record.order < held[-1].order]
+        for record in merge(ready):
+            show(record)
+        held = [record for record in fresh if record not in ready]
+        await anyio.sleep(POLL_S)
+
+
+def _print_text(record: EventRecord) -> None:
+    print(format_line(record), flush=True)
+
+
+def _print_json(record: EventRecord) -> None:
+    print(record.to_json(), flush=True)
+
+
+def add_timeline_command(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    """Add ``timeline`` to the commands of ``bergamotchute``."""
+    parser = commands.add_parser(
+        "timeline",
+        help="merge the events of all processes",
+        description=DESCRIPTION,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument("sources", nargs="+", metavar="SOURCE", help="file, folder or HOST:PORT")
+    parser.add_argument("--request", default="", help="only this request id")
+    parser.add_argument("--endpoint", default="", help="only this endpoint")
+    parser.add_argument("--group", default="", help="only this rank group")
+    parser.add_argument("--revision", type=int, default=-1, help="only this revision")
+    parser.add_argument("--process", default="", help="only this process")
+    parser.add_argument("--event", default="", help="only this kind of event, by its name")
+    parser.add_argument("--follow", action="store_true", help="go on showing what is new")
+    parser.add_argument("--output", choices=("text", "json"), default="text")
+    parser.add_argument("--picture", type=Path, help="also draw FILE.svg or FILE.html")
+    parser.set_defaults(run=run_timeline)
+
+
+def run_timeline(options: argparse.Namespace) -> int:
+    """Show the time line; return 0, or 2 when a source can't be read."""
+    selection = Selection(
+        request_id=options.request,
+        endpoint=options.endpoint,
+        group=options.group,
+        process=options.process,
+        event=options.event,
+        revision=options.revision,
+    )
+    write = _print_json if options.output == "json" else _print_text
+    sources = _sources(options.sources, os.environ.get(ADMIN_TOKEN_VARIABLE, ""))
+
+    def show(record: EventRecord) -> None:
+        if selection.takes(record):
+            write(record)
+
+    try:
+        if options.follow:
+            anyio.run(_follow, sources, show)
+        shown = [r for r in merge(anyio.run(_read_all, sources)) if selection.takes(r)]
+        for record in shown:
+            write(record)
+        if options.picture:
+            draw = draw_html if options.picture.suffix == ".html" else draw_svg
+            options.picture.write_text(draw(shown), encoding="utf-8")
+    except OSError as error:
+        print(f"timeline: {error}", file=sys.stderr)
+        return 2
+    except KeyboardInterrupt:
+        pass
+    return 0
