Tell the view revision from the log index, and let claims be looked up

Cause: a claim moves the log but no view, so a lease bound to the log index would need a delta for each claim; and an entry that refuses a resend must first know whether an earlier sending ran. Change: leases speak of view revisions; LookUpClaim reads a claim; attempts carry a serial by which an agent tells forgotten from never seen; chunks count their events. Conclusion: the request path can be written on these.

--- a/packages/bergamotchute-model/src/bergamotchute_model/attempt_messages.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/attempt_messages.py
@@ -8,6 +8,7 @@
 
 from pydantic import Discriminator
 
+from bergamotchute_model.hello import Hello
 from bergamotchute_model.identifiers import AttemptId
 from bergamotchute_model.verdict import Verdict
 
@@ -58,11 +59,13 @@
     """Agent to entry: the next bytes of the answer.
 
     :param sequence: counts the chunks of one attempt from 0; a gap or a repeat is an error.
+    :param events: how many server-sent events end in ``data``; 0 where the answer is no stream.
     """
 
     attempt: AttemptId
     sequence: int
     data: bytes
+    events: int = 0
     kind: Literal["answer_chunk"] = "answer_chunk"
 
 
@@ -184,7 +187,8 @@
 
 
 AttemptMessage = Annotated[
-    StartAttempt
+    Hello
+    | StartAttempt
     | AnswerHead
     | AnswerChunk
     | AnswerEnd
--- a/packages/bergamotchute-model/src/bergamotchute_model/commands.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/commands.py
@@ -126,6 +126,18 @@
     kind: Literal["settle_claim"] = "settle_claim"
 
 
+@dataclass(frozen=True)
+class LookUpClaim:
+    """Tell how the claim on ``key`` stands, and change nothing.
+
+    Gives ``granted=False`` with the record, ``record=None`` where the key was never claimed.
+    """
+
+    key: ClaimKey
+    body_digest: str
+    kind: Literal["look_up_claim"] = "look_up_claim"
+
+
 @dataclass(frozen=True)
 class ClaimResult:
     """The result of each claim command.
@@ -195,7 +207,7 @@
 
 
 Command = Annotated[
-    ApplyFile | TakeClaim | ReleaseClaim | SettleClaim | NextFence | RecordDecision,
+    ApplyFile | TakeClaim | ReleaseClaim | SettleClaim | LookUpClaim | NextFence | RecordDecision,
     Discriminator("kind"),
 ]
 CommandResult = Annotated[
--- a/packages/bergamotchute-model/src/bergamotchute_model/control_messages.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/control_messages.py
@@ -12,26 +12,12 @@
 from pydantic import Discriminator
 
 from bergamotchute_model.commands import Command, CommandResult
+from bergamotchute_model.hello import Hello
 from bergamotchute_model.identifiers import Address
-from bergamotchute_model.membership import EndpointAnnouncement, EntryAnnouncement, Role
+from bergamotchute_model.membership import EndpointAnnouncement, EntryAnnouncement
 from bergamotchute_model.view import ViewChange
 
 
-@dataclass(frozen=True)
-class Hello:
-    """The first message each way on every link.
-
-    :param process: the sender's name.
-    :param incarnation: fresh at each start of the sender.
-    """
-
-    process: str
-    role: Role
-    incarnation: str
-    protocol: int = 1
-    kind: Literal["hello"] = "hello"
-
-
 @dataclass(frozen=True)
 class Ping:
     """Either way: a heartbeat; the peer answers with :class:`Pong` of the same number."""
@@ -66,9 +52,12 @@
     """The view at ``revision`` is confirmed; the lease runs from when the renewal was sent.
 
     A holder whose own revision is lower than ``revision`` must catch up before it uses the lease.
+    Revisions here are view revisions: those of the newest change that a view shows (a file or a
+    decision), so that claims, which no view shows, need no delta.
 
     :param duration_s: how long the lease holds, in seconds.
-    :param revision: the newest revision that a quorum had committed after the renewal was sent.
+    :param revision: the newest view revision that a quorum had committed after the renewal was
+        sent.
     """
 
     number: int
--- a/packages/bergamotchute-model/src/bergamotchute_model/identifiers.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/identifiers.py
@@ -43,6 +43,8 @@
     :param endpoint: the name of the endpoint.
     :param incarnation: the life of the endpoint's agent, fresh at each start.
     :param entry_epoch: the life of the entry that dispatched the attempt, fresh at each start.
+    :param serial: grows with each attempt of one entry epoch, so that an agent can tell attempts
+        that it may have forgotten from those that never reached it.
     """
 
     request_id: str
@@ -50,6 +52,7 @@
     endpoint: str
     incarnation: str
     entry_epoch: str
+    serial: int = 0
 
     def __str__(self) -> str:
         return f"{self.request_id}#{self.number}@{self.endpoint}/{self.incarnation}"
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -9,7 +9,8 @@
 import anyio
 import pytest
 
-from bergamotchute_model.control_messages import ControlMessage, Hello, Ping, Pong
+from bergamotchute_model.control_messages import ControlMessage, Ping, Pong
+from bergamotchute_model.hello import Hello
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.membership import Role
 from bergamotchute_wire import web_socket_link
