--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SOURCES := packages tests tools
 READY := $(VENV)/.ready
 
-.PHONY: env format lint types imports events unit test lock clean
+.PHONY: measure-experts env format lint types imports events unit test lock clean
 
 env: $(READY)
 
@@ -44,3 +44,6 @@
 
 clean:
 	rm -rf $(VENV)
+
+measure-experts: env
+	OMP_NUM_THREADS=1 OPENBLAS_NUM_THREADS=1 $(BIN)/python -m tools.measure_experts
