--- a/tools/proof/scenario_parser.py
+++ b/tools/proof/scenario_parser.py
@@ -107,13 +107,13 @@
     return readers.get(token.type, str)(token)
 
 
-def _setup(lines: list[Any]) -> Scenario:
+def _setup(lines: Any) -> Scenario:
     """Return the scenario without its steps."""
     scenario = Scenario(title="")
     for tree in lines:
         if not isinstance(tree, Tree):
             continue
-        items = tree.children
+        items: list[Any] = tree.children
         match tree.data:
             case "title":
                 scenario = replace(scenario, title=str(items[0][1:-1]))
@@ -143,11 +143,11 @@
         raise _error(tree, "two processes have one name")
 
 
-def _steps(lines: list[Any], scenario: Scenario) -> Iterator[Step]:
+def _steps(lines: Any, scenario: Scenario) -> Iterator[Step]:
     for tree in lines:
         if not isinstance(tree, Tree):
             continue
-        items = tree.children
+        items: list[Any] = tree.children
         if tree.data == "timed":
             yield Step(_seconds(items[0]), _action(items[1], scenario), tree.meta.line)
         if tree.data == "repeated":
@@ -239,13 +239,13 @@
     return ", ".join(names) or "none"
 
 
-def _expectations(lines: list[Any], scenario: Scenario) -> Iterator[Expectation]:
+def _expectations(lines: Any, scenario: Scenario) -> Iterator[Expectation]:
     known = {step.action.name for step in scenario.steps if isinstance(step.action, Call)}
     known |= {step.action.target for step in scenario.steps if isinstance(step.action, Operation)}
     for tree in lines:
         if not isinstance(tree, Tree) or tree.data != "expectation":
             continue
-        parts = {str(part.data): part for part in tree.children if isinstance(part, Tree)}
+        parts: dict[str, Any] = {str(p.data): p for p in tree.children if isinstance(p, Tree)}
         name = next(item for item in tree.children if _is(item, "NAME"))
         outcome, runs = "runs", 0
         if "runs" in parts:
