Add the replicated control state

Change: ControlState applies commands by log index. Files go by name and next number, with a packed history of 174,000 changes for resends; past it the answer is the new outcome FORGOTTEN. Claims keep open ones always, 16,384 finished records, 32 MiB of outcomes and 400,000 ended keys; ClaimResult gains the field ended. Views are the items changed after a revision, so none is missed.

--- a/packages/bergamotchute-model/src/bergamotchute_model/commands.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/commands.py
@@ -36,16 +36,20 @@
     REPEATED = "repeated"
     CONFLICT = "conflict"
     INVALID = "invalid"
+    FORGOTTEN = "forgotten"
 
 
 @dataclass(frozen=True)
 class FileApplied:
     """The result of an :class:`ApplyFile`.
 
+    ``FORGOTTEN`` means that the number was given so long ago that its digest is no longer kept;
+    nothing changed, and nothing can be said of what the first sending became.
+
     :param revision: the revision at which the file came into force (first answer, on a resend).
     :param number: the number in force under that name.
     :param winner_digest: on a conflict, the digest of the content that holds the number.
-    :param errors: on an invalid file, one line a fault.
+    :param errors: on an invalid file, one line a fault; on a number that skips, what was expected.
     """
 
     outcome: ApplyOutcome
@@ -83,7 +87,7 @@
 
     :param body_digest: digest of the request's method, path and body.
     :param attempt: the attempt that is allowed to run, or was the last allowed.
-    :param outcome: the answer, once settled.
+    :param outcome: the answer, once settled; ``None`` again once it is no longer kept.
     """
 
     key: ClaimKey
@@ -144,12 +148,15 @@
 
     :param granted: the command took effect (or had, when it is a repeat).
     :param reused: the key was claimed before with another body; nothing of that request is shown.
-    :param record: the claim as it now stands.
+    :param record: the claim as it now stands; ``None`` when there is none.
+    :param ended: the key ended in this way, so long ago that its record is gone; it never runs
+        again.
     """
 
     granted: bool
     record: ClaimRecord | None
     reused: bool = False
+    ended: ClaimState | None = None
     kind: Literal["claim_result"] = "claim_result"
 
 
--- a/packages/bergamotchute-state/src/bergamotchute_state/__init__.py
+++ b/packages/bergamotchute-state/src/bergamotchute_state/__init__.py
@@ -1,1 +1,1 @@
-"""The replicated control state: files in force, claims, fences and map epochs."""
+"""The replicated control state: files in force, claims, fences and decisions."""
--- /dev/null
+++ b/tests/state/test_claims_over_time.py
@@ -0,0 +1,104 @@
+"""Claims keep barring a key long after its record and its answer are gone."""
+
+from __future__ import annotations
+
+import pytest
+
+from bergamotchute_model.commands import (
+    ClaimResult,
+    ClaimState,
+    Outcome,
+    ReleaseClaim,
+    SettleClaim,
+    TakeClaim,
+)
+from bergamotchute_model.identifiers import AttemptId, ClaimKey
+from bergamotchute_state import claims as claims_module
+from bergamotchute_state.claims import Claims
+
+
+def key(number: int) -> ClaimKey:
+    return ClaimKey("team", "orders", f"key-{number}")
+
+
+def attempt(number: int) -> AttemptId:
+    return AttemptId(f"request-{number}", 1, "press-1", "i", "e")
+
+
+def take(claims: Claims, number: int, body: str = "body", by: int | None = None) -> ClaimResult:
+    who = attempt(number if by is None else by)
+    return claims.on_take_claim(TakeClaim(key(number), body, who))
+
+
+def settle(claims: Claims, number: int, body: bytes | None = b"booked") -> ClaimResult:
+    outcome = None if body is None else Outcome(201, (), body)
+    return claims.on_settle_claim(SettleClaim(key(number), attempt(number), outcome))
+
+
+@pytest.fixture
+def claims(monkeypatch: pytest.MonkeyPatch) -> Claims:
+    monkeypatch.setattr(claims_module, "FINISHED_CLAIMS", 4)
+    monkeypatch.setattr(claims_module, "ENDED_CLAIMS", 8)
+    monkeypatch.setattr(claims_module, "OPEN_CLAIMS", 3)
+    monkeypatch.setattr(claims_module, "KEPT_OUTCOME_BYTES", 100)
+    monkeypatch.setattr(claims_module, "OUTCOME_MAX_BYTES", 60)
+    return Claims()
+
+
+@pytest.mark.parametrize("body", [b"booked", None])
+def test_an_ended_key_never_runs_again(claims: Claims, body: bytes | None) -> None:
+    for number in range(10):
+        assert take(claims, number).granted
+        assert settle(claims, number, body).granted
+    again = take(claims, 0, by=99)
+    assert not again.granted
+    assert again.record is None
+    assert again.ended is (ClaimState.UNKNOWN if body is None else ClaimState.SETTLED)
+    assert take(claims, 0, body="other").reused
+    assert settle(claims, 0).ended is again.ended
+    copy = Claims.load(claims.dump())
+    assert take(copy, 0, by=99) == again
+    assert copy.dump() == claims.dump()
+
+
+def test_the_oldest_answers_go_first_and_the_claim_stays_settled(claims: Claims) -> None:
+    for number in range(3):
+        take(claims, number)
+        settle(claims, number, b"x" * 40)
+    oldest, newest = (take(claims, number, by=99).record for number in (0, 2))
+    assert oldest is not None
+    assert (oldest.state, oldest.outcome) == (ClaimState.SETTLED, None)
+    assert newest is not None
+    assert newest.outcome is not None
+    assert claims.outcome_bytes == 80
+
+
+def test_an_answer_past_the_bound_is_not_kept(claims: Claims) -> None:
+    take(claims, 0)
+    settled = settle(claims, 0, b"x" * 61)
+    assert settled.granted
+    assert settled.record is not None
+    assert (settled.record.state, settled.record.outcome) == (ClaimState.SETTLED, None)
+
+
+def test_too_many_open_claims_make_the_oldest_unknown_and_a_late_answer_settles_it(
+    claims: Claims,
+) -> None:
+    for number in range(4):
+        assert take(claims, number).granted
+    record = take(claims, 0, by=99).record
+    assert record is not None
+    assert record.state is ClaimState.UNKNOWN
+    assert not claims.on_release_claim(ReleaseClaim(key(0), attempt(0))).granted
+    assert settle(claims, 0).granted
+
+
+def test_a_released_key_that_was_forgotten_may_be_claimed_afresh(claims: Claims) -> None:
+    take(claims, 0)
+    assert claims.on_release_claim(ReleaseClaim(key(0), attempt(0))).granted
+    for number in range(1, 6):
+        take(claims, number)
+        settle(claims, number)
+    follower = TakeClaim(key(0), "body", attempt(98), replaces=attempt(0))
+    assert not claims.on_take_claim(follower).granted
+    assert take(claims, 0, by=99).granted
--- /dev/null
+++ b/tests/state/test_files_in_force.py
@@ -0,0 +1,112 @@
+"""Files come into force by name and number, and resends get the first answer."""
+
+from __future__ import annotations
+
+import hashlib
+
+import pytest
+
+from bergamotchute_model.commands import ApplyFile, ApplyOutcome, FileApplied
+from bergamotchute_state import files as files_module
+from bergamotchute_state.control_state import ControlState, SnapshotError
+
+
+def command(name: str, number: int, note: str = "") -> ApplyFile:
+    text = f"file: {name}\nnumber: {number}\n# {note}\n"
+    return ApplyFile(name, number, text, hashlib.sha256(text.encode()).hexdigest())
+
+
+def apply(state: ControlState, file: ApplyFile) -> FileApplied:
+    result = state.apply(file, state.revision + 1)
+    assert isinstance(result, FileApplied)
+    return result
+
+
+def restarted(state: ControlState) -> ControlState:
+    other = ControlState()
+    other.restore(state.snapshot())
+    assert other.snapshot() == state.snapshot()
+    return other
+
+
+def test_a_resend_gets_the_first_answer_after_hundreds_of_changes_and_a_restart() -> None:
+    state = ControlState()
+    first = apply(state, command("teams", 1))
+    assert first == FileApplied(ApplyOutcome.ACCEPTED, 1, 1)
+    for number in range(2, 700):
+        assert apply(state, command("teams", number)).outcome is ApplyOutcome.ACCEPTED
+        apply(state, command("services", number - 1))
+    for holder in (state, restarted(state)):
+        again = apply(holder, command("teams", 1))
+        assert again == FileApplied(ApplyOutcome.REPEATED, first.revision, 699)
+        middle = apply(holder, command("services", 300))
+        assert middle == FileApplied(ApplyOutcome.REPEATED, 601, 698)
+
+
+def test_two_operators_race_one_number_and_the_loser_learns_who_won() -> None:
+    state = ControlState()
+    winner = command("teams", 1, "first")
+    apply(state, winner)
+    lost = apply(state, command("teams", 1, "second"))
+    assert lost == FileApplied(ApplyOutcome.CONFLICT, 1, 1, winner_digest=winner.digest)
+    assert state.files.in_force["teams"].text == winner.text
+
+
+@pytest.mark.parametrize("number", [-1, 0, 3])
+def test_a_number_that_is_not_the_next_is_refused(number: int) -> None:
+    state = ControlState()
+    apply(state, command("teams", 1))
+    refused = apply(state, command("teams", number))
+    assert (refused.outcome, refused.number) == (ApplyOutcome.CONFLICT, 1)
+    assert refused.errors == (f"teams: found number {number}; the next is 2",)
+
+
+def test_past_the_horizon_the_answer_says_that_the_number_is_forgotten(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(files_module, "KEPT_CHANGES", 5)
+    state = ControlState()
+    apply(state, command("quiet", 1))
+    for number in range(1, 9):
+        apply(state, command("teams", number))
+    state = restarted(state)
+    assert apply(state, command("teams", 3)).outcome is ApplyOutcome.FORGOTTEN
+    assert apply(state, command("teams", 4)).outcome is ApplyOutcome.REPEATED
+    assert apply(state, command("quiet", 1)) == FileApplied(ApplyOutcome.REPEATED, 1, 1)
+    assert apply(state, command("quiet", 2)).outcome is ApplyOutcome.ACCEPTED
+    assert apply(state, command("quiet", 1)).outcome is ApplyOutcome.FORGOTTEN
+
+
+def test_a_wrong_digest_and_an_oversized_file_are_invalid() -> None:
+    state = ControlState()
+    good = command("teams", 1)
+    wrong = ApplyFile(good.name, good.number, good.text, "0" * 64)
+    assert apply(state, wrong).outcome is ApplyOutcome.INVALID
+    huge = command("teams", 1, "x" * files_module.FILE_MAX_BYTES)
+    refused = apply(state, huge)
+    assert refused.outcome is ApplyOutcome.INVALID
+    assert "at most" in refused.errors[0]
+
+
+def test_changes_since_give_each_name_as_it_stands() -> None:
+    state = ControlState()
+    for number in (1, 2):
+        apply(state, command("teams", number))
+        apply(state, command("services", number))
+    assert state.changes_since(5) is None
+    assert state.changes_since(4) == ()
+    changes = state.changes_since(2)
+    assert changes == state.whole_view()
+    assert [change.revision for change in changes] == [3, 4]
+
+
+@pytest.mark.parametrize("damage", [b"", b"\x00", b"\x80", b"\xff" * 9, b"\x87" + b"\x01" * 7])
+def test_a_damaged_snapshot_is_refused_and_changes_nothing(damage: bytes) -> None:
+    state = ControlState()
+    apply(state, command("teams", 1))
+    before = state.snapshot()
+    with pytest.raises(SnapshotError):
+        state.restore(damage)
+    assert state.snapshot() == before
+    with pytest.raises(ValueError, match="does not come after"):
+        state.apply(command("teams", 2), 1)
