Look up claims and tell the view revision in the control state

Cause: callers' resends ask how a claim stands, and views advance only with files and decisions. Change: LookUpClaim shows a claim to its own body only; view_revision is the newest shown change.

--- a/packages/bergamotchute-state/src/bergamotchute_state/claims.py
+++ b/packages/bergamotchute-state/src/bergamotchute_state/claims.py
@@ -12,6 +12,7 @@
     ClaimRecord,
     ClaimResult,
     ClaimState,
+    LookUpClaim,
     Outcome,
     ReleaseClaim,
     SettleClaim,
@@ -25,6 +26,8 @@
 OUTCOME_MAX_BYTES = 256 * 1024
 ENDED_CLAIMS = 400_000
 
+ClaimCommand = TakeClaim | ReleaseClaim | SettleClaim | LookUpClaim
+
 _ENDED_KEY_BYTES = 16
 _ENDED_VALUE_BYTES = 8
 _ENDED_STATES = (ClaimState.SETTLED, ClaimState.UNKNOWN)
@@ -47,19 +50,37 @@
         self.outcome_bytes = 0
         self.ended: dict[bytes, int] = {}
 
+    def apply(self, command: ClaimCommand) -> ClaimResult:
+        """Apply a claim command."""
+        match command:
+            case TakeClaim():
+                return self.on_take_claim(command)
+            case ReleaseClaim():
+                return self.on_release_claim(command)
+            case SettleClaim():
+                return self.on_settle_claim(command)
+            case LookUpClaim():
+                return self.on_look_up_claim(command)
+
     def on_take_claim(self, command: TakeClaim) -> ClaimResult:
         """Grant a first claim, a repeat of the granted one, or the follower of a released one."""
-        record = self._find(command.key)
-        if record is None:
+        known = self._known(command.key, command.body_digest)
+        if known is None:
             return self._take_new(command)
-        if record.body_digest != command.body_digest:
-            return ClaimResult(granted=False, record=None, reused=True)
+        record = known.record
+        if record is None:
+            return known
         if record.state is ClaimState.ASSIGNED:
             return ClaimResult(granted=record.attempt == command.attempt, record=record)
         follows = command.replaces == record.attempt and command.attempt != record.attempt
         if record.state is ClaimState.RELEASED and follows:
             return self._assign(command)
-        return ClaimResult(granted=False, record=record)
+        return known
+
+    def on_look_up_claim(self, command: LookUpClaim) -> ClaimResult:
+        """Tell how the key's claim stands."""
+        known = self._known(command.key, command.body_digest)
+        return known or ClaimResult(granted=False, record=None)
 
     def on_release_claim(self, command: ReleaseClaim) -> ClaimResult:
         """Free the key, if this attempt holds it and nothing says that it may have run."""
@@ -87,10 +108,6 @@
         repeated = record.state is ClaimState.SETTLED and record.outcome == command.outcome
         return ClaimResult(granted=repeated, record=record)
 
-    def record(self, key: ClaimKey) -> ClaimRecord | None:
-        """Return the claim on ``key`` while its record is kept."""
-        return self._find(key)
-
     def dump(self) -> list[Any]:
         """Return the claims as plain lists, oldest first in each age."""
         ended = b"".join(
@@ -129,13 +146,22 @@
         value = self.ended.get(_ended_key(key))
         return ClaimResult(granted=False, record=None, ended=_ended_state(value))
 
+    def _known(self, key: ClaimKey, body_digest: str) -> ClaimResult | None:
+        """Return what may be shown of a key to a request with this body; ``None`` if unknown."""
+        record = self._find(key)
+        if record is not None:
+            reused = record.body_digest != body_digest
+            return ClaimResult(granted=False, record=None if reused else record, reused=reused)
+        value = self.ended.get(_ended_key(key))
+        state = _ended_state(value)
+        if state is None:
+            return None
+        if value != _ended_value(state, body_digest):
+            return ClaimResult(granted=False, record=None, reused=True)
+        return ClaimResult(granted=False, record=None, ended=state)
+
     def _take_new(self, command: TakeClaim) -> ClaimResult:
-        """Grant a key that has no record, unless it ended or the claim means to follow one."""
-        value = self.ended.get(_ended_key(command.key))
-        if value is not None:
-            if value != _ended_value(_ended_state(value), command.body_digest):
-                return ClaimResult(granted=False, record=None, reused=True)
-            return ClaimResult(granted=False, record=None, ended=_ended_state(value))
+        """Grant a key that was never claimed, unless the command means to follow a claim."""
         if command.replaces is not None:
             return ClaimResult(granted=False, record=None)
         return self._assign(command)
@@ -205,7 +231,7 @@
     return hashlib.blake2b(data, digest_size=_ENDED_KEY_BYTES).digest()
 
 
-def _ended_value(state: ClaimState | None, body_digest: str) -> int:
+def _ended_value(state: ClaimState, body_digest: str) -> int:
     """Pack how a claim ended with a short digest of its body."""
     size = _ENDED_VALUE_BYTES - 1
     body = hashlib.blake2b(body_digest.encode(), digest_size=size).digest()
--- a/packages/bergamotchute-state/src/bergamotchute_state/control_state.py
+++ b/packages/bergamotchute-state/src/bergamotchute_state/control_state.py
@@ -11,6 +11,7 @@
     Command,
     CommandResult,
     FenceGranted,
+    LookUpClaim,
     NextFence,
     RecordDecision,
     ReleaseClaim,
@@ -56,12 +57,8 @@
         match command:
             case ApplyFile():
                 return self.files.on_apply_file(command, revision)
-            case TakeClaim():
-                return self.claims.on_take_claim(command)
-            case ReleaseClaim():
-                return self.claims.on_release_claim(command)
-            case SettleClaim():
-                return self.claims.on_settle_claim(command)
+            case TakeClaim() | ReleaseClaim() | SettleClaim() | LookUpClaim():
+                return self.claims.apply(command)
             case NextFence():
                 return self._on_next_fence(command, revision)
             case RecordDecision():
@@ -69,6 +66,13 @@
                 return self.decisions.on_record_decision(command, newest, revision)
         assert_never(command)
 
+    @property
+    def view_revision(self) -> int:
+        """The revision of the newest change that a view shows; 0 when there is none."""
+        file = next(reversed(self.files.in_force.values()), None)
+        decision = next(reversed(self.decisions.in_force.values()), None)
+        return max(file.revision if file else 0, decision.revision if decision else 0)
+
     def changes_since(self, revision: int) -> tuple[ViewChange, ...] | None:
         """Return what changed after ``revision``, each name as it stands now, oldest first.
 
--- a/tests/state/test_claims_over_time.py
+++ b/tests/state/test_claims_over_time.py
@@ -7,6 +7,7 @@
 from bergamotchute_model.commands import (
     ClaimResult,
     ClaimState,
+    LookUpClaim,
     Outcome,
     ReleaseClaim,
     SettleClaim,
@@ -56,6 +57,7 @@
     assert again.ended is (ClaimState.UNKNOWN if body is None else ClaimState.SETTLED)
     assert take(claims, 0, body="other").reused
     assert settle(claims, 0).ended is again.ended
+    assert claims.on_look_up_claim(LookUpClaim(key(0), "body")) == again
     copy = Claims.load(claims.dump())
     assert take(copy, 0, by=99) == again
     assert copy.dump() == claims.dump()
@@ -102,3 +104,12 @@
     follower = TakeClaim(key(0), "body", attempt(98), replaces=attempt(0))
     assert not claims.on_take_claim(follower).granted
     assert take(claims, 0, by=99).granted
+
+
+def test_looking_up_shows_a_claim_to_its_own_body_only_and_changes_nothing(claims: Claims) -> None:
+    look = LookUpClaim(key(0), "body")
+    assert claims.on_look_up_claim(look) == ClaimResult(granted=False, record=None)
+    taken = take(claims, 0)
+    assert claims.on_look_up_claim(look) == ClaimResult(granted=False, record=taken.record)
+    other = claims.on_look_up_claim(LookUpClaim(key(0), "other"))
+    assert other == ClaimResult(granted=False, record=None, reused=True)
--- a/tests/state/test_files_in_force.py
+++ b/tests/state/test_files_in_force.py
@@ -6,7 +6,14 @@
 
 import pytest
 
-from bergamotchute_model.commands import ApplyFile, ApplyOutcome, FileApplied
+from bergamotchute_model.commands import (
+    ApplyFile,
+    ApplyOutcome,
+    FileApplied,
+    LookUpClaim,
+    NextFence,
+)
+from bergamotchute_model.identifiers import ClaimKey
 from bergamotchute_state import files as files_module
 from bergamotchute_state.control_state import ControlState, SnapshotError
 
@@ -98,6 +105,9 @@
     changes = state.changes_since(2)
     assert changes == state.whole_view()
     assert [change.revision for change in changes] == [3, 4]
+    state.apply(NextFence("group-1", "a", "1"), 5)
+    state.apply(LookUpClaim(ClaimKey("team", "orders", "key"), "body"), 6)
+    assert (state.revision, state.view_revision) == (6, 5)
 
 
 @pytest.mark.parametrize("damage", [b"", b"\x00", b"\x80", b"\xff" * 9, b"\x87" + b"\x01" * 7])
