Run attempts beside an endpoint and answer for what ran

Cause: a caller that is told 'not run' needs a proof, which only the agent can give. Change: an agent that starts each attempt at most once, bars an attempt that is asked about before it comes, keeps the outcome of non-idempotent ones, passes answers on in whole events under credit, and drains; HTTP calls to the endpoint that tell 'nothing written' from 'broke'.

--- /dev/null
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/agent.py
@@ -0,0 +1,359 @@
+"""The agent beside one endpoint: runs attempts for entries and answers for what ran."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+
+from bergamotchute_daemon._event_splitter import EventSplitter
+from bergamotchute_daemon.attempt_table import (
+    OUTCOME_MAX_BYTES,
+    Accepted,
+    AttemptTable,
+    Refused,
+)
+from bergamotchute_daemon.event_log import EventLog
+from bergamotchute_model import events
+from bergamotchute_model.attempt_messages import (
+    AnswerChunk,
+    AnswerEnd,
+    AnswerHead,
+    AttemptFailed,
+    AttemptMessage,
+    AttemptReport,
+    CancelAttempt,
+    EndpointLoad,
+    GrantCredit,
+    QueryAttempt,
+    StartAttempt,
+)
+from bergamotchute_model.hello import Hello
+from bergamotchute_model.identifiers import AttemptId
+from bergamotchute_model.membership import Role
+from bergamotchute_model.verdict import Verdict
+from bergamotchute_wire.endpoint_client import (
+    CallEndpoint,
+    EndpointBroke,
+    EndpointRequest,
+    EndpointUnreached,
+)
+from bergamotchute_wire.link import Link, LinkClosed
+
+LOAD_REPORT_S = 0.25
+"""How often an agent tells its entries how busy it is."""
+
+SILENCE_S = 20.0
+"""How long an endpoint may send nothing in the middle of an answer."""
+
+EVENT_STREAM = "text/event-stream"
+
+
+@dataclass
+class Execution:
+    """An attempt in execution.
+
+    :param link: where its answer goes; ``None`` once its entry is gone.
+    :param credit_bytes: how many bytes of answer may still be sent.
+    """
+
+    message: StartAttempt
+    link: Link[AttemptMessage] | None
+    credit_bytes: int
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    credit_granted: anyio.Event = field(default_factory=anyio.Event)
+    sequence: int = 0
+    events: int = 0
+
+    def work_left(self) -> int:
+        """Return the tokens that are probably still to come."""
+        return max(1, self.message.work_tokens - self.events)
+
+
+class Agent:
+    """Serves the links of entries and runs their attempts at one endpoint.
+
+    :param table: decides what may start.
+    :param call_endpoint: reaches the endpoint.
+    :param slots: requests that the endpoint runs side by side.
+    :param tasks: where executions run.
+    """
+
+    def __init__(
+        self,
+        table: AttemptTable,
+        call_endpoint: CallEndpoint,
+        slots: int,
+        log: EventLog,
+        tasks: TaskGroup,
+    ) -> None:
+        self.table = table
+        self.call_endpoint = call_endpoint
+        self.slots = slots
+        self.log = log
+        self.tasks = tasks
+        self.executions: dict[AttemptId, Execution] = {}
+        self.links: set[Link[AttemptMessage]] = set()
+        self.load_sequence = 0
+        self.idle = anyio.Event()
+
+    async def serve_link(self, link: Link[AttemptMessage]) -> None:
+        """Serve one entry until its link closes."""
+        hello = Hello(self.table.endpoint, Role.AGENT, self.table.incarnation)
+        self.links.add(link)
+        try:
+            await link.send(hello)
+            await link.send(self.load(link))
+            while True:
+                await self._on_message(link, await link.receive())
+        except LinkClosed as closed:
+            self.log.emit(events.LINK_CLOSED, peer=link.peer, reason=closed.reason)
+        finally:
+            self.links.discard(link)
+            self._on_link_closed(link)
+
+    async def report_load(self) -> None:
+        """Tell all entries how busy the endpoint is, again and again."""
+        while True:
+            await anyio.sleep(LOAD_REPORT_S)
+            self._send_load()
+
+    async def drain(self, bound_s: float) -> bool:
+        """Take no new attempt and wait for those in execution.
+
+        :param bound_s: how long to wait at most, in seconds.
+        :returns: whether all ended in time.
+        """
+        self.table.draining = True
+        self.log.emit(events.PROCESS_DRAINING, running=len(self.executions))
+        self._send_load()
+        with anyio.move_on_after(bound_s):
+            while self.executions:
+                self.idle = anyio.Event()
+                await self.idle.wait()
+        if self.executions:
+            self.log.emit(events.DRAIN_OVERRUN, running=len(self.executions))
+            return False
+        return True
+
+    async def _on_message(self, link: Link[AttemptMessage], message: AttemptMessage) -> None:
+        """Handle one message of an entry; unknown kinds are for later protocol versions."""
+        match message:
+            case StartAttempt():
+                await self.on_start_attempt(link, message)
+            case GrantCredit():
+                self.on_grant_credit(message)
+            case CancelAttempt():
+                await self.on_cancel_attempt(link, message)
+            case QueryAttempt():
+                await self.on_query_attempt(link, message)
+            case _:
+                pass
+
+    async def on_start_attempt(self, link: Link[AttemptMessage], message: StartAttempt) -> None:
+        """Start an attempt, or say why not."""
+        decision = self.table.on_start_attempt(message)
+        match decision:
+            case Accepted():
+                execution = Execution(message, link, message.credit_bytes)
+                self.executions[message.attempt] = execution
+                self.tasks.start_soon(self._execute, execution)
+            case Refused(verdict, code):
+                self._emit(events.ATTEMPT_REFUSED, message.attempt, verdict=verdict, code=code)
+                detail = f"the agent of {self.table.endpoint} refused the attempt: {code}"
+                await link.send(AttemptFailed(message.attempt, verdict, code, detail))
+            case _:
+                pass
+
+    def on_grant_credit(self, message: GrantCredit) -> None:
+        """Let an answer go on."""
+        execution = self.executions.get(message.attempt)
+        if execution is not None:
+            execution.credit_bytes += message.credit_bytes
+            execution.credit_granted.set()
+
+    async def on_cancel_attempt(self, link: Link[AttemptMessage], message: CancelAttempt) -> None:
+        """Stop an attempt; one that never came is barred."""
+        execution = self.executions.get(message.attempt)
+        if execution is not None:
+            execution.scope.cancel()
+            return
+        record = self.table.on_query_attempt(message.attempt)
+        await link.send(AttemptReport("", record.attempt, record.state))
+
+    async def on_query_attempt(self, link: Link[AttemptMessage], message: QueryAttempt) -> None:
+        """Report what became of an attempt."""
+        record = self.table.on_query_attempt(message.attempt)
+        await link.send(
+            AttemptReport(
+                message.query_id,
+                message.attempt,
+                record.state,
+                record.status,
+                record.headers,
+                record.body,
+            )
+        )
+
+    def _on_link_closed(self, link: Link[AttemptMessage]) -> None:
+        """Stop the idempotent attempts of a lost entry; the others run to their end."""
+        for execution in list(self.executions.values()):
+            if execution.link is link:
+                execution.link = None
+                execution.credit_granted.set()
+                if execution.message.idempotent:
+                    execution.scope.cancel()
+
+    async def _execute(self, execution: Execution) -> None:
+        """Run one attempt to its end and record it before anyone is told."""
+        message = execution.message
+        self._emit(events.ATTEMPT_STARTED, message.attempt, idempotent=message.idempotent)
+        ending: AttemptMessage = self._failed(execution, Verdict.MAY_HAVE_RUN, "cancelled", "")
+        try:
+            with execution.scope, anyio.move_on_after(message.deadline_s) as deadline:
+                ending = await self._call(execution)
+            if deadline.cancelled_caught:
+                ending = self._failed(execution, Verdict.MAY_HAVE_RUN, "deadline", "")
+        finally:
+            self._record(execution, ending)
+        await self._send(execution, ending)
+
+    async def _call(self, execution: Execution) -> AttemptMessage:
+        """Call the endpoint and pass its answer on; return the closing message."""
+        message = execution.message
+        request = EndpointRequest(
+            message.method, message.path, self._headers(message), _body(message), SILENCE_S
+        )
+        try:
+            async with self.call_endpoint(request) as answer:
+                await self._send(
+                    execution, AnswerHead(message.attempt, answer.status, answer.headers)
+                )
+                content_type = dict(answer.headers).get("content-type", "")
+                splitter = EventSplitter() if content_type.startswith(EVENT_STREAM) else None
+                kept = bytearray()
+                async for data in answer.chunks:
+                    if not message.idempotent and len(kept) <= OUTCOME_MAX_BYTES:
+                        kept += data
+                    await self._pass_on(execution, data, splitter)
+                if splitter is not None and splitter.rest:
+                    return self._failed(
+                        execution, Verdict.MAY_HAVE_RUN, "endpoint_broke", "cut inside an event"
+                    )
+                keep = bytes(kept) if len(kept) <= OUTCOME_MAX_BYTES else None
+                self.table.on_completed(message.attempt, answer.status, answer.headers, keep)
+                return AnswerEnd(message.attempt, execution.sequence)
+        except EndpointUnreached as error:
+            return self._failed(execution, Verdict.NOT_RUN, "endpoint_unreached", str(error))
+        except EndpointBroke as error:
+            return self._failed(execution, Verdict.MAY_HAVE_RUN, "endpoint_broke", str(error))
+
+    async def _pass_on(
+        self, execution: Execution, data: bytes, splitter: EventSplitter | None
+    ) -> None:
+        """Send bytes of the answer once the entry has room for them."""
+        number = 0
+        if splitter is not None:
+            data, number = splitter.feed(data)
+        if not data:
+            return
+        while execution.credit_bytes <= 0 and execution.link is not None:
+            execution.credit_granted = anyio.Event()
+            await execution.credit_granted.wait()
+        execution.credit_bytes -= len(data)
+        chunk = AnswerChunk(execution.message.attempt, execution.sequence, data, number)
+        execution.sequence += 1
+        execution.events += number
+        await self._send(execution, chunk)
+
+    def _headers(self, message: StartAttempt) -> tuple[tuple[str, str], ...]:
+        """Return the caller's headers with the attempt's identity added."""
+        attempt = message.attempt
+        own = (("x-request-id", attempt.request_id), ("x-attempt", str(attempt.number)))
+        return (*message.headers, *own, ("x-priority", str(message.priority)))
+
+    def _record(self, execution: Execution, ending: AttemptMessage) -> None:
+        """Enter an attempt's end into the table and the log."""
+        attempt = execution.message.attempt
+        self.executions.pop(attempt, None)
+        if isinstance(ending, AttemptFailed):
+            if attempt in self.table.running:
+                self.table.on_failed(attempt, ending.verdict)
+            self._emit(events.ATTEMPT_FAILED, attempt, verdict=ending.verdict, code=ending.code)
+        else:
+            self._emit(events.ATTEMPT_COMPLETED, attempt, chunks=execution.sequence)
+        if not self.executions:
+            self.idle.set()
+
+    def _failed(
+        self, execution: Execution, verdict: Verdict, code: str, detail: str
+    ) -> AttemptFailed:
+        return AttemptFailed(execution.message.attempt, verdict, code, detail)
+
+    def _emit(self, kind: events.EventKind, attempt: AttemptId, **fields: Any) -> None:
+        self.log.emit(
+            kind,
+            request_id=attempt.request_id,
+            endpoint=attempt.endpoint,
+            attempt=attempt.number,
+            **fields,
+        )
+
+    async def _send(self, execution: Execution, message: AttemptMessage) -> None:
+        """Send to the attempt's entry, if it is still there."""
+        if execution.link is None:
+            return
+        try:
+            await execution.link.send(message)
+        except LinkClosed:
+            execution.link = None
+
+    def _send_load(self) -> None:
+        """Report to every entry, without waiting for a slow one."""
+        for link in list(self.links):
+            self.tasks.start_soon(_send_quietly, link, self.load(link))
+
+    def load(self, link: Link[AttemptMessage]) -> EndpointLoad:
+        """Return the present load as the entry behind ``link`` is to see it."""
+        self.load_sequence += 1
+        running = list(self.executions.values())
+        own = [execution for execution in running if execution.link is link]
+        return EndpointLoad(
+            endpoint=self.table.endpoint,
+            incarnation=self.table.incarnation,
+            sequence=self.load_sequence,
+            running=min(len(running), self.slots),
+            waiting=max(0, len(running) - self.slots),
+            work_left_tokens=sum(execution.work_left() for execution in running),
+            slots=self.slots,
+            draining=self.table.draining,
+            long=_count_long(running),
+            yours=len(own),
+            yours_long=_count_long(own),
+            entries=max(1, len({id(execution.link) for execution in running})),
+        )
+
+
+def _count_long(executions: list[Execution]) -> int:
+    """Return how many are long work."""
+    return sum(execution.message.long for execution in executions)
+
+
+async def _send_quietly(link: Link[AttemptMessage], message: AttemptMessage) -> None:
+    """Send, and leave a closed link to its reader."""
+    try:
+        await link.send(message)
+    except LinkClosed:
+        return
+
+
+def _body(message: StartAttempt) -> bytes:
+    """Return the body for the endpoint; a resumed stream says how far it came."""
+    if not message.resume_offset:
+        return message.body
+    fields = json.loads(message.body)
+    fields["resume"] = {"offset": message.resume_offset, "text": message.resume_text}
+    return json.dumps(fields).encode()
--- a/packages/bergamotchute-model/src/bergamotchute_model/attempt_messages.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/attempt_messages.py
@@ -24,6 +24,8 @@
     :param resume_offset: tokens already delivered to the caller, which must not come again.
     :param resume_text: the text of those tokens.
     :param credit_bytes: bytes of answer that the agent may send before more credit comes.
+    :param work_tokens: the entry's estimate of the work, in tokens.
+    :param long: whether the entry counts it as long work.
     """
 
     attempt: AttemptId
@@ -38,6 +40,8 @@
     resume_offset: int = 0
     resume_text: str = ""
     credit_bytes: int = 262_144
+    work_tokens: int = 0
+    long: bool = False
     kind: Literal["start_attempt"] = "start_attempt"
 
 
--- a/packages/bergamotchute-model/src/bergamotchute_model/events.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/events.py
@@ -64,6 +64,9 @@
 CLAIM_TAKEN = _define(1110, "claim_taken", "A non-idempotent request was claimed by its key.")
 CLAIM_SETTLED = _define(1111, "claim_settled", "The outcome of a claimed request was recorded.")
 CLAIM_RELEASED = _define(1112, "claim_released", "A claimed attempt was proved not to have run.")
+CLAIM_UNSETTLED = _define(
+    1114, "claim_unsettled", "An outcome could not be recorded in time.", logging.WARNING
+)
 CLAIM_REPLAYED = _define(1113, "claim_replayed", "A resend got the recorded outcome.")
 
 # 1200-1299: attempts at an agent.
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/web_socket_transport.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/web_socket_transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hmac
+import logging
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -24,6 +25,8 @@
 
 Message = TypeVar("Message")
 
+_logger = logging.getLogger(__name__)
+
 HANDSHAKE_S = 3.0
 """Bound on opening a link."""
 
@@ -54,13 +57,19 @@
     @asynccontextmanager
     async def dial(address: Address) -> AsyncIterator[WebSocketLink[Message]]:
         link = await _open(address, path, codec, cluster_token)
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(link.keep_alive)
-            try:
-                yield link
-            finally:
-                await link.aclose()
-                tasks.cancel_scope.cancel()
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(link.keep_alive)
+                try:
+                    yield link
+                finally:
+                    await link.aclose()
+                    tasks.cancel_scope.cancel()
+        except BaseExceptionGroup as group:
+            if len(group.exceptions) > 1:
+                raise
+            # The body's own error, which the task group wrapped.
+            raise group.exceptions[0] from None
 
     return dial
 
@@ -121,7 +130,11 @@
 
     async def accept(stream: SocketStream) -> None:
         async with stream:
-            await _serve_stream(stream, routes, cluster_token)
+            try:
+                await _serve_stream(stream, routes, cluster_token)
+            except Exception:
+                # One link's fault must not end the others.
+                _logger.exception("serving a link failed")
 
     listener = await anyio.create_tcp_listener(
         local_host=address.host, local_port=address.port, reuse_port=False
