Carry requests over attempts, with streams that go on at another runner

Cause: runners die, links go mute and callers read slowly; a draft must arrive whole and once. Ruled out: picking endpoints whose link is down; a draft used up its four attempts in 2 s of an 8 s silence, so the scheduler now hears of an endpoint only while its link is open.

--- /dev/null
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/answer_buffer.py
@@ -0,0 +1,123 @@
+"""The answer to one request, as it comes in and as callers read it."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+import anyio
+
+from bergamotchute_daemon._event_splitter import end_of_events
+from bergamotchute_model.attempt_messages import Headers
+from bergamotchute_model.problem import Problem
+
+
+@dataclass
+class AnswerBuffer:
+    """Holds an answer from its first byte until it is no longer asked for.
+
+    One task writes; callers read, each from an offset of its own, so that a caller that
+    reconnects gets what it has not seen.
+
+    :param status: the HTTP status; 0 until the answer begins.
+    :param chunks: the body so far, with the number of events that end in each chunk.
+    :param ended: the answer is whole.
+    :param problem: why it will never be whole.
+    :param read_bytes: how far the foremost reader has come.
+    :param readers: callers that read now.
+    """
+
+    status: int = 0
+    headers: Headers = ()
+    chunks: list[tuple[bytes, int]] = field(default_factory=list)
+    total_bytes: int = 0
+    total_events: int = 0
+    read_bytes: int = 0
+    readers: int = 0
+    ended: bool = False
+    problem: Problem | None = None
+    changed: anyio.Event = field(default_factory=anyio.Event)
+
+    def begin(self, status: int, headers: Headers) -> None:
+        """Set the head; later ones, of resumed attempts, change nothing."""
+        if not self.status:
+            self.status, self.headers = status, headers
+            self._notify()
+
+    def append(self, data: bytes, events: int) -> None:
+        """Add the next bytes of the body."""
+        self.chunks.append((data, events))
+        self.total_bytes += len(data)
+        self.total_events += events
+        self._notify()
+
+    def end(self) -> None:
+        """Mark the answer whole."""
+        self.ended = True
+        self._notify()
+
+    def fail(self, problem: Problem) -> None:
+        """Mark that the answer will never be whole; the first reason counts."""
+        if not self.finished:
+            self.problem = problem
+            self._notify()
+
+    @property
+    def finished(self) -> bool:
+        """Whether nothing more will come."""
+        return self.ended or self.problem is not None
+
+    async def wait_begun(self) -> None:
+        """Wait for the head or the problem."""
+        while not self.status and not self.finished:
+            await self.changed.wait()
+
+    async def wait_finished(self) -> None:
+        """Wait for the end or the problem."""
+        while not self.finished:
+            await self.changed.wait()
+
+    async def wait_changed(self) -> None:
+        """Wait until anything changes."""
+        await self.changed.wait()
+
+    async def read(self, skip_events: int = 0) -> AsyncIterator[bytes]:
+        """Yield the body to its end, or to where it broke off.
+
+        :param skip_events: events that this caller has seen already.
+        """
+        index, first = self._after_events(skip_events)
+        position = sum(len(data) for data, _ in self.chunks[:index])
+        self.readers += 1
+        try:
+            while True:
+                while index < len(self.chunks):
+                    data = b"".join(data for data, _ in self.chunks[index:])
+                    index = len(self.chunks)
+                    yield data[first:]
+                    first = 0
+                    position += len(data)
+                    self._on_read(position)
+                if self.finished:
+                    return
+                await self.changed.wait()
+        finally:
+            self.readers -= 1
+            self._notify()
+
+    def _after_events(self, events: int) -> tuple[int, int]:
+        """Return the chunk, and the byte in it, that follow the first ``events``."""
+        for index, (data, number) in enumerate(self.chunks):
+            if events < number or not events:
+                return index, end_of_events(data, events)
+            events -= number
+        return len(self.chunks), 0
+
+    def _on_read(self, position: int) -> None:
+        if position > self.read_bytes:
+            self.read_bytes = position
+            self._notify()
+
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = anyio.Event()
--- /dev/null
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/endpoint_connector.py
@@ -0,0 +1,267 @@
+"""An entry's link to the agent of one endpoint, replaced whenever it breaks."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+from random import Random
+from typing import TypeAlias
+
+import anyio
+from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+
+from bergamotchute_daemon.backoff import Backoff
+from bergamotchute_daemon.event_log import EventLog
+from bergamotchute_model import events
+from bergamotchute_model.attempt_messages import (
+    AnswerChunk,
+    AnswerEnd,
+    AnswerHead,
+    AttemptFailed,
+    AttemptMessage,
+    AttemptReport,
+    CancelAttempt,
+    EndpointLoad,
+    GrantCredit,
+    QueryAttempt,
+    StartAttempt,
+)
+from bergamotchute_model.hello import Hello
+from bergamotchute_model.identifiers import Address, AttemptId
+from bergamotchute_wire.link import Dial, DialFailed, Link, LinkClosed
+
+AnswerMessage: TypeAlias = AnswerHead | AnswerChunk | AnswerEnd | AttemptFailed
+
+OnLoad: TypeAlias = Callable[[EndpointLoad], None]
+
+OnLink: TypeAlias = Callable[[bool], None]
+"""Told whether attempts can be sent now."""
+
+QUEUED_MESSAGES = 100_000
+"""More than credit allows one attempt to have under way."""
+
+
+class LinkLost(Exception):
+    """The link broke while an attempt was under way; it may have run."""
+
+
+class NotSent(Exception):
+    """There is no link to the agent's present life, so nothing was sent."""
+
+
+@dataclass
+class AttemptChannel:
+    """The answer messages of one attempt in flight."""
+
+    attempt: AttemptId
+    sender: MemoryObjectSendStream[AnswerMessage]
+    receiver: MemoryObjectReceiveStream[AnswerMessage]
+    next_sequence: int = 0
+
+    async def receive(self) -> AnswerMessage:
+        """Return the next message.
+
+        :raises LinkLost: when the link broke.
+        """
+        try:
+            return await self.receiver.receive()
+        except anyio.EndOfStream as error:
+            raise LinkLost(str(self.attempt)) from error
+
+
+@dataclass
+class EndpointConnector:
+    """Keeps a link to one life of one endpoint's agent and matches answers to attempts.
+
+    :param endpoint: its name.
+    :param incarnation: the life that attempts are addressed to.
+    :param hello: introduces this entry.
+    :param on_load: told each load report of the endpoint.
+    :param on_link: told when the link opened or broke.
+    """
+
+    endpoint: str
+    incarnation: str
+    address: Address
+    dial: Dial[AttemptMessage]
+    hello: Hello
+    on_load: OnLoad
+    on_link: OnLink
+    log: EventLog
+    random: Random
+    link: Link[AttemptMessage] | None = None
+    changed: anyio.Event = field(default_factory=anyio.Event)
+    channels: dict[AttemptId, AttemptChannel] = field(default_factory=dict)
+    queries: dict[str, MemoryObjectSendStream[AttemptReport]] = field(default_factory=dict)
+    query_count: int = 0
+    dropped_answers: int = 0
+    gone: bool = False
+
+    async def run(self) -> None:
+        """Keep the link until cancelled; return once another life answers at the address."""
+        backoff = Backoff(self.random)
+        try:
+            while not self.gone:
+                if await self._connect():
+                    backoff.reset()
+                if not self.gone:
+                    await anyio.sleep(backoff.next_delay())
+        finally:
+            self.gone = True
+            self._set_link(None)
+
+    async def start(self, message: StartAttempt) -> AttemptChannel:
+        """Send an attempt; its answer comes on the channel, which must be closed by :meth:`end`.
+
+        :raises NotSent: when there is no link; the attempt was not run.
+        """
+        link = self.link
+        if link is None:
+            raise NotSent(self.endpoint)
+        sender, receiver = anyio.create_memory_object_stream[AnswerMessage](QUEUED_MESSAGES)
+        channel = AttemptChannel(message.attempt, sender, receiver)
+        self.channels[message.attempt] = channel
+        with suppress(LinkClosed):
+            await link.send(message)
+        if self.link is not link:
+            sender.close()
+        return channel
+
+    def end(self, channel: AttemptChannel) -> None:
+        """Forget an attempt; what still comes for it is dropped."""
+        self.channels.pop(channel.attempt, None)
+        channel.sender.close()
+        channel.receiver.close()
+
+    async def cancel(self, attempt: AttemptId) -> None:
+        """Ask the agent to stop an attempt."""
+        await self._send_quietly(CancelAttempt(attempt))
+
+    async def grant_credit(self, attempt: AttemptId, credit_bytes: int) -> None:
+        """Let an answer go on."""
+        await self._send_quietly(GrantCredit(attempt, credit_bytes))
+
+    async def query(self, attempt: AttemptId, bound_s: float) -> AttemptReport | None:
+        """Ask what became of an attempt, over a new link if need be.
+
+        :param bound_s: how long to try, in seconds.
+        :returns: the agent's report; ``None`` when none came in time.
+        """
+        with anyio.move_on_after(bound_s):
+            while not self.gone:
+                changed = self.changed
+                report = await self._query_once(attempt)
+                if report is not None:
+                    return report
+                await changed.wait()
+        return None
+
+    async def _query_once(self, attempt: AttemptId) -> AttemptReport | None:
+        """Ask over the present link; return ``None`` when it breaks or there is none."""
+        link = self.link
+        if link is None:
+            return None
+        self.query_count += 1
+        query_id = str(self.query_count)
+        sender, receiver = anyio.create_memory_object_stream[AttemptReport](1)
+        self.queries[query_id] = sender
+        try:
+            await link.send(QueryAttempt(query_id, attempt))
+            return await receiver.receive()
+        except (LinkClosed, anyio.EndOfStream):
+            return None
+        finally:
+            self.queries.pop(query_id, None)
+            sender.close()
+            receiver.close()
+
+    async def _connect(self) -> bool:
+        """Open a link and serve it to its end; return whether it was opened."""
+        try:
+            async with self.dial(self.address) as link:
+                await link.send(self.hello)
+                await self._serve(link)
+                return True
+        except DialFailed:
+            return False
+        except LinkClosed as closed:
+            kind = events.LINK_MUTE if closed.reason == "mute" else events.LINK_CLOSED
+            self.log.emit(kind, endpoint=self.endpoint, reason=closed.reason)
+            return True
+        finally:
+            self._set_link(None)
+
+    async def _serve(self, link: Link[AttemptMessage]) -> None:
+        """Read the link until it closes."""
+        while True:
+            message = await link.receive()
+            match message:
+                case Hello(incarnation=incarnation):
+                    if incarnation != self.incarnation:
+                        self.gone = True
+                        return
+                    self._set_link(link)
+                    self.log.emit(events.LINK_OPENED, endpoint=self.endpoint)
+                case EndpointLoad():
+                    self.on_load(message)
+                case AttemptReport():
+                    self.on_attempt_report(message)
+                case AnswerHead() | AnswerChunk() | AnswerEnd() | AttemptFailed():
+                    self.on_answer(message)
+                case _:
+                    pass
+
+    def on_attempt_report(self, message: AttemptReport) -> None:
+        """Give a report to who asked."""
+        sender = self.queries.get(message.query_id)
+        if sender is not None:
+            sender.send_nowait(message)
+
+    def on_answer(self, message: AnswerMessage) -> None:
+        """Give an answer message to its attempt; drop what belongs to none, or is out of order."""
+        channel = self.channels.get(message.attempt)
+        if channel is None or not _in_order(channel, message):
+            self.dropped_answers += 1
+            self.log.emit(
+                events.ANSWER_DROPPED,
+                request_id=message.attempt.request_id,
+                endpoint=self.endpoint,
+                message=message.kind,
+            )
+            return
+        with suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
+            channel.sender.send_nowait(message)
+
+    def _set_link(self, link: Link[AttemptMessage] | None) -> None:
+        """Take a new link into use, or none; attempts of the old one are lost."""
+        if self.link is not None:
+            for channel in self.channels.values():
+                channel.sender.close()
+            for sender in self.queries.values():
+                sender.close()
+        if (link is None) != (self.link is None):
+            self.on_link(link is not None)
+        self.link = link
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def _send_quietly(self, message: AttemptMessage) -> None:
+        """Send if there is a link."""
+        if self.link is not None:
+            with suppress(LinkClosed):
+                await self.link.send(message)
+
+
+def _in_order(channel: AttemptChannel, message: AnswerMessage) -> bool:
+    """Return whether a chunk is the next one, and an end comes after all chunks."""
+    match message:
+        case AnswerChunk(sequence=sequence):
+            if sequence != channel.next_sequence:
+                return False
+            channel.next_sequence += 1
+            return True
+        case AnswerEnd(chunks=chunks):
+            return chunks == channel.next_sequence
+        case _:
+            return True
--- /dev/null
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/endpoint_directory.py
@@ -0,0 +1,166 @@
+"""The endpoints that an entry knows, with a link to each."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from functools import partial
+from random import Random
+
+import anyio
+from anyio.abc import TaskGroup
+
+from bergamotchute_daemon.endpoint_connector import EndpointConnector
+from bergamotchute_daemon.event_log import EventLog
+from bergamotchute_daemon.scheduling_controller import SchedulingController
+from bergamotchute_model.attempt_messages import AttemptMessage, AttemptReport, AttemptState
+from bergamotchute_model.control_messages import MembershipDelta
+from bergamotchute_model.hello import Hello
+from bergamotchute_model.identifiers import AttemptId
+from bergamotchute_model.membership import EndpointAnnouncement, EntryAnnouncement
+from bergamotchute_wire.link import Dial
+
+REAP_S = 5.0
+"""How often links to lapsed endpoints are looked through."""
+
+UNKNOWN_ENDPOINT_POLL_S = 0.25
+
+
+@dataclass
+class Connection:
+    """A connector and its task.
+
+    :param lapsed: the endpoint's announcement lapsed or another life of it took over.
+    """
+
+    connector: EndpointConnector
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    lapsed: bool = False
+
+
+@dataclass
+class EndpointDirectory:
+    """Follows the members that the relay tells of: one connector an endpoint's life.
+
+    The scheduler hears of an endpoint while a link to it is open, since nothing else can be sent.
+    A lapsed announcement ends new work, not the work in flight: its link stays while attempts use
+    it, since losing a relay says nothing about an endpoint.
+
+    :param tasks: where connectors run.
+    """
+
+    scheduling: SchedulingController
+    dial: Dial[AttemptMessage]
+    hello: Hello
+    log: EventLog
+    random: Random
+    tasks: TaskGroup
+    announcements: dict[str, EndpointAnnouncement] = field(default_factory=dict)
+    entries: dict[str, EntryAnnouncement] = field(default_factory=dict)
+    connections: dict[tuple[str, str], Connection] = field(default_factory=dict)
+
+    def on_membership(self, delta: MembershipDelta) -> None:
+        """Take the relay's word on who is there."""
+        lapsed = set(delta.lapsed_endpoints)
+        lapsed_entries = set(delta.lapsed_entries)
+        if delta.complete:
+            lapsed |= self.announcements.keys() - {one.endpoint for one in delta.endpoints}
+            lapsed_entries |= self.entries.keys() - {one.entry for one in delta.entries}
+        for endpoint in sorted(lapsed):
+            self._on_lapse(endpoint)
+        for entry in lapsed_entries:
+            self.entries.pop(entry, None)
+        for announcement in delta.endpoints:
+            self._on_announcement(announcement)
+        for one in delta.entries:
+            self.entries[one.entry] = one
+
+    def connector(self, endpoint: str, incarnation: str) -> EndpointConnector | None:
+        """Return the connector of one life of an endpoint."""
+        connection = self.connections.get((endpoint, incarnation))
+        return None if connection is None or connection.connector.gone else connection.connector
+
+    async def query(self, attempt: AttemptId, bound_s: float) -> AttemptReport | None:
+        """Ask the agent that was given an attempt what became of it.
+
+        :returns: ``FORGOTTEN`` when another life of the agent is there; ``None`` when the agent
+            can't be asked now.
+        """
+        until = anyio.current_time() + bound_s
+        while (left := until - anyio.current_time()) > 0:
+            connector = self.connector(attempt.endpoint, attempt.incarnation)
+            if connector is not None:
+                report = await connector.query(attempt, left)
+                if report is not None:
+                    return report
+            known = self.announcements.get(attempt.endpoint)
+            if known is not None and known.incarnation != attempt.incarnation:
+                return AttemptReport("", attempt, AttemptState.FORGOTTEN)
+            await anyio.sleep(min(UNKNOWN_ENDPOINT_POLL_S, max(0.0, left)))
+        return None
+
+    async def reap(self) -> None:
+        """Close links to lapsed endpoints once nothing uses them."""
+        while True:
+            await anyio.sleep(REAP_S)
+            for key, connection in list(self.connections.items()):
+                connector = connection.connector
+                if connector.gone or (connection.lapsed and not connector.channels):
+                    connection.scope.cancel()
+                    del self.connections[key]
+
+    def _on_lapse(self, endpoint: str) -> None:
+        announcement = self.announcements.pop(endpoint, None)
+        if announcement is not None:
+            self.scheduling.on_lapse(endpoint)
+            self._mark_lapsed(endpoint, announcement.incarnation)
+
+    def _on_announcement(self, announcement: EndpointAnnouncement) -> None:
+        endpoint, incarnation = announcement.endpoint, announcement.incarnation
+        known = self.announcements.get(endpoint)
+        if known is not None and known.incarnation != incarnation:
+            self._mark_lapsed(endpoint, known.incarnation)
+        self.announcements[endpoint] = announcement
+        connection = self.connections.get((endpoint, incarnation))
+        if connection is None or connection.connector.gone:
+            self._connect(announcement)
+        else:
+            connection.lapsed = False
+            if connection.connector.link is not None:
+                self.scheduling.on_announcement(announcement)
+
+    def _on_link(self, endpoint: str, incarnation: str, linked: bool) -> None:
+        """Let the scheduler use the present life of an endpoint while it can be reached."""
+        announcement = self.announcements.get(endpoint)
+        if announcement is None or announcement.incarnation != incarnation:
+            return
+        if linked:
+            self.scheduling.on_announcement(announcement)
+        else:
+            self.scheduling.on_lapse(endpoint)
+
+    def _mark_lapsed(self, endpoint: str, incarnation: str) -> None:
+        connection = self.connections.get((endpoint, incarnation))
+        if connection is not None:
+            connection.lapsed = True
+
+    def _connect(self, announcement: EndpointAnnouncement) -> None:
+        connector = EndpointConnector(
+            endpoint=announcement.endpoint,
+            incarnation=announcement.incarnation,
+            address=announcement.address,
+            dial=self.dial,
+            hello=self.hello,
+            on_load=self.scheduling.on_load,
+            on_link=partial(self._on_link, announcement.endpoint, announcement.incarnation),
+            log=self.log,
+            random=self.random,
+        )
+        connection = Connection(connector)
+        self.connections[announcement.endpoint, announcement.incarnation] = connection
+        self.tasks.start_soon(_run, connection)
+
+
+async def _run(connection: Connection) -> None:
+    """Run a connector until its scope is cancelled."""
+    with connection.scope:
+        await connection.connector.run()
