--- /dev/null
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/relay.py
@@ -0,0 +1,189 @@
+"""A relay: holds the whole view and hands it on, with leases, members and proposals."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from dataclasses import dataclass, field
+from random import Random
+
+import anyio
+from anyio.abc import TaskGroup
+
+from bergamotchute_daemon.backoff import Backoff
+from bergamotchute_daemon.control_client import ControlClient, ControlUnavailable
+from bergamotchute_daemon.event_log import EventLog
+from bergamotchute_daemon.membership_table import MembershipTable, is_empty
+from bergamotchute_daemon.view_holder import ViewHolder
+from bergamotchute_model import events
+from bergamotchute_model.control_messages import (
+    Announce,
+    ControlMessage,
+    LeaseGrant,
+    MembershipDelta,
+    ProposalFailed,
+    Propose,
+    Proposed,
+    RenewLease,
+    Subscribe,
+)
+from bergamotchute_model.hello import Hello
+from bergamotchute_model.identifiers import Address
+from bergamotchute_model.membership import Role
+from bergamotchute_wire.link import Dial, DialFailed, Link, LinkClosed
+from bergamotchute_wire.outbox import Outbox
+
+EXPIRY_CHECK_S = 0.5
+PROPOSAL_BOUND_S = 8.0
+"""How long a relay tries to have one proposal committed."""
+
+
+@dataclass
+class Child:
+    """A process that this relay serves.
+
+    :param outbox: what goes to it, so that a lease never overtakes the changes it speaks of.
+    :param revision: the newest view revision sent to it; ``None`` before it subscribes.
+    """
+
+    outbox: Outbox[ControlMessage]
+    hello: Hello
+    revision: int | None = None
+
+
+@dataclass
+class Relay:
+    """Serves children and tells other relays of them.
+
+    :param upstream: the way to the voters; its view is the one handed on.
+    :param peers: the other relays.
+    :param dial: opens links to the other relays.
+    :param tasks: where proposals run.
+    """
+
+    upstream: ControlClient
+    peers: tuple[Address, ...]
+    dial: Dial[ControlMessage]
+    hello: Hello
+    log: EventLog
+    random: Random
+    tasks: TaskGroup
+    table: MembershipTable = field(default_factory=MembershipTable)
+    children: dict[int, Child] = field(default_factory=dict)
+
+    async def run(self) -> None:
+        """Follow the voters and the other relays until cancelled."""
+        self.upstream.on_view_change = self.on_view_change
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.upstream.run)
+            tasks.start_soon(self._expire)
+            for peer in self.peers:
+                tasks.start_soon(self._follow_peer, peer)
+
+    async def serve_link(self, link: Link[ControlMessage]) -> None:
+        """Serve one child or one other relay until its link closes."""
+        outbox: Outbox[ControlMessage] = Outbox(link)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(outbox.run)
+            with suppress(LinkClosed):
+                hello = await link.receive()
+                if isinstance(hello, Hello):
+                    await self._serve_child(link, Child(outbox, hello))
+            tasks.cancel_scope.cancel()
+
+    async def _serve_child(self, link: Link[ControlMessage], child: Child) -> None:
+        """Introduce the members, then handle what comes."""
+        is_relay = child.hello.role is Role.RELAY
+        child.outbox.post(self.table.own_children() if is_relay else self.table.all_members())
+        self.children[id(child)] = child
+        try:
+            while True:
+                self._on_message(child, await link.receive())
+        finally:
+            del self.children[id(child)]
+
+    def _on_message(self, child: Child, message: ControlMessage) -> None:
+        match message:
+            case RenewLease():
+                self.on_renew_lease(child, message)
+            case Subscribe():
+                self.on_subscribe(child, message)
+            case Announce():
+                self.on_announce(message)
+            case Propose():
+                self.tasks.start_soon(self.on_propose, child, message)
+            case _:
+                pass
+
+    def on_renew_lease(self, child: Child, message: RenewLease) -> None:
+        """Grant what is left of this relay's own lease, nothing when it has none."""
+        view = self.upstream.view
+        left = view.lease_left(anyio.current_time())
+        child.outbox.post(LeaseGrant(message.number, left, view.revision))
+
+    def on_subscribe(self, child: Child, message: Subscribe) -> None:
+        """Send what the child lacks, and every later change."""
+        view: ViewHolder = self.upstream.view
+        child.revision = view.revision
+        child.outbox.post(view.changes_since(message.revision))
+
+    def on_announce(self, message: Announce) -> None:
+        """Renew members and tell of what changed."""
+        delta = self.table.on_announce(message, anyio.current_time())
+        self._tell(delta, to_relays=True)
+
+    async def on_propose(self, child: Child, message: Propose) -> None:
+        """Carry a proposal to the leader and its result back."""
+        answer: Proposed | ProposalFailed
+        try:
+            result = await self.upstream.propose(message.command, PROPOSAL_BOUND_S)
+            answer = Proposed(message.proposal_id, self.upstream.view.revision, result)
+        except ControlUnavailable:
+            answer = ProposalFailed(message.proposal_id, True, "no answer from the voters")
+        child.outbox.post(answer)
+
+    def on_view_change(self, view: ViewHolder) -> None:
+        """Hand a change on to every child that subscribed."""
+        for child in list(self.children.values()):
+            if child.revision is not None and child.revision < view.revision:
+                delta = view.changes_since(child.revision)
+                child.revision = view.revision
+                child.outbox.post(delta)
+
+    async def _expire(self) -> None:
+        """Drop members whose lease lapsed."""
+        while True:
+            await anyio.sleep(EXPIRY_CHECK_S)
+            self._tell(self.table.expire(anyio.current_time()), to_relays=True)
+
+    async def _follow_peer(self, address: Address) -> None:
+        """Keep a link to another relay and take its word about its children."""
+        backoff = Backoff(self.random)
+        peer = str(address)
+        while True:
+            try:
+                async with self.dial(address) as link:
+                    await link.send(self.hello)
+                    backoff.reset()
+                    while True:
+                        message = await link.receive()
+                        if isinstance(message, MembershipDelta):
+                            self._tell(self.table.on_peer_delta(peer, message), to_relays=False)
+            except (DialFailed, LinkClosed):
+                self.table.on_peer_lost(peer, anyio.current_time())
+            await anyio.sleep(backoff.next_delay())
+
+    def _tell(self, delta: MembershipDelta, *, to_relays: bool) -> None:
+        """Pass a membership change on to children, and to other relays if it is about children."""
+        if is_empty(delta):
+            return
+        self._log(delta)
+        for child in list(self.children.values()):
+            if to_relays or child.hello.role is not Role.RELAY:
+                child.outbox.post(delta)
+
+    def _log(self, delta: MembershipDelta) -> None:
+        for endpoint in delta.endpoints:
+            kind = events.MEMBER_DRAINING if endpoint.draining else events.MEMBER_JOINED
+            self.log.emit(kind, endpoint=endpoint.endpoint)
+        for name in delta.lapsed_endpoints + delta.lapsed_entries:
+            self.log.emit(events.MEMBER_LAPSED, member=name)
