Read operator files strictly and check them as one at commit

Cause: operators need files that are taken whole or refused with the place, what was found and what is allowed; every replica must come to the same answer. Change: parse_file reads YAML without tags, anchors, repeated keys or deep nesting and validates it by pydantic; merge checks references, duplicates and choices over all files and gives a Configuration with look-ups; the control state calls both when it applies a file.

--- /dev/null
+++ b/packages/bergamotchute-model/src/bergamotchute_model/configuration.py
@@ -0,0 +1,163 @@
+"""All operator files in force, merged and cross-checked, with quick look-ups."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable, Sequence
+from dataclasses import dataclass
+from functools import cached_property
+from itertools import chain, islice
+from typing import TypeVar
+
+from result import Err, Ok, Result
+
+from bergamotchute_model._file_checks import CHECKS
+from bergamotchute_model.file_fault import FAULTS_MAX, Faults
+from bergamotchute_model.operator_file import (
+    Drain,
+    Limits,
+    ModelTarget,
+    PlannedChange,
+    Priority,
+    RankGroup,
+    Service,
+    Team,
+    Voter,
+)
+from bergamotchute_model.parsed_file import ParsedFile, parse_file
+from bergamotchute_model.view import FileInForce
+
+Part = TypeVar("Part")
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """What is in force, whichever file says it.
+
+    :param numbers: the number in force of each file, by name.
+    """
+
+    numbers: tuple[tuple[str, int], ...] = ()
+    services: tuple[Service, ...] = ()
+    priorities: tuple[Priority, ...] = ()
+    teams: tuple[Team, ...] = ()
+    drains: tuple[Drain, ...] = ()
+    planned_changes: tuple[PlannedChange, ...] = ()
+    models: tuple[ModelTarget, ...] = ()
+    rank_groups: tuple[RankGroup, ...] = ()
+    voters: tuple[Voter, ...] = ()
+    limits: Limits = Limits()
+
+    @cached_property
+    def service_by_name(self) -> dict[str, Service]:
+        """Services by name."""
+        return {service.name: service for service in self.services}
+
+    @cached_property
+    def service_by_model(self) -> dict[str, Service]:
+        """Services of kind ``model``, by the model name that requests carry."""
+        return {service.model: service for service in self.services if service.model}
+
+    @cached_property
+    def team_by_name(self) -> dict[str, Team]:
+        """Teams by name."""
+        return {team.name: team for team in self.teams}
+
+    @cached_property
+    def team_by_token_sha256(self) -> dict[str, Team]:
+        """Teams by the lower-case SHA-256 of their token."""
+        return {team.token_sha256: team for team in self.teams}
+
+    @cached_property
+    def level_by_priority(self) -> dict[str, int]:
+        """Levels of the priority classes by name; 0 is the most urgent."""
+        return {priority.name: priority.level for priority in self.priorities}
+
+    @cached_property
+    def weights(self) -> dict[str, float]:
+        """Fair-share weight of each team by name."""
+        return {team.name: team.weight for team in self.teams}
+
+    def level(self, team: Team) -> int:
+        """Return the team's priority level; 0 is the most urgent."""
+        return self.level_by_priority.get(team.priority, 0)
+
+    def may_call(self, team: Team, service: Service) -> bool:
+        """Tell whether a team may call a service."""
+        return service.name in team.services
+
+    def is_draining(
+        self, endpoint: str, vm: str, availability_zone: str, begun: Collection[str] = ()
+    ) -> bool:
+        """Tell whether the files drain an endpoint or an entry.
+
+        :param endpoint: its name; for an entry, the entry's.
+        :param begun: names of the planned changes that have begun.
+        """
+        planned = (
+            change.drain for change in self.planned_changes if change.drain and change.name in begun
+        )
+        return any(
+            drain.covers(endpoint, vm, availability_zone) for drain in chain(self.drains, planned)
+        )
+
+    def target(
+        self, service: str, endpoint: str, begun: Collection[str] = ()
+    ) -> ModelTarget | None:
+        """Return what an endpoint's engine shall have loaded for a service.
+
+        A target for the endpoint goes before one for the whole service. Planned changes that have
+        begun replace the target they name; the one with the latest time counts.
+
+        :param begun: names of the planned changes that have begun.
+        """
+        changes = [c for c in self.planned_changes if c.load and c.name in begun]
+        changes.sort(key=lambda change: (change.at, change.name))
+        targets = {
+            (target.service, target.endpoint): target
+            for target in chain(self.models, (c.load for c in changes if c.load))
+        }
+        return targets.get((service, endpoint)) or targets.get((service, None))
+
+
+def merge(files: Sequence[ParsedFile]) -> Result[Configuration, Faults]:
+    """Put files together, in the order of their names, and check all of them as one.
+
+    :returns: the configuration, or at most :data:`FAULTS_MAX` faults.
+    """
+    ordered = sorted(files, key=lambda file: file.content.file)
+    found = chain.from_iterable(check(ordered) for check in CHECKS)
+    faults = tuple(islice(found, FAULTS_MAX))
+    if faults:
+        return Err(faults)
+    contents = [file.content for file in ordered]
+    limits = next((content.limits for content in contents if content.limits), Limits())
+    return Ok(
+        Configuration(
+            numbers=tuple((content.file, content.number) for content in contents),
+            services=_join(content.services for content in contents),
+            priorities=_join(content.priorities for content in contents),
+            teams=_join(content.teams for content in contents),
+            drains=_join(content.drains for content in contents),
+            planned_changes=_join(content.planned_changes for content in contents),
+            models=_join(content.models for content in contents),
+            rank_groups=_join(content.rank_groups for content in contents),
+            voters=_join(content.voters for content in contents),
+            limits=limits,
+        )
+    )
+
+
+def merge_in_force(files: Iterable[FileInForce]) -> Result[Configuration, Faults]:
+    """Read and merge the files of a view."""
+    parsed: list[ParsedFile] = []
+    for file in files:
+        read = parse_file(file.name, file.text)
+        if isinstance(read, Err):
+            return read
+        parsed.append(read.ok_value)
+    return merge(parsed)
+
+
+def _join(parts: Iterable[tuple[Part, ...]]) -> tuple[Part, ...]:
+    """Put the sections of all files together."""
+    return tuple(chain.from_iterable(parts))
--- a/packages/bergamotchute-state/src/bergamotchute_state/files.py
+++ b/packages/bergamotchute-state/src/bergamotchute_state/files.py
@@ -6,13 +6,16 @@
 from collections import deque
 from typing import Any
 
+from result import Err, Ok, Result
+
 from bergamotchute_model.commands import ApplyFile, ApplyOutcome, FileApplied
+from bergamotchute_model.configuration import merge
+from bergamotchute_model.file_fault import Faults
+from bergamotchute_model.parsed_file import ParsedFile, parse_file
 from bergamotchute_model.view import FileInForce
 
 KEPT_CHANGES = 174_000
-FILE_MAX_BYTES = 256 * 1024
-FILES_MAX = 1_000
-FILES_MAX_BYTES = 16 * 1024 * 1024
+FILES_MAX = 200
 
 _DIGEST_BYTES = 32
 _REVISION_BYTES = 8
@@ -62,6 +65,7 @@
         self.in_force: dict[str, FileInForce] = {}
         self.histories: dict[str, _History] = {}
         self.order: deque[str] = deque()
+        self.parsed: dict[str, ParsedFile] = {}
 
     def on_apply_file(self, command: ApplyFile, revision: int) -> FileApplied:
         """Put the file in force if its number is the next one and its content is valid."""
@@ -134,16 +138,41 @@
         """Return what keeps a file with the next number from coming into force."""
         if command.digest != _digest(command.text):
             return (f"{command.name}: the digest is not that of the text",)
-        size = len(command.text.encode())
-        if size > FILE_MAX_BYTES:
-            return (f"{command.name}: found {size} bytes; at most {FILE_MAX_BYTES} are allowed",)
-        others = [file for name, file in self.in_force.items() if name != command.name]
-        if len(others) >= FILES_MAX:
-            return (f"{command.name}: at most {FILES_MAX} files are allowed",)
-        total = size + sum(len(file.text) for file in others)
-        if total > FILES_MAX_BYTES:
-            return (f"all files: found {total} bytes; at most {FILES_MAX_BYTES} are allowed",)
-        return ()
+        read = parse_file(command.name, command.text)
+        if isinstance(read, Err):
+            return _lines(read.err_value)
+        content = read.ok_value.content
+        if (content.file, content.number) != (command.name, command.number):
+            found = f"{content.file} number {content.number}"
+            return (f"{command.name} number {command.number}: the text says {found}",)
+        faults = self._faults_with_others(command.name, read.ok_value)
+        if not faults:
+            self.parsed[command.name] = read.ok_value
+        return faults
+
+    def _faults_with_others(self, name: str, file: ParsedFile) -> tuple[str, ...]:
+        """Return the faults of a file together with all others in force."""
+        files = [file]
+        for other in self.in_force:
+            if other == name:
+                continue
+            read = self._parse_in_force(other)
+            if isinstance(read, Err):
+                return _lines(read.err_value)
+            files.append(read.ok_value)
+        if len(files) > FILES_MAX:
+            return (f"{name}: at most {FILES_MAX} files are allowed",)
+        merged = merge(files)
+        return _lines(merged.err_value) if isinstance(merged, Err) else ()
+
+    def _parse_in_force(self, name: str) -> Result[ParsedFile, Faults]:
+        """Return a file in force as it was read; faults only if an older version accepted it."""
+        if name not in self.parsed:
+            read = parse_file(name, self.in_force[name].text)
+            if isinstance(read, Err):
+                return read
+            self.parsed[name] = read.ok_value
+        return Ok(self.parsed[name])
 
     def _put(self, command: ApplyFile, revision: int) -> None:
         """Put a checked file in force as the last changed."""
@@ -161,4 +190,9 @@
 
 def _digest(text: str) -> str:
     """Return the lower-case SHA-256 of a file."""
-    return hashlib.sha256(text.encode()).hexdigest()
+    return hashlib.sha256(text.encode(errors="surrogatepass")).hexdigest()
+
+
+def _lines(faults: Faults) -> tuple[str, ...]:
+    """Return one line a fault."""
+    return tuple(str(fault) for fault in faults)
--- /dev/null
+++ b/tests/operator/test_files_together.py
@@ -0,0 +1,104 @@
+"""Files are checked as one, and merged into what is in force."""
+
+from __future__ import annotations
+
+import pytest
+
+from bergamotchute_model.configuration import Configuration, merge
+from bergamotchute_model.parsed_file import ParsedFile, parse_file
+
+DIGEST = "a" * 64
+DRAFTS = "services: [{name: drafts, kind: model, model: m}, {name: desk, kind: plain}]\n"
+GROUP = "{name: g, service: drafts, layers: 2, ranks: 2, experts: 8, expert_bytes: 9, %s}"
+
+
+def file(name: str, text: str) -> ParsedFile:
+    return parse_file(f"{name}.yaml", f"file: {name}\nnumber: 1\n{text}").unwrap()
+
+
+def configuration(*texts: str) -> Configuration:
+    return merge([file(f"f{index}", text) for index, text in enumerate(texts)]).unwrap()
+
+
+def team(name: str = "a", token: str = DIGEST, more: str = "services: [drafts]") -> str:
+    return f"teams: [{{name: {name}, token_sha256: {token}, {more}}}]"
+
+
+@pytest.mark.parametrize(
+    ("text", "fault"),
+    [
+        (team(more="services: [drfts]"), "f1.yaml:3:110: teams[0].services[0]: found 'drfts'; "),
+        (team(more="services: [drafts], priority: x"), "teams[0].priority: found 'x'; allowed: a"),
+        ("models: [{service: desk, version: v}]", "found 'desk'; allowed: a model service"),
+        ("services: [{name: drafts, kind: plain}]", "found 'drafts' again; allowed: once; see f0"),
+        ("services: [{name: x, kind: model, model: m}]", "services[0].model: found 'm' again"),
+        ("services: [{name: x, kind: plain, model: n}]", "services[0].model: found 'n'; allowed"),
+        ("services: [{name: x, kind: model}]", "services[0].model: found ''; allowed: a model"),
+        ("services: [{name: x, kind: plain, deadline_s: 700}]", "found 700.0; allowed: at most"),
+        ("drains: [{}]", "drains[0]: found 0 targets; allowed: exactly one of endpoint, vm"),
+        ("drains: [{vm: a, endpoint: b}]", "drains[0]: found 2 targets; allowed: exactly one"),
+        ("planned_changes: [{name: a, at: 2026-01-31T22:00:00Z}]", "exactly one of drain, load"),
+        ("rank_groups: [" + GROUP % "slots_per_rank: 3" + "]", "found 6 slots a layer for 8"),
+        (
+            "voters: [{replica: r1, address: '127.0.0.1:1', availability_zone: a},"
+            " {replica: r2, address: '127.0.0.1:2', availability_zone: a}]",
+            "voters: found 2 voters; allowed: 1, 3, 5 or 7 over all files",
+        ),
+    ],
+)
+def test_a_fault_between_files_names_its_place(text: str, fault: str) -> None:
+    merged = merge([file("f0", DRAFTS), file("f1", text)])
+    found = [str(fault) for fault in merged.unwrap_err()]
+    assert len(found) == 1
+    assert fault in found[0]
+
+
+def test_a_token_stands_for_one_team_alone() -> None:
+    merged = merge([file("f0", DRAFTS), file("f1", team("a")), file("f2", team("b"))])
+    assert "token_sha256" in str(merged.unwrap_err()[0])
+
+
+def test_what_is_in_force_is_found_quickly() -> None:
+    present = configuration(
+        DRAFTS,
+        team(more="services: [drafts], priority: night"),
+        "priorities: [{name: night, level: 3}]",
+    )
+    found = present.team_by_token_sha256[DIGEST]
+    drafts, desk = (present.service_by_name[name] for name in ("drafts", "desk"))
+    assert present.level(found) == 3
+    assert present.may_call(found, drafts)
+    assert not present.may_call(found, desk)
+    assert present.service_by_model["m"] is drafts
+    assert present.numbers == (("f0", 1), ("f1", 1), ("f2", 1))
+
+
+def test_drains_and_planned_drains_cover_by_name_vm_and_zone() -> None:
+    present = configuration(
+        "drains: [{endpoint: runner-1}, {availability_zone: brescia-c}]",
+        "planned_changes: [{name: swap, at: 2026-01-31T22:00:00Z, drain: {vm: vm-7}}]",
+    )
+    assert present.is_draining("runner-1", "vm-1", "milano-a")
+    assert present.is_draining("runner-2", "vm-2", "brescia-c")
+    assert not present.is_draining("runner-2", "vm-7", "milano-a")
+    assert present.is_draining("runner-2", "vm-7", "milano-a", begun=["swap"])
+
+
+def test_the_nearest_and_latest_target_counts() -> None:
+    present = configuration(
+        DRAFTS + "models: [{service: drafts, version: v1},"
+        " {service: drafts, version: v2, endpoint: runner-1}]",
+        "planned_changes: [{name: z, at: 2026-01-31T22:00:00Z, load: {service: drafts, version: v3}},"
+        " {name: a, at: 2026-02-01T22:00:00Z, load: {service: drafts, version: v4}}]",
+    )
+    versions = [
+        [
+            target and target.version
+            for target in (
+                present.target("drafts", endpoint, begun) for endpoint in ("runner-1", "runner-2")
+            )
+        ]
+        for begun in ([], ["z"], ["a", "z"])
+    ]
+    assert versions == [["v2", "v1"], ["v2", "v3"], ["v2", "v4"]]
+    assert present.target("desk", "runner-1") is None
