--- a/packages/bergamotchute-state/src/bergamotchute_state/claims.py
+++ b/packages/bergamotchute-state/src/bergamotchute_state/claims.py
@@ -28,6 +28,7 @@
 
 ClaimCommand = TakeClaim | ReleaseClaim | SettleClaim | LookUpClaim
 
+_NO_ATTEMPT = AttemptId("", 0, "", "", "")
 _ENDED_KEY_BYTES = 16
 _ENDED_VALUE_BYTES = 8
 _ENDED_STATES = (ClaimState.SETTLED, ClaimState.UNKNOWN)
@@ -68,7 +69,7 @@
         if known is None:
             return self._take_new(command)
         record = known.record
-        if record is None:
+        if record is None or record.attempt == _NO_ATTEMPT:
             return known
         if record.state is ClaimState.ASSIGNED:
             return ClaimResult(granted=record.attempt == command.attempt, record=record)
@@ -142,9 +143,10 @@
         return self.open.get(key) or self.finished.get(key)
 
     def _missing(self, key: ClaimKey) -> ClaimResult:
-        """Answer a command on a key that has no record."""
-        value = self.ended.get(_ended_key(key))
-        return ClaimResult(granted=False, record=None, ended=_ended_state(value))
+        """Answer a command on a key of which at most the end is kept."""
+        state = _ended_state(self.ended.get(_ended_key(key)))
+        record = ClaimRecord(key, "", state, _NO_ATTEMPT) if state else None
+        return ClaimResult(granted=False, record=record)
 
     def _known(self, key: ClaimKey, body_digest: str) -> ClaimResult | None:
         """Return what may be shown of a key to a request with this body; ``None`` if unknown."""
@@ -158,7 +160,7 @@
             return None
         if value != _ended_value(state, body_digest):
             return ClaimResult(granted=False, record=None, reused=True)
-        return ClaimResult(granted=False, record=None, ended=state)
+        return ClaimResult(False, ClaimRecord(key, body_digest, state, _NO_ATTEMPT))
 
     def _take_new(self, command: TakeClaim) -> ClaimResult:
         """Grant a key that was never claimed, unless the command means to follow a claim."""
