Compose whole entries, relays and agents, and serve callers and operators

Cause: the parts must meet in processes that callers and operators can use. Change: the filter chain, the callers' and operators' interfaces, address answers, team limits, metrics, process settings, one composition root with the outside passed in, and a runner with sockets and signals. Ruled out: all children dialling the first relay; they start from a random one. Conclusion: the path is whole but for the voters, for which a stand-in serves in tests.

--- /dev/null
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/agent_process.py
@@ -0,0 +1,94 @@
+"""An agent: its parts once wired, how they run and how they stop."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import anyio
+
+from bergamotchute_daemon._asgi import Receive, Scope, Send, read_head, send_problem
+from bergamotchute_daemon.agent import Agent
+from bergamotchute_daemon.control_client import ControlClient
+from bergamotchute_daemon.entry_app import answer_lifespan
+from bergamotchute_daemon.event_log import EventLog
+from bergamotchute_daemon.process_app import PATHS, ProcessApp
+from bergamotchute_daemon.settings import AgentSettings
+from bergamotchute_daemon.view_holder import ViewHolder
+from bergamotchute_model.control_messages import Announce
+from bergamotchute_model.membership import EndpointAnnouncement
+from bergamotchute_model.problem import Problem, ProblemCode, ProblemError
+
+TELL_DRAIN_S = 1.0
+"""How long a stopping agent still answers entries that haven't heard of it."""
+
+
+@dataclass
+class AgentProcess:
+    """One agent.
+
+    :param client: the way to the relays.
+    """
+
+    settings: AgentSettings
+    log: EventLog
+    view: ViewHolder
+    agent: Agent
+    client: ControlClient
+    process: ProcessApp
+    sequence: int = 0
+
+    async def run(self) -> None:
+        """Run all parts until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.client.run)
+            tasks.start_soon(self.agent.report_load)
+
+    async def drain(self) -> bool:
+        """Tell entries and relays, refuse what still comes, and wait for what runs.
+
+        :returns: whether all ended in time.
+        """
+        self.agent.table.draining = True
+        await self.client.announce_now()
+        ended = await self.agent.drain(self.settings.drain_bound_s)
+        await anyio.sleep(TELL_DRAIN_S)
+        return ended
+
+    def announce(self) -> Announce:
+        """Return what to tell the relay."""
+        self.sequence += 1
+        settings, table = self.settings, self.agent.table
+        announcement = EndpointAnnouncement(
+            endpoint=table.endpoint,
+            incarnation=table.incarnation,
+            sequence=self.sequence,
+            vm=settings.vm,
+            availability_zone=settings.availability_zone,
+            address=settings.peer_listen,
+            services=settings.services,
+            slots=settings.slots,
+            honours_fencing=settings.honours_fencing,
+            group=settings.group,
+            rank=settings.rank,
+            draining=table.draining,
+        )
+        return Announce(endpoints=(announcement,))
+
+    def why_not_ready(self) -> str:
+        """Return why entries can't use this endpoint now; empty when they can."""
+        if self.agent.table.draining:
+            return "stopping"
+        return "" if self.client.link is not None else "no relay is reached"
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve health, metrics and events as an ASGI application."""
+        if scope["type"] == "lifespan":
+            await answer_lifespan(receive, send)
+            return
+        head = read_head(scope)
+        try:
+            if head.path not in PATHS:
+                raise ProblemError(Problem(404, ProblemCode.NOT_FOUND, f"no {head.path} here"))
+            await self.process.answer(head, send)
+        except ProblemError as error:
+            await send_problem(send, error.problem)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/answer_buffer.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/answer_buffer.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 import anyio
@@ -81,6 +82,16 @@
         """Wait until anything changes."""
         await self.changed.wait()
 
+    @contextmanager
+    def reading(self) -> Iterator[None]:
+        """Count a caller that waits for the answer or reads it."""
+        self.readers += 1
+        try:
+            yield
+        finally:
+            self.readers -= 1
+            self._notify()
+
     async def read(self, skip_events: int = 0) -> AsyncIterator[bytes]:
         """Yield the body to its end, or to where it broke off.
 
@@ -88,22 +99,17 @@
         """
         index, first = self._after_events(skip_events)
         position = sum(len(data) for data, _ in self.chunks[:index])
-        self.readers += 1
-        try:
-            while True:
-                while index < len(self.chunks):
-                    data = b"".join(data for data, _ in self.chunks[index:])
-                    index = len(self.chunks)
-                    yield data[first:]
-                    first = 0
-                    position += len(data)
-                    self._on_read(position)
-                if self.finished:
-                    return
-                await self.changed.wait()
-        finally:
-            self.readers -= 1
-            self._notify()
+        while True:
+            while index < len(self.chunks):
+                data = b"".join(data for data, _ in self.chunks[index:])
+                index = len(self.chunks)
+                yield data[first:]
+                first = 0
+                position += len(data)
+                self._on_read(position)
+            if self.finished:
+                return
+            await self.changed.wait()
 
     def _after_events(self, events: int) -> tuple[int, int]:
         """Return the chunk, and the byte in it, that follow the first ``events``."""
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/claimed_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/claimed_runner.py
@@ -11,7 +11,7 @@
 from bergamotchute_daemon.claim_keeper import ClaimKeeper
 from bergamotchute_daemon.control_client import ControlUnavailable
 from bergamotchute_daemon.event_log import EventLog
-from bergamotchute_daemon.exchange import Exchange
+from bergamotchute_daemon.exchange import CallerRequest, Exchange
 from bergamotchute_daemon.request_runner import AttemptResult, RequestRunner, interrupted
 from bergamotchute_daemon.scheduling_controller import SchedulingController
 from bergamotchute_model import events
@@ -27,6 +27,9 @@
 
 RETRY_AFTER_S = 2.0
 
+LOOK_UPS_LIMIT = 64
+"""Claims looked up side by side for requests that are refused."""
+
 
 @dataclass
 class ClaimedRunner:
@@ -42,6 +45,7 @@
     keeper: ClaimKeeper
     start_soon: Callable[..., Any]
     log: EventLog
+    look_ups: int = 0
 
     async def run(self, exchange: Exchange) -> None:
         """Run the request, or find out what became of it when it was sent before.
@@ -156,6 +160,20 @@
             if not exchange.answer.finished:
                 exchange.answer.fail(problem)
 
+    async def verdict_of_refusal(self, request: CallerRequest) -> Verdict:
+        """Return what is known of a request that is refused before it could claim its key."""
+        if self.look_ups >= LOOK_UPS_LIMIT:
+            return Verdict.MAY_HAVE_RUN
+        self.look_ups += 1
+        try:
+            result = await self.keeper.look_up(request.claim_key(), request.digest())
+        except ControlUnavailable:
+            return Verdict.MAY_HAVE_RUN
+        finally:
+            self.look_ups -= 1
+        unclaimed = result.record is None or result.record.state is ClaimState.RELEASED
+        return Verdict.NOT_RUN if unclaimed else Verdict.MAY_HAVE_RUN
+
     def _replay(self, exchange: Exchange, outcome: Outcome) -> None:
         """Give the recorded outcome."""
         answer = exchange.answer
--- /dev/null
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/composition_root.py
@@ -0,0 +1,183 @@
+"""Wires the parts of each process; the one place that knows them all."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from anyio.abc import TaskGroup
+
+from bergamotchute_daemon.address_book import AddressBook
+from bergamotchute_daemon.admin_api import AdminApi
+from bergamotchute_daemon.agent import Agent
+from bergamotchute_daemon.agent_process import AgentProcess
+from bergamotchute_daemon.attempt_table import AttemptTable
+from bergamotchute_daemon.caller_api import CallerApi
+from bergamotchute_daemon.caller_filters import (
+    Filter,
+    classify,
+    estimate_work,
+    find_service,
+    identify_team,
+    limit_team,
+    read_request_body,
+    require_view,
+)
+from bergamotchute_daemon.claim_keeper import ClaimKeeper
+from bergamotchute_daemon.claimed_runner import ClaimedRunner
+from bergamotchute_daemon.configuration_holder import ConfigurationHolder
+from bergamotchute_daemon.control_client import ControlClient
+from bergamotchute_daemon.endpoint_directory import EndpointDirectory
+from bergamotchute_daemon.entry_app import EntryApp
+from bergamotchute_daemon.entry_process import EntryProcess
+from bergamotchute_daemon.environment import Environment
+from bergamotchute_daemon.event_log import EventLog
+from bergamotchute_daemon.metrics import Metrics
+from bergamotchute_daemon.process_app import ProcessApp
+from bergamotchute_daemon.relay import Relay
+from bergamotchute_daemon.request_runner import RequestRunner
+from bergamotchute_daemon.scheduling_controller import SchedulingController
+from bergamotchute_daemon.settings import AgentSettings, EntrySettings
+from bergamotchute_daemon.team_limiter import TeamLimiter
+from bergamotchute_daemon.view_holder import ViewHolder
+from bergamotchute_model.hello import Hello
+from bergamotchute_model.membership import Role
+from bergamotchute_policy.retry import RetryBudget
+from bergamotchute_wire.endpoint_client import CallEndpoint
+
+
+def compose_entry(
+    settings: EntrySettings,
+    environment: Environment,
+    tasks: TaskGroup,
+    run_voter: Callable[[], Coroutine[Any, Any, None]] | None = None,
+) -> EntryProcess:
+    """Return an entry whose parts know each other; nothing runs yet.
+
+    :param tasks: where work that outlives its connection runs.
+    :param run_voter: runs the voter that this entry hosts, if any.
+    """
+    random = environment.random
+    log = EventLog(settings.name, Role.ENTRY, environment.incarnation, environment.wall_us)
+    metrics = Metrics()
+    hello = Hello(settings.name, Role.ENTRY, environment.incarnation)
+    view = ViewHolder()
+    holder = ConfigurationHolder(log)
+    scheduling = SchedulingController(settings.availability_zone, random)
+    directory = EndpointDirectory(scheduling, environment.dial_attempts, hello, log, random, tasks)
+    client = ControlClient(
+        targets=settings.relays,
+        dial=environment.dial_control,
+        hello=hello,
+        view=view,
+        log=log,
+        random=random,
+    )
+    epoch = f"{settings.name}.{environment.incarnation}"
+    runner = RequestRunner(scheduling, directory.connector, epoch, log, random, RetryBudget())
+    keeper = ClaimKeeper(client.propose, directory.query, log)
+    claimed = ClaimedRunner(scheduling, runner, keeper, tasks.start_soon, log)
+    limiter = TeamLimiter()
+    process: EntryProcess
+    addresses = AddressBook(
+        lambda: process.announcement(), lambda: directory.entries.values(), random
+    )
+    filters: tuple[Filter, ...] = (
+        require_view(view, holder, lambda: addresses.others(holder.configuration)),
+        identify_team,
+        read_request_body,
+        find_service,
+        classify,
+        limit_team(limiter),
+        estimate_work({}),
+    )
+    callers = CallerApi(
+        entry=epoch,
+        filters=filters,
+        holder=holder,
+        runner=runner,
+        claimed=claimed,
+        limiter=limiter,
+        addresses=addresses,
+        start_soon=tasks.start_soon,
+        log=log,
+        metrics=metrics,
+    )
+    admin = AdminApi(settings.admin_token, view, client.propose, {}, log)
+    shared = ProcessApp(log, metrics, lambda: process.why_not_ready(), settings.admin_token)
+    process = EntryProcess(
+        settings=settings,
+        epoch=environment.incarnation,
+        log=log,
+        view=view,
+        holder=holder,
+        scheduling=scheduling,
+        directory=directory,
+        limiter=limiter,
+        client=client,
+        app=EntryApp(callers, admin, shared),
+        relay=_compose_relay(settings, environment, tasks, log) if settings.relay else None,
+        run_voter=run_voter,
+    )
+    client.announce = process.announce
+    client.on_membership = process.on_membership
+    client.on_view_change = holder.on_view_change
+    client.on_lease = process.on_lease
+    holder.listeners.append(process.on_configuration)
+    return process
+
+
+def _compose_relay(
+    settings: EntrySettings, environment: Environment, tasks: TaskGroup, log: EventLog
+) -> Relay:
+    """Return the relay that an entry hosts."""
+    hello = Hello(settings.name, Role.RELAY, environment.incarnation)
+    upstream = ControlClient(
+        targets=settings.voters,
+        dial=environment.dial_voter,
+        hello=hello,
+        view=ViewHolder(),
+        log=log,
+        random=environment.random,
+    )
+    peers = tuple(address for address in settings.relays if address != settings.peer_listen)
+    return Relay(
+        upstream=upstream,
+        peers=peers,
+        dial=environment.dial_control,
+        hello=hello,
+        log=log,
+        random=environment.random,
+        tasks=tasks,
+    )
+
+
+def compose_agent(
+    settings: AgentSettings,
+    environment: Environment,
+    call_endpoint: CallEndpoint,
+    tasks: TaskGroup,
+) -> AgentProcess:
+    """Return an agent whose parts know each other; nothing runs yet.
+
+    :param call_endpoint: reaches the endpoint beside it.
+    :param tasks: where attempts run.
+    """
+    log = EventLog(settings.name, Role.AGENT, environment.incarnation, environment.wall_us)
+    metrics = Metrics()
+    view = ViewHolder()
+    table = AttemptTable(settings.name, environment.incarnation)
+    agent = Agent(table, call_endpoint, settings.slots, log, tasks)
+    client = ControlClient(
+        targets=settings.relays,
+        dial=environment.dial_control,
+        hello=Hello(settings.name, Role.AGENT, environment.incarnation),
+        view=view,
+        log=log,
+        random=environment.random,
+    )
+    process: AgentProcess
+    shared = ProcessApp(log, metrics, lambda: process.why_not_ready(), settings.cluster_token)
+    process = AgentProcess(settings, log, view, agent, client, shared)
+    client.announce = process.announce
+    return process
--- /dev/null
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/configuration_holder.py
@@ -0,0 +1,38 @@
+"""The configuration that follows from the view."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from result import Ok
+
+from bergamotchute_daemon.event_log import EventLog
+from bergamotchute_daemon.view_holder import ViewHolder
+from bergamotchute_model import events
+from bergamotchute_model.configuration import Configuration, merge_in_force
+
+
+@dataclass
+class ConfigurationHolder:
+    """Keeps the configuration of the newest view.
+
+    :param revision: the view revision that it follows from.
+    :param listeners: told of each new configuration, in order.
+    """
+
+    log: EventLog
+    configuration: Configuration = field(default_factory=Configuration)
+    revision: int = 0
+    listeners: list[Callable[[Configuration], None]] = field(default_factory=list)
+
+    def on_view_change(self, view: ViewHolder) -> None:
+        """Merge the files in force; the voters checked them, so a fault here is a defect."""
+        merged = merge_in_force(view.files.values())
+        if not isinstance(merged, Ok):
+            self.log.emit(events.VIEW_UNREADABLE, revision=view.revision)
+            return
+        self.configuration = merged.ok_value
+        self.revision = view.revision
+        for listener in self.listeners:
+            listener(self.configuration)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_client.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_client.py
@@ -35,6 +35,8 @@
 RENEW_S = 1.0
 """How often the view lease is renewed."""
 
+LEASE_CHECK_S = 0.25
+
 UNCONFIRMED_LIMIT_S = 3.0
 """How long to stay with a peer that confirms nothing."""
 
@@ -46,6 +48,7 @@
 
 OnMembership: TypeAlias = Callable[[MembershipDelta], None]
 OnViewChange: TypeAlias = Callable[[ViewHolder], None]
+OnLease: TypeAlias = Callable[[bool], None]
 
 
 class ControlUnavailable(Exception):
@@ -56,11 +59,12 @@
 class ControlClient:
     """Keeps a link to one of several peers, and the view fresh over it.
 
-    :param targets: the peers, in order of preference.
+    :param targets: the peers.
     :param view: kept up to date here.
     :param announce: what to tell of this process at each renewal; ``None`` for nothing.
     :param on_membership: told what the peer says of members.
     :param on_view_change: told when the view advanced.
+    :param on_lease: told when the view becomes usable or stops being so.
     """
 
     targets: tuple[Address, ...]
@@ -72,6 +76,7 @@
     announce: Callable[[], Announce | None] = lambda: None
     on_membership: OnMembership = lambda _: None
     on_view_change: OnViewChange = lambda _: None
+    on_lease: OnLease = lambda _: None
     link: Link[ControlMessage] | None = None
     linked: anyio.Event = field(default_factory=anyio.Event)
     renewals: dict[int, float] = field(default_factory=dict)
@@ -86,8 +91,14 @@
 
     async def run(self) -> None:
         """Keep a link until cancelled, moving on from peers that fail or confirm nothing."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch_lease)
+            await self._follow_targets()
+
+    async def _follow_targets(self) -> None:
+        """Link to one peer after the other, from a random one on, so that peers share the load."""
         backoff = Backoff(self.random)
-        position = 0
+        position = self.random.randrange(len(self.targets))
         while True:
             target = self.preferred or self.targets[position % len(self.targets)]
             self.preferred = None
@@ -131,6 +142,7 @@
             self.confirmed = confirmed
             kind = events.VIEW_CONFIRMED if confirmed else events.VIEW_EXPIRED
             self.log.emit(kind, revision=self.view.revision)
+            self.on_lease(confirmed)
 
     async def _propose_once(self, proposal: Propose) -> Proposed | ProposalFailed | None:
         """Send a proposal and wait for its answer; return ``None`` when none came."""
@@ -183,9 +195,14 @@
                 if announce is not None:
                     await link.send(announce)
                 await anyio.sleep(RENEW_S)
-                self.check_lease()
         scope.cancel()
 
+    async def _watch_lease(self) -> None:
+        """Notice when the lease lapses, link or no link."""
+        while True:
+            await anyio.sleep(LEASE_CHECK_S)
+            self.check_lease()
+
     async def _serve(self, link: Link[ControlMessage]) -> None:
         """Read the link until it closes."""
         while True:
--- /dev/null
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/process_runner.py
@@ -0,0 +1,163 @@
+"""Runs a process for real: sockets, signals, event files."""
+
+from __future__ import annotations
+
+import logging
+import signal
+import time
+import uuid
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import Any
+
+import anyio
+import httpx
+from anyio.abc import TaskGroup
+
+from bergamotchute_daemon.composition_root import compose_agent, compose_entry
+from bergamotchute_daemon.environment import (
+    ATTEMPTS_PATH,
+    CONSENSUS_PATH,
+    CONTROL_PATH,
+    VOTER_PATH,
+    Environment,
+)
+from bergamotchute_daemon.event_log import EventLog, wall_clock, write_events
+from bergamotchute_daemon.settings import AgentSettings, EntrySettings, ProcessSettings
+from bergamotchute_model import events
+from bergamotchute_model.attempt_messages import AttemptMessage
+from bergamotchute_model.control_messages import ControlMessage
+from bergamotchute_wire.endpoint_client import http_endpoint
+from bergamotchute_wire.http_server import serve_http
+from bergamotchute_wire.message_codec import MessageCodec
+from bergamotchute_wire.web_socket_transport import (
+    LinkRoute,
+    serve_web_socket_links,
+    web_socket_dial,
+)
+
+ATTEMPT_CODEC: MessageCodec[AttemptMessage] = MessageCodec(AttemptMessage)
+CONTROL_CODEC: MessageCodec[ControlMessage] = MessageCodec(ControlMessage)
+
+EXIT_ENDED = 0
+EXIT_OVERRUN = 3
+"""Work outlasted the drain bound and was cut off."""
+
+EXIT_FAILED = 1
+
+INCARNATION_CHARACTERS = 12
+
+_LEVELS = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
+
+STOP_S = 0.2
+"""How long closing connections get."""
+
+
+def run_process(settings: EntrySettings | AgentSettings) -> int:
+    """Run a process until SIGTERM or SIGINT; return its exit status."""
+    level = None if settings.log_level == "none" else _LEVELS[settings.log_level]
+    undo = write_events(settings.event_file, level)
+    status = EXIT_FAILED
+    try:
+        if isinstance(settings, EntrySettings):
+            status = anyio.run(run_entry, settings)
+        else:
+            status = anyio.run(run_agent, settings)
+    except* OSError as group:
+        for error in group.exceptions:
+            logging.getLogger("bergamotchute").error("%s", error)
+    finally:
+        undo()
+    return status
+
+
+async def run_entry(settings: EntrySettings) -> int:
+    """Run an entry until it is told to stop."""
+    environment = _environment(settings)
+    async with anyio.create_task_group() as tasks:
+        process = compose_entry(settings, environment, tasks)
+        process.log.emit(events.PROCESS_STARTED, listen=str(settings.listen))
+        routes: dict[str, LinkRoute] = {}
+        if process.relay is not None:
+            routes[CONTROL_PATH] = LinkRoute(CONTROL_CODEC, process.relay.serve_link)
+        if routes:
+            tasks.start_soon(
+                serve_web_socket_links, settings.peer_listen, routes, settings.cluster_token
+            )
+        tasks.start_soon(process.run)
+        stop = anyio.Event()
+        tasks.start_soon(serve_http, process.app, settings.listen, stop.wait)
+        process.log.emit(events.PROCESS_READY)
+        ended = await _drain_on_signal(process.drain)
+        await _finish(tasks, stop, process.log, ended)
+    return EXIT_ENDED if ended else EXIT_OVERRUN
+
+
+async def run_agent(settings: AgentSettings) -> int:
+    """Run an agent until it is told to stop."""
+    environment = _environment(settings)
+    limits = httpx.Limits(max_connections=None, max_keepalive_connections=settings.slots * 2)
+    async with (
+        httpx.AsyncClient(limits=limits, trust_env=False) as client,
+        anyio.create_task_group() as tasks,
+    ):
+        call_endpoint = http_endpoint(client, settings.endpoint_url)
+        process = compose_agent(settings, environment, call_endpoint, tasks)
+        process.log.emit(events.PROCESS_STARTED, endpoint=settings.name)
+        routes = {ATTEMPTS_PATH: LinkRoute(ATTEMPT_CODEC, process.agent.serve_link)}
+        tasks.start_soon(
+            serve_web_socket_links, settings.peer_listen, routes, settings.cluster_token
+        )
+        tasks.start_soon(process.run)
+        stop = anyio.Event()
+        if settings.listen is not None:
+            tasks.start_soon(serve_http, process, settings.listen, stop.wait)
+        process.log.emit(events.PROCESS_READY)
+        ended = await _drain_on_signal(process.drain)
+        await _finish(tasks, stop, process.log, ended)
+    return EXIT_ENDED if ended else EXIT_OVERRUN
+
+
+async def _drain_on_signal(drain: Callable[[], Awaitable[bool]]) -> bool:
+    """Wait for a signal, then drain; a second signal ends the wait."""
+    ended = False
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        await anext(signals)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_cancel_on_signal, signals, tasks.cancel_scope)
+            ended = await drain()
+            tasks.cancel_scope.cancel()
+    return ended
+
+
+async def _cancel_on_signal(signals: Any, scope: anyio.CancelScope) -> None:
+    await anext(signals)
+    scope.cancel()
+
+
+async def _finish(tasks: TaskGroup, stop: anyio.Event, log: EventLog, ended: bool) -> None:
+    """Close the servers and end all tasks."""
+    stop.set()
+    await anyio.sleep(STOP_S)
+    log.emit(events.PROCESS_STOPPED, ended=ended)
+    tasks.cancel_scope.cancel()
+
+
+def _environment(settings: ProcessSettings) -> Environment:
+    """Return the real outside."""
+    token = settings.cluster_token
+    codec: MessageCodec[Any] = MessageCodec(Any)
+    return Environment(
+        incarnation=uuid.uuid4().hex[:INCARNATION_CHARACTERS],
+        random=Random(),
+        wall_us=wall_clock(time.time_ns() // 1_000, anyio.current_time(), anyio.current_time),
+        dial_attempts=web_socket_dial(ATTEMPTS_PATH, ATTEMPT_CODEC, token),
+        dial_control=web_socket_dial(CONTROL_PATH, CONTROL_CODEC, token),
+        dial_voter=web_socket_dial(VOTER_PATH, CONTROL_CODEC, token),
+        dial_consensus=web_socket_dial(CONSENSUS_PATH, codec, token),
+    )
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/scheduling_controller.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/scheduling_controller.py
@@ -107,6 +107,13 @@
         """Send no more work to endpoints that the files in force drain."""
         self._on_each(lambda scheduler, now: scheduler.on_drains(endpoints, now))
 
+    def on_weights(self, weights: dict[str, float]) -> None:
+        """Put the teams' fair-share weights in force."""
+        self.weights = weights
+        for scheduler in self.schedulers.values():
+            for share in scheduler.queue.shares.values():
+                share.weights = dict(weights)
+
     def on_load(self, load: EndpointLoad) -> None:
         """Take an endpoint's load report."""
         for scheduler in self.schedulers.values():
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/settings.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/settings.py
@@ -27,7 +27,7 @@
     """What every process is told.
 
     :param name: unique over the deployment.
-    :param relays: where relays listen, in order of preference.
+    :param relays: where relays listen; the process uses any one of them.
     :param cluster_token: the secret that all processes of the deployment share.
     :param drain_bound_s: how long a planned stop waits for work in flight, in seconds.
     :param event_file: where events go; ``None`` for nowhere but the log.
@@ -154,7 +154,7 @@
     flags.add("--vm", "name of the VM it runs on (default: its own name)", "NAME")
     flags.add("--zone", "availability zone that it runs in", "NAME")
     flags.add("--peer-listen", "where other processes reach it", "HOST:PORT")
-    flags.add("--relays", "where relays listen, in order of preference", "HOST:PORT,...")
+    flags.add("--relays", "where relays listen", "HOST:PORT,...")
     flags.add("--cluster-token-file", "file with the secret of the deployment", "FILE")
     flags.add("--drain-bound", "longest wait of a planned stop", "SECONDS", str(DRAIN_BOUND_S))
     flags.add("--event-file", "file that numbered events are appended to", "FILE")
--- a/packages/bergamotchute-model/src/bergamotchute_model/events.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/events.py
@@ -90,6 +90,9 @@
     1401, "view_expired", "A process lost its view lease and takes no new work.", logging.WARNING
 )
 VIEW_ADVANCED = _define(1402, "view_advanced", "A process took a newer revision into use.")
+VIEW_UNREADABLE = _define(
+    1403, "view_unreadable", "The files in force can't be merged here.", logging.ERROR
+)
 MEMBER_JOINED = _define(1410, "member_joined", "An endpoint or entry announced itself.")
 MEMBER_LAPSED = _define(1411, "member_lapsed", "A member's lease lapsed.", logging.WARNING)
 MEMBER_DRAINING = _define(1412, "member_draining", "A member takes no new work.")
--- /dev/null
+++ b/tests/support/stand_in_voter.py
@@ -0,0 +1,76 @@
+"""One voter without a log: the replicated state in memory, for tests of what stands above it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import anyio
+
+from bergamotchute_model.commands import Command, CommandResult
+from bergamotchute_model.control_messages import (
+    ControlMessage,
+    LeaseGrant,
+    Propose,
+    Proposed,
+    RenewLease,
+    Subscribe,
+    ViewDelta,
+)
+from bergamotchute_state.control_state import ControlState
+from bergamotchute_wire.link import Link, LinkClosed
+from bergamotchute_wire.outbox import Outbox
+
+LEASE_S = 5.0
+
+
+@dataclass
+class StandInVoter:
+    """Grants leases and commits at once, unless told that it has no quorum."""
+
+    state: ControlState = field(default_factory=ControlState)
+    subscribers: list[Outbox[ControlMessage]] = field(default_factory=list)
+    has_quorum: bool = True
+    commit_s: float = 0.002
+
+    async def serve_link(self, link: Link[ControlMessage]) -> None:
+        """Serve one relay."""
+        outbox: Outbox[ControlMessage] = Outbox(link)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(outbox.run)
+            try:
+                while True:
+                    message = await link.receive()
+                    tasks.start_soon(self.on_message, outbox, message)
+            except LinkClosed:
+                tasks.cancel_scope.cancel()
+            finally:
+                self.subscribers = [one for one in self.subscribers if one is not outbox]
+
+    async def on_message(self, outbox: Outbox[ControlMessage], message: ControlMessage) -> None:
+        """Answer one message of a relay."""
+        if not self.has_quorum:
+            return
+        match message:
+            case RenewLease(number=number):
+                outbox.post(LeaseGrant(number, LEASE_S, self.state.view_revision))
+            case Subscribe(revision=revision):
+                self.subscribers.append(outbox)
+                outbox.post(self.delta(revision))
+            case Propose():
+                await anyio.sleep(self.commit_s)
+                result = self.commit(message.command)
+                outbox.post(Proposed(message.proposal_id, self.state.revision, result))
+
+    def commit(self, command: Command) -> CommandResult:
+        """Apply a command and tell the relays of what it changed."""
+        before = self.state.view_revision
+        result = self.state.apply(command, self.state.revision + 1)
+        if self.state.view_revision > before:
+            for outbox in self.subscribers:
+                outbox.post(self.delta(before))
+        return result
+
+    def delta(self, revision: int) -> ViewDelta:
+        """Return what changed after a revision."""
+        changes = self.state.changes_since(min(revision, self.state.revision)) or ()
+        return ViewDelta(min(revision, self.state.revision), self.state.view_revision, changes)
