--- /dev/null
+++ b/packages/bergamotchute-cli/src/bergamotchute_cli/validate.py
@@ -0,0 +1,93 @@
+"""``bergamotchute validate``: check files without applying them."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+
+import anyio
+from result import Err
+
+from bergamotchute_cli.exit_code import ExitCode
+from bergamotchute_cli.files_in_force import fetch_files
+from bergamotchute_cli.local_files import LocalFile, check_together, parse_all, read_local_files
+from bergamotchute_cli.options import (
+    Commands,
+    add_admin_options,
+    add_command,
+    add_output_option,
+    admin_entries,
+)
+from bergamotchute_model.file_fault import FileFault, path_text
+
+TEXT = """Check operator files, each by itself and all of them as one.
+
+FILE is a file, or a folder whose .yaml files are all read. With --with-files-in-force the other
+files are those of a running deployment, so that one file can be checked alone.
+
+  bergamotchute validate examples/piegatura
+  bergamotchute validate teams.yaml --with-files-in-force --entries 10.1.0.4:8080
+
+Each fault is one line: FILE:LINE:COLUMN: PATH: found ...; allowed: ...
+Exit code: 0 no fault, 1 faults, 2 a file can't be read, 3 no entry answered.
+"""
+
+
+def add_validate_command(commands: Commands) -> None:
+    """Add ``validate`` to the commands."""
+    parser = add_command(commands, "validate", "check files without applying them", TEXT)
+    parser.add_argument("files", nargs="+", metavar="FILE")
+    parser.add_argument("--with-files-in-force", action="store_true")
+    add_admin_options(parser)
+    add_output_option(parser)
+    parser.set_defaults(run=run_validate)
+
+
+def run_validate(options: argparse.Namespace) -> int:
+    """Check files; return the exit code."""
+    files = read_local_files(options.files)
+    others: list[LocalFile] = []
+    if options.with_files_in_force:
+        shown = anyio.run(fetch_files, admin_entries(options))
+        others = [LocalFile(f"in force: {file.name}", file.text) for file in shown]
+    faults = find_faults(files, others)
+    if options.output == "json":
+        print(json.dumps({"files": [file.path for file in files], "faults": _documents(faults)}))
+    else:
+        print_faults(faults)
+        if not faults:
+            print(f"{len(files)} files are valid")
+    return ExitCode.REFUSED if faults else ExitCode.OK
+
+
+def find_faults(files: list[LocalFile], others: list[LocalFile]) -> tuple[FileFault, ...]:
+    """Return the faults of ``files`` by themselves and with ``others``."""
+    parsed = parse_all(files)
+    if isinstance(parsed, Err):
+        return parsed.err_value
+    in_force = parse_all(others)
+    if isinstance(in_force, Err):
+        return in_force.err_value
+    return check_together(parsed.ok_value, in_force.ok_value)
+
+
+def print_faults(faults: tuple[FileFault, ...]) -> None:
+    """Print faults for a person."""
+    for fault in faults:
+        print(fault, file=sys.stderr)
+
+
+def _documents(faults: tuple[FileFault, ...]) -> list[dict[str, object]]:
+    """Return faults as JSON objects."""
+    return [
+        {
+            "file": fault.source,
+            "line": fault.mark.line,
+            "column": fault.mark.column,
+            "path": path_text(fault.path),
+            "found": fault.found,
+            "allowed": fault.allowed,
+        }
+        for fault in faults
+    ]
