Tell operators how far a revision has reached, and why things are as they are

Cause: an operator who applies a file must see who has it, and who lags, over all relays. Change: status questions that a relay answers for its children, gathers from its peers and passes to the voters; status and explain reports at each entry. Figures: one question costs each relay one message; none is sent unasked.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/composition_root.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/composition_root.py
@@ -8,7 +8,7 @@
 from anyio.abc import TaskGroup
 
 from bergamotchute_daemon.address_book import AddressBook
-from bergamotchute_daemon.admin_api import AdminApi
+from bergamotchute_daemon.admin_api import ADMIN_PREFIX, AdminApi, Report
 from bergamotchute_daemon.agent import Agent
 from bergamotchute_daemon.agent_process import AgentProcess
 from bergamotchute_daemon.attempt_table import AttemptTable
@@ -33,6 +33,7 @@
 from bergamotchute_daemon.environment import Environment
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.metrics import Metrics
+from bergamotchute_daemon.operator_reports import OperatorReports
 from bergamotchute_daemon.process_app import ProcessApp
 from bergamotchute_daemon.relay import Relay
 from bergamotchute_daemon.request_runner import RequestRunner
@@ -103,7 +104,8 @@
         log=log,
         metrics=metrics,
     )
-    admin = AdminApi(settings.admin_token, view, client.propose, {}, log)
+    reports = OperatorReports(settings.name, client, holder, directory, scheduling, limiter, log)
+    admin = AdminApi(settings.admin_token, view, client.propose, _report_paths(reports), log)
     shared = ProcessApp(log, metrics, lambda: process.why_not_ready(), settings.admin_token)
     process = EntryProcess(
         settings=settings,
@@ -127,6 +129,11 @@
     return process
 
 
+def _report_paths(reports: OperatorReports) -> dict[str, Report]:
+    """Return the operators' reports by path."""
+    return {f"{ADMIN_PREFIX}status": reports.status, f"{ADMIN_PREFIX}explain": reports.explain}
+
+
 def _compose_relay(
     settings: EntrySettings, environment: Environment, tasks: TaskGroup, log: EventLog
 ) -> Relay:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_client.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_client.py
@@ -13,6 +13,7 @@
 
 from bergamotchute_daemon.backoff import Backoff
 from bergamotchute_daemon.event_log import EventLog
+from bergamotchute_daemon.status_queries import StatusQueries
 from bergamotchute_daemon.view_holder import ViewHolder
 from bergamotchute_model import events
 from bergamotchute_model.commands import Command, CommandResult
@@ -30,6 +31,7 @@
 )
 from bergamotchute_model.hello import Hello
 from bergamotchute_model.identifiers import Address
+from bergamotchute_model.status_messages import StatusReport
 from bergamotchute_wire.link import Dial, DialFailed, Link, LinkClosed
 
 RENEW_S = 1.0
@@ -43,6 +45,8 @@
 PROPOSAL_RETRY_S = 0.1
 """Pause before a proposal that wasn't taken is sent again."""
 
+STATUS_BOUND_S = 2.0
+
 PROPOSAL_PATIENCE_S = 1.5
 """How long to wait for the answer to one sending of a proposal."""
 
@@ -86,6 +90,7 @@
         default_factory=dict
     )
     proposal_count: int = 0
+    status_queries: StatusQueries = field(default_factory=StatusQueries)
     preferred: Address | None = None
     confirmed: bool = False
 
@@ -128,6 +133,14 @@
                 await anyio.sleep(PROPOSAL_RETRY_S * (0.5 + self.random.random()))
         raise ControlUnavailable(command.kind)
 
+    async def ask_status(
+        self, revision: int = 0, *, children_only: bool = False, bound_s: float = STATUS_BOUND_S
+    ) -> StatusReport | None:
+        """Ask the peer how things stand; ``None`` when no answer came in time."""
+        if self.link is None:
+            return None
+        return await self.status_queries.ask(self.link, revision, children_only, bound_s)
+
     async def announce_now(self) -> None:
         """Tell the peer of a change at once."""
         announce = self.announce()
@@ -216,6 +229,8 @@
                     self.on_membership(message)
                 case Proposed() | ProposalFailed():
                     self.on_proposal_answer(message)
+                case StatusReport():
+                    self.status_queries.on_status_report(message)
                 case _:
                     pass
 
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/relay.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/relay.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from functools import reduce
 from random import Random
 
 import anyio
@@ -13,6 +14,7 @@
 from bergamotchute_daemon.control_client import ControlClient, ControlUnavailable
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.membership_table import MembershipTable, is_empty
+from bergamotchute_daemon.status_queries import StatusQueries
 from bergamotchute_daemon.view_holder import ViewHolder
 from bergamotchute_model import events
 from bergamotchute_model.control_messages import (
@@ -29,10 +31,21 @@
 from bergamotchute_model.hello import Hello
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.membership import Role
+from bergamotchute_model.status_messages import (
+    BEHIND_NAMED,
+    AskStatus,
+    Reach,
+    StatusReport,
+    join_reach,
+)
 from bergamotchute_wire.link import Dial, DialFailed, Link, LinkClosed
 from bergamotchute_wire.outbox import Outbox
 
 EXPIRY_CHECK_S = 0.5
+
+STATUS_BOUND_S = 1.0
+"""How long other relays and the voters get to report."""
+
 PROPOSAL_BOUND_S = 8.0
 """How long a relay tries to have one proposal committed."""
 
@@ -43,11 +56,13 @@
 
     :param outbox: what goes to it, so that a lease never overtakes the changes it speaks of.
     :param revision: the newest view revision sent to it; ``None`` before it subscribes.
+    :param held: the newest view revision that it says it holds; ``None`` before it says so.
     """
 
     outbox: Outbox[ControlMessage]
     hello: Hello
     revision: int | None = None
+    held: int | None = None
 
 
 @dataclass
@@ -69,6 +84,8 @@
     tasks: TaskGroup
     table: MembershipTable = field(default_factory=MembershipTable)
     children: dict[int, Child] = field(default_factory=dict)
+    peer_links: dict[str, Link[ControlMessage]] = field(default_factory=dict)
+    peer_queries: StatusQueries = field(default_factory=StatusQueries)
 
     async def run(self) -> None:
         """Follow the voters and the other relays until cancelled."""
@@ -111,11 +128,14 @@
                 self.on_announce(message)
             case Propose():
                 self.tasks.start_soon(self.on_propose, child, message)
+            case AskStatus():
+                self.tasks.start_soon(self.on_ask_status, child, message)
             case _:
                 pass
 
     def on_renew_lease(self, child: Child, message: RenewLease) -> None:
         """Grant what is left of this relay's own lease, nothing when it has none."""
+        child.held = message.revision
         view = self.upstream.view
         left = view.lease_left(anyio.current_time())
         child.outbox.post(LeaseGrant(message.number, left, view.revision))
@@ -141,6 +161,44 @@
             answer = ProposalFailed(message.proposal_id, True, "no answer from the voters")
         child.outbox.post(answer)
 
+    async def on_ask_status(self, child: Child, message: AskStatus) -> None:
+        """Report how far a revision has reached, here or everywhere, and on the voters."""
+        revision = message.revision or self.upstream.view.revision
+        report = StatusReport(message.query_id, reach=self.reach(revision))
+        if not message.children_only:
+            report = await self._whole_report(report, revision)
+        child.outbox.post(report)
+
+    def reach(self, revision: int) -> Reach:
+        """Return how far a revision has reached among this relay's children."""
+        holders = {
+            one.hello.process: one.held
+            for one in self.children.values()
+            if one.held is not None and one.hello.role is not Role.RELAY
+        }
+        behind = sorted(name for name, known in holders.items() if known < revision)
+        return Reach(revision, len(holders), tuple(behind[:BEHIND_NAMED]), len(behind), 1)
+
+    async def _whole_report(self, report: StatusReport, revision: int) -> StatusReport:
+        """Add what the other relays and the voters report."""
+        reaches = [report.reach] if report.reach else []
+        control: list[StatusReport | None] = []
+
+        async def ask_peer(link: Link[ControlMessage]) -> None:
+            told = await self.peer_queries.ask(link, revision, True, STATUS_BOUND_S)
+            if told is not None and told.reach is not None:
+                reaches.append(told.reach)
+
+        async def ask_voters() -> None:
+            control.append(await self.upstream.ask_status(bound_s=STATUS_BOUND_S))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask_voters)
+            for link in self.peer_links.values():
+                tasks.start_soon(ask_peer, link)
+        known = control[0].control if control and control[0] else None
+        return replace(report, control=known, reach=reduce(join_reach, reaches))
+
     def on_view_change(self, view: ViewHolder) -> None:
         """Hand a change on to every child that subscribed."""
         for child in list(self.children.values()):
@@ -164,14 +222,24 @@
                 async with self.dial(address) as link:
                     await link.send(self.hello)
                     backoff.reset()
+                    self.peer_links[peer] = link
                     while True:
-                        message = await link.receive()
-                        if isinstance(message, MembershipDelta):
-                            self._tell(self.table.on_peer_delta(peer, message), to_relays=False)
+                        self._on_peer_message(peer, await link.receive())
             except (DialFailed, LinkClosed):
                 self.table.on_peer_lost(peer, anyio.current_time())
+            finally:
+                self.peer_links.pop(peer, None)
             await anyio.sleep(backoff.next_delay())
 
+    def _on_peer_message(self, peer: str, message: ControlMessage) -> None:
+        match message:
+            case MembershipDelta():
+                self._tell(self.table.on_peer_delta(peer, message), to_relays=False)
+            case StatusReport():
+                self.peer_queries.on_status_report(message)
+            case _:
+                pass
+
     def _tell(self, delta: MembershipDelta, *, to_relays: bool) -> None:
         """Pass a membership change on to children, and to other relays if it is about children."""
         if is_empty(delta):
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/scheduling_controller.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/scheduling_controller.py
@@ -21,6 +21,7 @@
 class Waiter:
     """A request that waits for its decision."""
 
+    work: Work
     decided: anyio.Event = field(default_factory=anyio.Event)
     decision: Decision | None = None
 
@@ -45,7 +46,7 @@
         :returns: where to run it; report its end by :meth:`finish`.
         :raises ProblemError: when it is refused; it did not run.
         """
-        waiter = Waiter()
+        waiter = Waiter(work)
         self.waiters[work.request_id] = waiter
         scheduler = self.scheduler(work.service)
         try:
--- a/packages/bergamotchute-model/src/bergamotchute_model/control_messages.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/control_messages.py
@@ -15,6 +15,7 @@
 from bergamotchute_model.hello import Hello
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.membership import EndpointAnnouncement, EntryAnnouncement
+from bergamotchute_model.status_messages import AskStatus, StatusReport
 from bergamotchute_model.view import ViewChange
 
 
@@ -161,6 +162,8 @@
     | Proposed
     | ProposalFailed
     | Announce
-    | MembershipDelta,
+    | MembershipDelta
+    | AskStatus
+    | StatusReport,
     Discriminator("kind"),
 ]
--- a/tests/daemon/test_whole_path.py
+++ b/tests/daemon/test_whole_path.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from support.caller import Caller
+from support.caller import ADMIN_TOKEN, Caller
 from support.request_path import ScriptedEndpoint
 from support.system import System, run_system, teams_file
 
@@ -124,3 +124,35 @@
         assert rest.complete
 
     run_system(body)
+
+
+def test_status_tells_how_far_a_revision_has_reached() -> None:
+    async def body(system: System) -> None:
+        await system.start(entries=4, relays=2, runners=2)
+        admin = Caller(system.entries["entry-3"].app, ADMIN_TOKEN)
+        status = (await admin.request("GET", "/v1/admin/status")).json()
+        assert status["view_confirmed"]
+        assert status["reach"]["holders"] == 6
+        assert status["reach"]["behind"] == []
+        assert status["reach"]["relays"] == 2
+        assert [row["file"] for row in status["files"]] == ["services", "teams"]
+        assert {row["endpoint"] for row in status["endpoints"]} == {"runner-0", "runner-1"}
+
+    run_system(body)
+
+
+def test_explain_gives_reasons() -> None:
+    async def body(system: System) -> None:
+        await system.start()
+        await system.caller(0).draft()
+        admin = Caller(system.entries["entry-0"].app, ADMIN_TOKEN)
+        path = "/v1/admin/explain?"
+        request = "entry-0.i1.1"
+        found = (await admin.request("GET", f"{path}request={request}")).json()
+        assert any("request_dispatched" in line for line in found["lines"])
+        for query in ("endpoint=runner-0", "endpoint=none", "team=parish", "team=none"):
+            answer = await admin.request("GET", path + query)
+            assert answer.json()["lines"]
+        assert (await admin.request("GET", path)).status == 400
+
+    run_system(body)
