Work out capacity at the full size from measured slopes

The size to design for asks for each role's state, messages, processor time and memory. Messages, the real relay with up to 500 children, and the replicated state filled to its bounds are measured and kept as data; one command turns them into the page.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SOURCES := packages tests tools
 READY := $(VENV)/.ready
 
-.PHONY: measure-experts env format lint types imports events unit test lock clean
+.PHONY: measure-experts env format lint types imports events capacity bench unit test lock clean
 
 env: $(READY)
 
@@ -34,6 +34,15 @@
 events: env
 	$(BIN)/python -m tools.check_events
 
+capacity: env
+	$(BIN)/python -m tools.capacity
+
+bench: env
+	$(BIN)/python -m tools.bench_messages
+	$(BIN)/python -m tools.bench_state
+	$(BIN)/python -m tools.bench_relay_links
+	$(BIN)/python -m tools.capacity --write
+
 unit: env
 	$(BIN)/pytest
 
