--- a/tools/fakes/engine.py
+++ b/tools/fakes/engine.py
@@ -35,6 +35,7 @@
 from tools.fakes.journal import ExecutionJournal
 
 DEFAULT_MAX_TOKENS = 32
+CALL_CHARACTERS = 100
 WORDS = [
     "in",
     "the",
@@ -174,13 +175,14 @@
         await self.enter_slot((int(body.get("priority", 0)), number), number)
         identity = (request.headers.get("x-request-id", ""), request.headers.get("x-attempt", ""))
         offset = int(body.get("resume", {}).get("offset", 0))
-        self.journal.write("start", *identity, path=request.path, offset=offset)
+        call = prompt_of(body)[:CALL_CHARACTERS]
+        self.journal.write("start", *identity, execution=number, call=call, offset=offset)
         outcome = "cancelled"
         try:
             await self.generate(number, body, offset, send)
             outcome = "completed"
         finally:
-            self.journal.write("end", *identity, outcome=outcome)
+            self.journal.write("end", *identity, execution=number, outcome=outcome)
             self.leave_slot(number)
 
     async def enter_slot(self, rank: tuple[int, int], number: int) -> None:
--- a/tools/fakes/order_service.py
+++ b/tools/fakes/order_service.py
@@ -62,14 +62,15 @@
     async def take_order(self, request: Request, send: Send) -> None:
         """Execute one order; what has begun is finished even when the caller goes away."""
         identity = (request.headers.get("x-request-id", ""), request.headers.get("x-attempt", ""))
-        number = f"{self.name}-{len(self.orders) + 1:04d}"
+        execution = len(self.orders) + 1
+        number = f"{self.name}-{execution:04d}"
         self.orders[number] = request.json()
-        self.journal.write("start", *identity, path=request.path, order=number)
+        call = str(request.json().get("call", ""))
+        self.journal.write("start", *identity, execution=execution, call=call, order=number)
         self.running += 1
-        with anyio.CancelScope(shield=True):
-            await anyio.sleep(self.work_s)
+        await anyio.sleep(self.work_s)
         self.running -= 1
-        self.journal.write("end", *identity, outcome="completed", order=number)
+        self.journal.write("end", *identity, execution=execution, outcome="completed")
         await send_json(send, 201, {"order": number, "status": "accepted"})
 
     async def tell_status(self, number: str, send: Send) -> None:
