--- a/packages/bergamotchute-cli/src/bergamotchute_cli/__main__.py
+++ b/packages/bergamotchute-cli/src/bergamotchute_cli/__main__.py
@@ -22,7 +22,7 @@
 
   bergamotchute validate my-files/      check them here
   bergamotchute diff my-files/          what would change
-  bergamotchute apply my-files/*.yaml   put them in force
+  bergamotchute apply my-files/         put them in force
   bergamotchute show teams              what is in force
 
 Set BERGAMOTCHUTE_ENTRIES to HOST:PORT,... of some entries, BERGAMOTCHUTE_ADMIN_TOKEN_FILE to the
--- a/packages/bergamotchute-cli/src/bergamotchute_cli/apply.py
+++ b/packages/bergamotchute-cli/src/bergamotchute_cli/apply.py
@@ -11,6 +11,7 @@
 import httpx
 from result import Err
 
+from bergamotchute_cli.apply_order import find_order
 from bergamotchute_cli.command_error import CommandError
 from bergamotchute_cli.diff import text_difference
 from bergamotchute_cli.entries import Entries, problem_text, read_json
@@ -25,14 +26,18 @@
     admin_entries,
 )
 from bergamotchute_model.commands import ApplyOutcome
+from bergamotchute_model.parsed_file import ParsedFile
 
 TEXT = """Put files in force, one after another, each as a whole or not at all.
 
+FILE is a file, or a folder whose .yaml files are all applied. Several files are applied in an
+order in which each fits what is in force by then: definitions first, references after.
+
 A file says its own name and number. The number is one more than the one in force under that name,
 or 1. A file whose answer is lost is sent again, through the next entry, and gets the answer that
 the first sending got; applying the same file twice changes nothing.
 
-  bergamotchute apply services.yaml teams.yaml --entries 10.1.0.4:8080,10.2.0.4:8080
+  bergamotchute apply my-files/ --entries 10.1.0.4:8080,10.2.0.4:8080
 
 The first file that is refused ends the command; those before it are in force.
 Exit code: 0 all in force, 1 one was refused, 2 a file can't be read, 3 no entry answered: then it
@@ -80,7 +85,8 @@
         raise CommandError(ExitCode.REFUSED, "\n".join(map(str, parsed.err_value)))
     names = [read.content.file for read in parsed.ok_value]
     entries = admin_entries(options)
-    for file, name in zip(files, names, strict=True):
+    order = anyio.run(_order, entries, parsed.ok_value) if len(files) > 1 else [0]
+    for file, name in [(files[index], names[index]) for index in order]:
         applied = anyio.run(apply_file, entries, file, name)
         _report(applied, options.output)
         if not applied.in_force:
@@ -90,6 +96,16 @@
     return ExitCode.OK
 
 
+async def _order(entries: Entries, files: list[ParsedFile]) -> list[int]:
+    """Return the order in which to apply files, by what is in force now.
+
+    :raises CommandError: when no entry tells what is in force.
+    """
+    shown = await fetch_files(entries)
+    in_force = parse_all([LocalFile(file.name, file.text) for file in shown])
+    return find_order(files, in_force.unwrap_or([]))
+
+
 async def apply_file(entries: Entries, file: LocalFile, name: str) -> Applied:
     """Apply one file and return the answer, however many sendings it takes.
 
--- a/tests/operator/test_operator_commands.py
+++ b/tests/operator/test_operator_commands.py
@@ -89,6 +89,20 @@
     assert text in "".join(capsys.readouterr())
 
 
+def test_several_files_go_in_an_order_that_fits(folder: Path) -> None:
+    (folder / "a.yaml").write_text(
+        f"file: a\nnumber: 1\nteams: [{{name: a, token_sha256: {'a' * 64}, services: [desk]}}]"
+    )
+    empty = httpx.Response(200, json={"revision": 0, "files": []})
+    entries = ScriptedEntries({FIRST: [empty, applied(200, "accepted")]})
+    assert run(folder, entries, "apply", str(folder)) == 0
+    assert [request.url.path.rpartition("/")[2] for request in entries.requests] == [
+        "files",
+        "services",
+        "a",
+    ]
+
+
 def test_no_entry_ends_with_3(folder: Path) -> None:
     entries = ScriptedEntries({host: [httpx.ConnectError("refused")] for host in (FIRST, SECOND)})
     assert run(folder, entries, "apply", str(folder / "services.yaml"), "--patience", "0.01") == 3
