Let a configuration know which planned changes have begun

Cause: a planned drain must count in every picker and address answer once it has begun. Change: a change has begun when a decision of its name and time is in force; is_draining and target go by that. A change given a new time has yet to begin. Checked: tests/operator, 74 passed.

--- a/packages/bergamotchute-model/src/bergamotchute_model/configuration.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/configuration.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Sequence
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, replace
 from functools import cached_property
 from itertools import chain, islice
 from typing import TypeVar
@@ -24,7 +24,7 @@
     Voter,
 )
 from bergamotchute_model.parsed_file import ParsedFile, parse_file
-from bergamotchute_model.view import FileInForce
+from bergamotchute_model.view import DecisionInForce, FileInForce
 
 Part = TypeVar("Part")
 
@@ -34,6 +34,7 @@
     """What is in force, whichever file says it.
 
     :param numbers: the number in force of each file, by name.
+    :param begun: names of the planned changes that have begun.
     """
 
     numbers: tuple[tuple[str, int], ...] = ()
@@ -46,6 +47,7 @@
     rank_groups: tuple[RankGroup, ...] = ()
     voters: tuple[Voter, ...] = ()
     limits: Limits = Limits()
+    begun: frozenset[str] = frozenset()
 
     @cached_property
     def service_by_name(self) -> dict[str, Service]:
@@ -85,39 +87,39 @@
         """Tell whether a team may call a service."""
         return service.name in team.services
 
-    def is_draining(
-        self, endpoint: str, vm: str, availability_zone: str, begun: Collection[str] = ()
-    ) -> bool:
-        """Tell whether the files drain an endpoint or an entry.
+    def is_draining(self, endpoint: str, vm: str, availability_zone: str) -> bool:
+        """Tell whether the files drain an endpoint or an entry, by now.
 
         :param endpoint: its name; for an entry, the entry's.
-        :param begun: names of the planned changes that have begun.
         """
-        planned = (
-            change.drain for change in self.planned_changes if change.drain and change.name in begun
-        )
-        return any(
-            drain.covers(endpoint, vm, availability_zone) for drain in chain(self.drains, planned)
-        )
+        return any(drain.covers(endpoint, vm, availability_zone) for drain in self._drains_by_now)
 
-    def target(
-        self, service: str, endpoint: str, begun: Collection[str] = ()
-    ) -> ModelTarget | None:
-        """Return what an endpoint's engine shall have loaded for a service.
+    def target(self, service: str, endpoint: str) -> ModelTarget | None:
+        """Return what an endpoint's engine shall have loaded for a service by now.
 
         A target for the endpoint goes before one for the whole service. Planned changes that have
         begun replace the target they name; the one with the latest time counts.
-
-        :param begun: names of the planned changes that have begun.
         """
-        changes = [c for c in self.planned_changes if c.load and c.name in begun]
-        changes.sort(key=lambda change: (change.at, change.name))
-        targets = {
-            (target.service, target.endpoint): target
-            for target in chain(self.models, (c.load for c in changes if c.load))
-        }
+        targets = self._targets_by_now
         return targets.get((service, endpoint)) or targets.get((service, None))
 
+    @cached_property
+    def _begun_changes(self) -> list[PlannedChange]:
+        """Planned changes that have begun, by their time."""
+        begun = [change for change in self.planned_changes if change.name in self.begun]
+        return sorted(begun, key=lambda change: (change.at, change.name))
+
+    @cached_property
+    def _drains_by_now(self) -> tuple[Drain, ...]:
+        """Drains of the files and of the planned changes that have begun."""
+        return (*self.drains, *(change.drain for change in self._begun_changes if change.drain))
+
+    @cached_property
+    def _targets_by_now(self) -> dict[tuple[str, str | None], ModelTarget]:
+        """Targets by service and endpoint; those of planned changes replace those of files."""
+        planned = (change.load for change in self._begun_changes if change.load)
+        return {(item.service, item.endpoint): item for item in chain(self.models, planned)}
+
 
 def merge(files: Sequence[ParsedFile]) -> Result[Configuration, Faults]:
     """Put files together, in the order of their names, and check all of them as one.
@@ -147,15 +149,27 @@
     )
 
 
-def merge_in_force(files: Iterable[FileInForce]) -> Result[Configuration, Faults]:
-    """Read and merge the files of a view."""
+def merge_in_force(
+    files: Iterable[FileInForce], decisions: Iterable[DecisionInForce] = ()
+) -> Result[Configuration, Faults]:
+    """Read and merge the files of a view, with the planned changes that its decisions began."""
     parsed: list[ParsedFile] = []
     for file in files:
         read = parse_file(file.name, file.text)
         if isinstance(read, Err):
             return read
         parsed.append(read.ok_value)
-    return merge(parsed)
+    values = {decision.name: decision.value for decision in decisions if decision.version}
+    return merge(parsed).map(lambda merged: replace(merged, begun=_begun(merged, values)))
+
+
+def _begun(configuration: Configuration, values: Mapping[str, bytes]) -> frozenset[str]:
+    """Return the names of the planned changes whose beginning was decided."""
+    return frozenset(
+        change.name
+        for change in configuration.planned_changes
+        if values.get(change.decision_name) == change.decision_value
+    )
 
 
 def _join(parts: Iterable[tuple[Part, ...]]) -> tuple[Part, ...]:
--- a/packages/bergamotchute-model/src/bergamotchute_model/operator_file.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/operator_file.py
@@ -183,7 +183,7 @@
 class PlannedChange:
     """A change that takes effect once, at a set time; exactly one of the changes is given.
 
-    :param at: when it begins, in UTC.
+    :param at: when it begins, in UTC; one that lies in the past begins at once.
     :param drain: what is drained from then on.
     :param load: the target that replaces the one for the same service and endpoint.
     """
@@ -195,6 +195,16 @@
 
     __pydantic_config__ = STRICT
 
+    @property
+    def decision_name(self) -> str:
+        """The name of the decision that the change has begun."""
+        return f"planned-change/{self.name}"
+
+    @property
+    def decision_value(self) -> bytes:
+        """What the decision says; a change that is given a new time has yet to begin."""
+        return self.at.isoformat().encode()
+
 
 @dataclass(frozen=True)
 class RankGroup:
--- a/tests/operator/test_files_together.py
+++ b/tests/operator/test_files_together.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
-from bergamotchute_model.configuration import Configuration, merge
+from bergamotchute_model.configuration import Configuration, merge, merge_in_force
 from bergamotchute_model.parsed_file import ParsedFile, parse_file
+from bergamotchute_model.view import DecisionInForce, FileInForce
 
 DIGEST = "a" * 64
 DRAFTS = "services: [{name: drafts, kind: model, model: m}, {name: desk, kind: plain}]\n"
@@ -16,8 +19,9 @@
     return parse_file(f"{name}.yaml", f"file: {name}\nnumber: 1\n{text}").unwrap()
 
 
-def configuration(*texts: str) -> Configuration:
-    return merge([file(f"f{index}", text) for index, text in enumerate(texts)]).unwrap()
+def configuration(*texts: str, begun: tuple[str, ...] = ()) -> Configuration:
+    merged = merge([file(f"f{index}", text) for index, text in enumerate(texts)]).unwrap()
+    return replace(merged, begun=frozenset(begun))
 
 
 def team(name: str = "a", token: str = DIGEST, more: str = "services: [drafts]") -> str:
@@ -74,31 +78,42 @@
 
 
 def test_drains_and_planned_drains_cover_by_name_vm_and_zone() -> None:
-    present = configuration(
+    texts = (
         "drains: [{endpoint: runner-1}, {availability_zone: brescia-c}]",
         "planned_changes: [{name: swap, at: 2026-01-31T22:00:00Z, drain: {vm: vm-7}}]",
     )
+    present = configuration(*texts)
     assert present.is_draining("runner-1", "vm-1", "milano-a")
     assert present.is_draining("runner-2", "vm-2", "brescia-c")
     assert not present.is_draining("runner-2", "vm-7", "milano-a")
-    assert present.is_draining("runner-2", "vm-7", "milano-a", begun=["swap"])
+    assert configuration(*texts, begun=("swap",)).is_draining("runner-2", "vm-7", "milano-a")
 
 
 def test_the_nearest_and_latest_target_counts() -> None:
-    present = configuration(
+    texts = (
         DRAFTS + "models: [{service: drafts, version: v1},"
         " {service: drafts, version: v2, endpoint: runner-1}]",
         "planned_changes: [{name: z, at: 2026-01-31T22:00:00Z, load: {service: drafts, version: v3}},"
         " {name: a, at: 2026-02-01T22:00:00Z, load: {service: drafts, version: v4}}]",
     )
-    versions = [
-        [
-            target and target.version
-            for target in (
-                present.target("drafts", endpoint, begun) for endpoint in ("runner-1", "runner-2")
-            )
-        ]
-        for begun in ([], ["z"], ["a", "z"])
-    ]
-    assert versions == [["v2", "v1"], ["v2", "v3"], ["v2", "v4"]]
-    assert present.target("desk", "runner-1") is None
+    expected = {(): ["v2", "v1"], ("z",): ["v2", "v3"], ("a", "z"): ["v2", "v4"]}
+    for begun, versions in expected.items():
+        present = configuration(*texts, begun=begun)
+        targets = [present.target("drafts", name) for name in ("runner-1", "runner-2")]
+        assert [target and target.version for target in targets] == versions
+        assert present.target("desk", "runner-1") is None
+
+
+def test_a_change_has_begun_when_its_name_and_time_were_decided() -> None:
+    text = "file: f\nnumber: 1\nplanned_changes: [{name: swap, at: %s, drain: {vm: vm-7}}]"
+    decided = DecisionInForce("planned-change/swap", 1, 1, b"2026-01-31T22:00:00+00:00", 8)
+    only_fenced = DecisionInForce("planned-change/swap", 0, 1, b"", 7)
+    for at, decisions, begun in (
+        ("2026-01-31T22:00Z", [decided], True),
+        ("2026-01-31T22:00Z", [only_fenced], False),
+        ("2026-01-31T23:00Z", [decided], False),
+        ("2026-01-31T22:00Z", [], False),
+    ):
+        in_force = FileInForce("f", 1, text % at, "", 5)
+        merged = merge_in_force([in_force], decisions).unwrap()
+        assert merged.is_draining("runner-1", "vm-7", "milano-a") is begun
