Begin planned changes at their time, each once

Cause: files name changes with a time, and nothing began them. Change: each entry that hosts a voter runs a controller; the beginning is a decision of the log, written under the newest fencing number of the change, and the view carries it to every picker. The admin interface answers 410 for a number that is forgotten.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/admin_api.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/admin_api.py
@@ -31,6 +31,7 @@
     ApplyOutcome.REPEATED: 200,
     ApplyOutcome.CONFLICT: 409,
     ApplyOutcome.INVALID: 422,
+    ApplyOutcome.FORGOTTEN: 410,
 }
 
 Report: TypeAlias = Callable[[HttpRequest], Awaitable[dict[str, Any]]]
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/composition_root.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/composition_root.py
@@ -34,6 +34,7 @@
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.metrics import Metrics
 from bergamotchute_daemon.operator_reports import OperatorReports
+from bergamotchute_daemon.planned_change_controller import PlannedChangeController
 from bergamotchute_daemon.process_app import ProcessApp
 from bergamotchute_daemon.relay import Relay
 from bergamotchute_daemon.request_runner import RequestRunner
@@ -120,6 +121,9 @@
         app=EntryApp(callers, admin, shared),
         relay=_compose_relay(settings, environment, tasks, log) if settings.relay else None,
         run_voter=run_voter,
+        planned_changes=PlannedChangeController(
+            holder, view, client.propose, environment.wall_us, random, log, epoch
+        ),
     )
     client.announce = process.announce
     client.on_membership = process.on_membership
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/configuration_holder.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/configuration_holder.py
@@ -28,7 +28,7 @@
 
     def on_view_change(self, view: ViewHolder) -> None:
         """Merge the files in force; the voters checked them, so a fault here is a defect."""
-        merged = merge_in_force(view.files.values())
+        merged = merge_in_force(view.files.values(), view.decisions.values())
         if not isinstance(merged, Ok):
             self.log.emit(events.VIEW_UNREADABLE, revision=view.revision)
             return
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/entry_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/entry_process.py
@@ -13,6 +13,7 @@
 from bergamotchute_daemon.endpoint_directory import EndpointDirectory
 from bergamotchute_daemon.entry_app import EntryApp
 from bergamotchute_daemon.event_log import EventLog
+from bergamotchute_daemon.planned_change_controller import PlannedChangeController
 from bergamotchute_daemon.relay import Relay
 from bergamotchute_daemon.scheduling_controller import SchedulingController
 from bergamotchute_daemon.settings import EntrySettings
@@ -40,6 +41,7 @@
 
     :param app: answers callers and operators.
     :param client: the way to the relays.
+    :param planned_changes: runs where a voter is hosted.
     :param relay: hosted here, or ``None``.
     :param run_voter: runs the voter hosted here, or ``None``.
     :param epoch: fresh at each start.
@@ -55,6 +57,7 @@
     limiter: TeamLimiter
     client: ControlClient
     app: EntryApp
+    planned_changes: PlannedChangeController
     relay: Relay | None = None
     run_voter: Callable[[], Coroutine[Any, Any, None]] | None = None
     sequence: int = 0
@@ -69,6 +72,7 @@
                 tasks.start_soon(self.relay.run)
             if self.run_voter is not None:
                 tasks.start_soon(self.run_voter)
+                tasks.start_soon(self.planned_changes.run)
 
     async def drain(self) -> bool:
         """Send callers elsewhere, then wait for the requests in flight.
--- a/packages/bergamotchute-model/src/bergamotchute_model/events.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/events.py
@@ -83,6 +83,7 @@
 LEADER_STEPPED_DOWN = _define(1301, "leader_stepped_down", "A leader gave up its term.")
 FILE_APPLIED = _define(1310, "file_applied", "A file came into force.")
 FILE_REFUSED = _define(1311, "file_refused", "A file was refused.", logging.WARNING)
+PLANNED_CHANGE_BEGUN = _define(1312, "planned_change_begun", "A planned change has begun.")
 
 # 1400-1499: views and membership.
 VIEW_CONFIRMED = _define(1400, "view_confirmed", "A process holds a view that a quorum confirmed.")
