Keep messages that come with the handshake

Cause: a peer's first messages can share a segment with its handshake; they were read and dropped, so that an entry waited for an agent's introduction for ever and never used it. Found by: two entries and three agents as real processes; each agent served one entry only. Change: a new link takes over the frames that the protocol has already read. Answers no longer carry the endpoint's own date and server headers. Conclusion: a test opens 30 links to a peer that speaks first.

--- a/packages/bergamotchute-wire/src/bergamotchute_wire/endpoint_client.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/endpoint_client.py
@@ -16,7 +16,7 @@
 
 HOP_HEADERS = frozenset(
     {"connection", "content-length", "host", "keep-alive", "te", "trailer", "transfer-encoding"}
-    | {"upgrade", "authorization", "accept-encoding"}
+    | {"upgrade", "authorization", "accept-encoding", "date", "server"}
 )
 """Headers that belong to one connection or one credential, and aren't passed on."""
 
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/web_socket_link.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/web_socket_link.py
@@ -50,6 +50,8 @@
         self._received: deque[Frame] = deque()
         self._outgoing: list[bytes] = []
         self._write_lock = anyio.Lock()
+        # The peer's first messages may have come together with its handshake.
+        self._take_frames()
 
     async def send(self, message: Message) -> None:
         """Send a message; returns once the transport took it.
@@ -111,13 +113,16 @@
             raise LinkClosed(self.closed_reason) from error
         self.last_received_at = anyio.current_time()
         self._protocol.receive_data(data)
-        self._received.extend(
-            event for event in self._protocol.events_received() if isinstance(event, Frame)
-        )
+        self._take_frames()
         await self._flush_quietly()
         if self._protocol.state is not State.OPEN and not self._received:
             await self._abort("closed by peer")
 
+    def _take_frames(self) -> None:
+        """Take over the frames that the protocol has read."""
+        read = self._protocol.events_received()
+        self._received.extend(event for event in read if isinstance(event, Frame))
+
     async def _flush(self) -> None:
         """Write all that waits; a caller that finds nothing left was served by another's write."""
         self._outgoing.extend(self._protocol.data_to_send())
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/web_socket_transport.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/web_socket_transport.py
@@ -91,7 +91,6 @@
             await stream.send(b"".join(protocol.data_to_send()))
             while protocol.state is State.CONNECTING and protocol.handshake_exc is None:
                 protocol.receive_data(await stream.receive(RECEIVE_BYTES))
-                protocol.events_received()
             if protocol.handshake_exc is not None:
                 raise protocol.handshake_exc
     except (OSError, TimeoutError, anyio.EndOfStream, anyio.BrokenResourceError) as error:
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -118,6 +118,19 @@
     anyio.run(with_server, body, never_read)
 
 
+def test_a_message_that_comes_with_the_handshake_is_not_lost() -> None:
+    async def greet(link: Link[ControlMessage]) -> None:
+        await link.send(Ping(1))
+        await echo(link)
+
+    async def body(address: Address) -> None:
+        for _ in range(30):
+            async with web_socket_dial("/control", CODEC, "secret")(address) as link:
+                assert await link.receive() == Ping(1)
+
+    anyio.run(with_server, body, greet)
+
+
 def test_messages_survive_the_codec() -> None:
     message = Hello("entry-1", Role.ENTRY, "a1")
     assert CODEC.decode(CODEC.encode(message)) == message
