--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SOURCES := packages tests tools
 READY := $(VENV)/.ready
 
-.PHONY: measure-experts env format lint types imports events capacity bench unit test lock clean
+.PHONY: measure-experts env format lint types imports events words capacity bench unit test lock clean
 
 env: $(READY)
 
@@ -34,6 +34,9 @@
 events: env
 	$(BIN)/python -m tools.check_events
 
+words: env
+	$(BIN)/python -m tools.check_words
+
 capacity: env
 	$(BIN)/python -m tools.capacity
 
@@ -46,7 +49,7 @@
 unit: env
 	$(BIN)/pytest
 
-test: lint types imports events unit
+test: lint types imports events words unit
 
 lock:
 	uv pip compile --generate-hashes --no-header --universal --python-version 3.11 requirements.in -o requirements.lock
