--- /dev/null
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/_snapshot_transfer.py
@@ -0,0 +1,144 @@
+"""Sending a snapshot in chunks to a replica that lags behind the kept log, and taking one."""
+
+from __future__ import annotations
+
+from zlib import crc32
+
+from bergamotchute_consensus.actions import Restore
+from bergamotchute_consensus.membership import Member
+from bergamotchute_consensus.messages import SnapshotChunk, SnapshotReply
+from bergamotchute_consensus.progress import Progress
+from bergamotchute_consensus.replica_state import IncomingSnapshot, ReplicaState
+from bergamotchute_consensus.snapshot import Snapshot
+
+
+def send_chunk(state: ReplicaState, member: Member, peer: Progress) -> None:
+    """Send the next chunk of the newest snapshot; the answer says where to go on."""
+    snapshot = state.snapshot
+    if peer.snapshot_index != snapshot.index:
+        peer.snapshot_index = snapshot.index
+        peer.snapshot_offset = 0
+    end = peer.snapshot_offset + state.settings.chunk_bytes
+    message = SnapshotChunk(
+        state.hard_state.cluster,
+        state.me,
+        member.replica,
+        state.term,
+        snapshot.index,
+        snapshot.term,
+        snapshot.membership,
+        peer.snapshot_offset,
+        len(snapshot.data),
+        crc32(snapshot.data),
+        snapshot.data[peer.snapshot_offset : end],
+        state.round,
+    )
+    state.send(member, message)
+
+
+def on_snapshot_reply(state: ReplicaState, reply: SnapshotReply, now: float) -> None:
+    """Go on from where the replica says that it stands."""
+    peer = state.progress.get(reply.sender.replica)
+    member = state.membership.find(reply.sender.replica)
+    if peer is None or member is None:
+        return
+    peer.note_answer(reply.round, now)
+    if reply.installed:
+        peer.match_index = max(peer.match_index, reply.index)
+        peer.probe_from(peer.match_index + 1)
+    elif reply.index == peer.snapshot_index == state.snapshot.index:
+        _go_on(state, member, peer, reply.received)
+
+
+def _go_on(state: ReplicaState, member: Member, peer: Progress, received: int) -> None:
+    """Send the next chunk, unless it is on its way already or the answer is an old one."""
+    if received == peer.snapshot_offset and received > 0:
+        return
+    peer.snapshot_offset = received
+    send_chunk(state, member, peer)
+
+
+def on_snapshot_chunk(state: ReplicaState, message: SnapshotChunk, now: float) -> None:
+    """Keep a chunk; once the whole snapshot is there, use it and say so when it is durable."""
+    state.leader = message.sender
+    state.leader_heard_at = now
+    state.reset_election_deadline(now)
+    if message.index <= state.commit_index:
+        state.incoming = None
+        _reply(state, message, message.total, True)
+        return
+    incoming = _incoming_for(state, message)
+    if message.offset == len(incoming.data):
+        incoming.data += message.data
+    if len(incoming.data) < incoming.total:
+        _reply(state, message, len(incoming.data), False)
+        return
+    state.incoming = None
+    if crc32(incoming.data) != incoming.checksum:
+        _reply(state, message, 0, False)
+        return
+    _install(state, message, bytes(incoming.data))
+    _reply(state, message, incoming.total, True)
+
+
+def _incoming_for(state: ReplicaState, message: SnapshotChunk) -> IncomingSnapshot:
+    """Return the bytes so far of this very snapshot, also when another leader sent them."""
+    held = state.incoming
+    wanted = (message.index, message.index_term, message.total, message.checksum)
+    if held is None or (held.index, held.index_term, held.total, held.checksum) != wanted:
+        held = IncomingSnapshot(*wanted)
+        state.incoming = held
+    return held
+
+
+def _install(state: ReplicaState, message: SnapshotChunk, data: bytes) -> None:
+    """Put the snapshot in place of the log that it covers."""
+    snapshot = Snapshot(message.index, message.index_term, message.membership, data)
+    state.snapshot = snapshot
+    if state.log.term_at(message.index) == message.index_term:
+        state.log.drop_through(message.index)
+        kept = tuple(state.log.entries)
+    else:
+        state.log.reset(message.index, message.index_term)
+        kept = ()
+        state.forget_durable()
+    state.memberships = [(snapshot.index, snapshot.membership)]
+    state.note_memberships(kept)
+    state.commit_index = snapshot.index
+    state.applied_index = snapshot.index
+    state.persist(snapshot=snapshot)
+    state.actions.append(Restore(snapshot))
+
+
+def on_snapshot_taken(state: ReplicaState, index: int, data: bytes) -> None:
+    """Keep the state machine's own snapshot, and drop entries well behind it."""
+    if index <= state.snapshot.index:
+        return
+    term = state.log.term_at(index)
+    assert term is not None
+    state.snapshot = Snapshot(index, term, state.membership_at(index), data)
+    state.persist(snapshot=state.snapshot)
+    keep_from = index - state.settings.trailing_entries
+    if keep_from > state.log.base_index:
+        state.log.drop_through(keep_from)
+    _forget_old_memberships(state)
+
+
+def _forget_old_memberships(state: ReplicaState) -> None:
+    """Keep the memberships from the snapshot's on."""
+    while len(state.memberships) > 1 and state.memberships[1][0] <= state.snapshot.index:
+        state.memberships.pop(0)
+
+
+def _reply(state: ReplicaState, message: SnapshotChunk, received: int, installed: bool) -> None:
+    reply = SnapshotReply(
+        state.hard_state.cluster,
+        state.me,
+        message.sender.replica,
+        state.term,
+        message.index,
+        received,
+        installed,
+        message.round,
+    )
+    state.send(message.sender, reply)
--- /dev/null
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/replica_log.py
@@ -0,0 +1,88 @@
+"""The part of the log that a replica keeps in memory."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from bergamotchute_consensus.log_entry import LogEntry
+
+
+class ReplicaLog:
+    """Entries after a base, which a snapshot covers.
+
+    :param base_index: the index before the first entry.
+    :param base_term: the term at ``base_index``.
+    """
+
+    def __init__(
+        self, base_index: int = 0, base_term: int = 0, entries: Sequence[LogEntry] = ()
+    ) -> None:
+        self.base_index = base_index
+        self.base_term = base_term
+        self.entries = list(entries)
+
+    @property
+    def last_index(self) -> int:
+        """The index of the last entry."""
+        return self.base_index + len(self.entries)
+
+    @property
+    def last_term(self) -> int:
+        """The term of the last entry."""
+        return self.entries[-1].term if self.entries else self.base_term
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term at ``index``, or ``None`` outside of what is kept."""
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self.entries[index - self.base_index - 1].term
+        return None
+
+    def entry(self, index: int) -> LogEntry:
+        """Return the entry at ``index``, which must be kept."""
+        return self.entries[index - self.base_index - 1]
+
+    def batch(self, start: int, limit_bytes: int) -> tuple[LogEntry, ...]:
+        """Return entries from ``start`` on: at least one, where there is one, and then only as
+        many as fit ``limit_bytes``.
+        """
+        size = 0
+        first = start - self.base_index - 1
+        end = first
+        while end < len(self.entries):
+            size += len(self.entries[end].data)
+            if size > limit_bytes and end > first:
+                break
+            end += 1
+        return tuple(self.entries[first:end])
+
+    def append(self, entries: Sequence[LogEntry]) -> None:
+        """Add entries that follow the last one."""
+        self.entries.extend(entries)
+
+    def truncate_from(self, index: int) -> None:
+        """Drop ``index`` and all after it."""
+        del self.entries[index - self.base_index - 1 :]
+
+    def drop_through(self, index: int) -> None:
+        """Drop entries up to and with ``index``, which becomes the base."""
+        term = self.term_at(index)
+        if term is None:
+            raise ValueError(f"index {index} is not in the log")
+        del self.entries[: index - self.base_index]
+        self.base_index = index
+        self.base_term = term
+
+    def reset(self, index: int, term: int) -> None:
+        """Drop everything and begin after ``index``."""
+        self.entries.clear()
+        self.base_index = index
+        self.base_term = term
+
+    def first_index_of_term(self, index: int) -> int:
+        """Return the lowest kept index from which the term is that of ``index`` on."""
+        term = self.term_at(index)
+        while index > self.base_index + 1 and self.term_at(index - 1) == term:
+            index -= 1
+        return index
