--- /dev/null
+++ b/tests/consensus/test_exploration.py
@@ -0,0 +1,24 @@
+"""Random walks over crashes, losses, reorderings, wipes and membership changes."""
+
+from __future__ import annotations
+
+import pytest
+
+from support.consensus_walk import ChangingWalk, Walk, WalkTotals, WipingWalk
+
+RUNS = 60
+STEPS = 300
+
+
+@pytest.mark.parametrize("kind", [Walk, WipingWalk, ChangingWalk])
+def test_promises_hold_on_every_walk(kind: type[Walk], capsys: pytest.CaptureFixture[str]) -> None:
+    totals = WalkTotals()
+    for seed in range(RUNS):
+        try:
+            kind(seed, totals).run(STEPS)
+        except Exception as error:
+            error.add_note(f"seed {seed}")
+            raise
+    with capsys.disabled():
+        print(f"\n{kind.__name__}: {totals}")
+    assert totals.recovered > RUNS // 4
