Put the bounds that files give services in force at their schedulers

Cause: long_share, queue_count and long_tokens were read and checked, and changed nothing. Change: schedulers and estimators follow the services of each new configuration; queue_bytes is a bound of a service; limits that only flags govern leave the schema. Checked: tests/operator, tests/daemon and tests/policy pass.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/caller_filters.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/caller_filters.py
@@ -243,7 +243,8 @@
         request, service = incoming.request, incoming.service
         assert request is not None
         assert service is not None
-        estimator = estimators.setdefault(service.name, WorkEstimator(float(service.long_tokens)))
+        estimator = estimators.setdefault(service.name, WorkEstimator())
+        estimator.long_tokens = float(service.long_tokens)
         work = _work(request, _estimate(estimator, request))
         incoming.exchange = Exchange(request, work)
 
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/entry_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/entry_process.py
@@ -112,7 +112,8 @@
         self.on_configuration(self.holder.configuration)
 
     def on_configuration(self, configuration: Configuration) -> None:
-        """Put drains and weights in force."""
+        """Put drains, weights and the bounds of services in force."""
+        self.scheduling.on_services(configuration.services)
         drained = frozenset(
             one.endpoint
             for one in self.directory.announcements.values()
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/scheduling_controller.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/scheduling_controller.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
 from random import Random
 
 import anyio
@@ -11,6 +11,7 @@
 
 from bergamotchute_model.attempt_messages import EndpointLoad
 from bergamotchute_model.membership import EndpointAnnouncement
+from bergamotchute_model.operator_file import Service
 from bergamotchute_model.problem import ProblemCode, ProblemError
 from bergamotchute_policy.endpoint_book import Finish
 from bergamotchute_policy.scheduler import ServiceScheduler
@@ -108,6 +109,19 @@
         """Send no more work to endpoints that the files in force drain."""
         self._on_each(lambda scheduler, now: scheduler.on_drains(endpoints, now))
 
+    def on_services(self, services: Iterable[Service]) -> None:
+        """Put the bounds of services in force."""
+        for service in services:
+            scheduler = self.scheduler(service.name)
+            scheduler.on_settings(
+                replace(
+                    scheduler.settings,
+                    long_share=service.long_share,
+                    queue_count=service.queue_count,
+                    queue_bytes=service.queue_bytes,
+                )
+            )
+
     def on_weights(self, weights: dict[str, float]) -> None:
         """Put the teams' fair-share weights in force."""
         self.weights = weights
--- a/packages/bergamotchute-model/src/bergamotchute_model/operator_file.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/operator_file.py
@@ -79,6 +79,7 @@
     :param long_tokens: expected tokens from which a request counts as long.
     :param long_share: the part of a runner's slots that long requests may hold.
     :param queue_count: requests that may wait at one entry.
+    :param queue_bytes: bytes of request bodies that may wait at one entry.
     """
 
     name: Name
@@ -92,6 +93,7 @@
     long_tokens: Count = 512
     long_share: Share = 0.5
     queue_count: Count = 1_024
+    queue_bytes: Annotated[int, Field(ge=1_048_576, le=1_073_741_824)] = 33_554_432
 
     __pydantic_config__ = STRICT
 
@@ -250,16 +252,10 @@
 class Limits:
     """Bounds that hold for every entry.
 
-    :param connections: open connections from callers to one entry.
-    :param waiting_bytes: bytes of request bodies that may wait at one entry.
     :param address_lifetime_s: how long callers may keep an address answer.
-    :param drain_s: time for requests in flight when a process stops.
     """
 
-    connections: Count = 10_000
-    waiting_bytes: Annotated[int, Field(ge=1_048_576, le=1_073_741_824)] = 33_554_432
     address_lifetime_s: Annotated[float, Field(ge=1, le=600)] = 15.0
-    drain_s: Annotated[float, Field(ge=1, le=86_400)] = 900.0
 
     __pydantic_config__ = STRICT
 
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/scheduler.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/scheduler.py
@@ -93,6 +93,12 @@
         self.book.on_drains(endpoints)
         return self.on_tick(now)
 
+    def on_settings(self, settings: SchedulingSettings) -> None:
+        """Use these settings from the next decision on."""
+        self.settings = settings
+        self.book.settings = settings
+        self.queue.settings = settings
+
     def on_load_report(self, load: EndpointLoad, now: float) -> list[Decision]:
         """Take a load report, late as it may be."""
         self.book.on_load_report(load, now)
