--- /dev/null
+++ b/tools/service_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes around the real scheduling decisions, on a simulated clock."""
