--- a/packages/bergamotchute-policy/src/bergamotchute_policy/work_estimate.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/work_estimate.py
@@ -28,8 +28,8 @@
     size: Size
 
 
-class DecayedQuantiles:
-    """A distribution of token counts in logarithmic buckets, in which old samples fade."""
+class TokenHistory:
+    """Token counts in logarithmic buckets, in which old samples fade."""
 
     def __init__(self) -> None:
         self.buckets = [0.0] * BUCKET_COUNT
@@ -55,15 +55,6 @@
         )
         return summed / self.total
 
-    def quantile(self, part: float) -> float:
-        """Return the token count that ``part`` of the samples stay under."""
-        left = part * self.total
-        for index, weight in enumerate(self.buckets):
-            left -= weight
-            if left <= 0:
-                return _middle(index)
-        return _middle(BUCKET_COUNT - 1)
-
     def _rescale(self) -> None:
         """Bring the weights back to where floats are exact enough."""
         self.buckets = [weight / self.step for weight in self.buckets]
@@ -71,26 +62,32 @@
         self.step = 1.0
 
 
+Key = tuple[str, str, int, int]
+
+
 class WorkEstimator:
     """Estimates requests by the history of their team, service and limits.
 
     Requests are alike when team, service and the magnitudes of their prompt and of ``max_tokens``
-    agree. Without enough history of its like, a request counts as its whole ``max_tokens``.
-    Histories that are not used are forgotten, the oldest first.
+    agree. Without enough history of its like, a request counts as those of all teams do; without
+    that either, as its whole ``max_tokens``. Histories that are not used are forgotten, the oldest
+    first.
 
     :param long_tokens: expected work from which a request is long.
     """
 
     def __init__(self, long_tokens: float = LONG_TOKENS) -> None:
         self.long_tokens = long_tokens
-        self.histories: OrderedDict[tuple[str, str, int, int], DecayedQuantiles] = OrderedDict()
+        self.histories: OrderedDict[Key, TokenHistory] = OrderedDict()
 
     def estimate(self, team: str, service: str, prompt_tokens: int, max_tokens: int) -> Estimate:
         """Return the expected work of a request."""
-        history = self.histories.get(_key(team, service, prompt_tokens, max_tokens))
         tokens = float(max_tokens)
-        if history is not None and history.samples() >= MIN_SAMPLES:
-            tokens = min(tokens, history.mean_up_to(tokens))
+        for key in _keys(team, service, prompt_tokens, max_tokens):
+            history = self.histories.get(key)
+            if history is not None and history.samples() >= MIN_SAMPLES:
+                tokens = min(tokens, history.mean_up_to(tokens))
+                break
         tokens = max(1.0, tokens + prompt_tokens / PROMPT_TOKENS_PER_TOKEN)
         return Estimate(tokens, Size.LONG if tokens >= self.long_tokens else Size.SHORT)
 
@@ -98,19 +95,20 @@
         self, team: str, service: str, prompt_tokens: int, max_tokens: int, generated: int
     ) -> None:
         """Learn what a completed request really generated."""
-        key = _key(team, service, prompt_tokens, max_tokens)
-        history = self.histories.get(key)
-        if history is None:
-            history = self.histories[key] = DecayedQuantiles()
-        self.histories.move_to_end(key)
-        history.add(float(generated))
-        if len(self.histories) > MAX_HISTORIES:
+        for key in _keys(team, service, prompt_tokens, max_tokens):
+            history = self.histories.get(key)
+            if history is None:
+                history = self.histories[key] = TokenHistory()
+            self.histories.move_to_end(key)
+            history.add(float(generated))
+        while len(self.histories) > MAX_HISTORIES:
             self.histories.popitem(last=False)
 
 
-def _key(team: str, service: str, prompt_tokens: int, max_tokens: int) -> tuple[str, str, int, int]:
-    """Return what alike requests have in common."""
-    return team, service, _magnitude(prompt_tokens), _magnitude(max_tokens)
+def _keys(team: str, service: str, prompt_tokens: int, max_tokens: int) -> tuple[Key, Key]:
+    """Return what alike requests have in common, of the team and of all teams."""
+    prompt, limit = _magnitude(prompt_tokens), _magnitude(max_tokens)
+    return (team, service, prompt, limit), ("", service, prompt, limit)
 
 
 def _magnitude(tokens: int) -> int:
--- a/tests/policy/test_work_estimates.py
+++ b/tests/policy/test_work_estimates.py
@@ -16,10 +16,19 @@
     estimator = WorkEstimator()
     for _ in range(20):
         estimator.on_finish("t", "draft", 100, 4_000, 60)
+        estimator.on_finish("other", "draft", 100, 4_000, 2_000)
     assert estimator.estimate("t", "draft", 100, 4_000).size is Size.SHORT
     assert estimator.estimate("other", "draft", 100, 4_000).size is Size.LONG
 
 
+def test_a_team_without_history_counts_as_all_teams_do() -> None:
+    estimator = WorkEstimator()
+    for _ in range(20):
+        estimator.on_finish("t", "draft", 100, 4_000, 60)
+    assert estimator.estimate("new", "draft", 100, 4_000).size is Size.SHORT
+    assert estimator.estimate("new", "draft", 9_000, 4_000).size is Size.LONG
+
+
 def test_the_estimate_follows_a_mix_that_drifts() -> None:
     estimator = WorkEstimator()
     for _ in range(2_000):
