Compare all endpoints with room, with late reports corrected

Cause: at the crest nearly all waiting happened at runners that looked free and were not (p99 0.53 s at the runner, none at the entry), because the other entry's short attempts in a report that is half a second old have ended, and others began elsewhere.

--- a/packages/bergamotchute-policy/src/bergamotchute_policy/endpoint_book.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/endpoint_book.py
@@ -6,6 +6,7 @@
 
 from bergamotchute_model.attempt_messages import EndpointLoad
 from bergamotchute_model.membership import EndpointAnnouncement
+from bergamotchute_policy.demand import DemandRate
 from bergamotchute_policy.endpoint_record import EndpointRecord
 from bergamotchute_policy.scheduling_settings import SchedulingSettings
 from bergamotchute_policy.work import Size, Work
@@ -32,6 +33,8 @@
     def __init__(self, settings: SchedulingSettings) -> None:
         self.settings = settings
         self.records: dict[str, EndpointRecord] = {}
+        self.short_demand = DemandRate(settings.demand_horizon_s)
+        self.long_share = settings.long_share
         self.drained: frozenset[str] = frozenset()
         self.mean_speed = DEFAULT_SPEED_TOKENS_S
         self.speed_known = False
@@ -118,10 +121,16 @@
         return record
 
     def with_room(self, size: Size, now: float) -> list[EndpointRecord]:
-        """Return the endpoints that can take a request of this size now."""
+        """Return the endpoints that can take a request of this size now.
+
+        Those with a free slot; when there are none, those that may hold more than their slots.
+        """
+        usable = self.usable(now)
         if size is Size.LONG:
-            return [record for record in self.usable(now) if self._has_long_room(record, now)]
-        return [record for record in self.usable(now) if self._has_short_room(record, now)]
+            self._set_long_share(usable, now)
+            return [record for record in usable if self._has_long_room(record, now)]
+        free = [record for record in usable if self._has_free_slot(record, now)]
+        return free or [record for record in usable if self._has_spare_room(record, now)]
 
     def usable(self, now: float) -> list[EndpointRecord]:
         """Return the endpoints that are neither draining nor ejected."""
@@ -133,6 +142,7 @@
             if record.others and record.reported_at < stale:
                 record.forget_others()
             usable.append(record)
+        self._expect_others(usable)
         return usable
 
     def speed_of(self, record: EndpointRecord) -> float:
@@ -141,21 +151,51 @@
 
     def long_limit(self, record: EndpointRecord) -> int:
         """Return how many long attempts an endpoint may hold, at least one."""
-        return max(1, int(record.slots * self.settings.long_share))
+        return max(1, int(record.slots * self.long_share))
 
     def drain_rate(self, size: Size, now: float) -> float:
         """Return the tokens a second that this entry's queue of one size can hope for."""
         rate = 0.0
         for record in self.usable(now):
             if size is Size.LONG:
-                slots = float(self.long_limit(record))
+                # The limit of the moment is that of a crest, which passes while long work waits.
+                slots = max(1.0, record.slots * self.settings.long_share)
             else:
                 slots = max(1.0, record.slots - record.long_in_flight - record.others_long)
             rate += slots / record.entries * self.speed_of(record)
         return rate
 
-    def _has_short_room(self, record: EndpointRecord, now: float) -> bool:
-        """Whether a short request fits, in the whole or in this entry's share."""
+    def _set_long_share(self, usable: list[EndpointRecord], now: float) -> None:
+        """Leave to long work what the demand of short work, with some headroom, leaves over."""
+        capacity = sum(record.slots / record.entries for record in usable) * self.mean_speed
+        if not capacity:
+            return
+        settings = self.settings
+        reserved = settings.short_headroom * self.short_demand.rate(now) / capacity
+        self.long_share = min(settings.long_share, max(settings.long_share_min, 1.0 - reserved))
+
+    def _expect_others(self, records: list[EndpointRecord]) -> None:
+        """Correct what reports say of other entries by how soon it changes.
+
+        Long attempts are still there when the report comes. Short ones have mostly ended, and
+        others have taken their place anywhere, so that their number is drawn towards the mean of
+        all endpoints by slots.
+        """
+        slots = sum(record.slots for record in records)
+        short = sum(record.others - record.others_long for record in records)
+        mean = short / slots if slots else 0.0
+        kept = self.settings.report_memory
+        for record in records:
+            own_short = record.others - record.others_long
+            expected = mean * record.slots
+            record.others_now = record.others_long + expected + kept * (own_short - expected)
+
+    def _has_free_slot(self, record: EndpointRecord, now: float) -> bool:
+        """Whether an attempt would begin at once, as far as this entry can tell."""
+        return record.busy() < record.limit(now, self.settings.slow_start_s)
+
+    def _has_spare_room(self, record: EndpointRecord, now: float) -> bool:
+        """Whether a short request may wait there, in the whole or in this entry's share."""
         limit = record.limit(now, self.settings.slow_start_s)
         if record.busy() < limit + self.settings.overcommit:
             return True
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/endpoint_record.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/endpoint_record.py
@@ -35,7 +35,7 @@
     :param speed: tokens a second of one attempt; 0 while unknown.
     :param others: attempts of other entries, by the last report.
     :param others_long: those among them that are long.
-    :param others_tokens: the work of these.
+    :param others_now: how many of other entries it is expected to hold by now.
     :param entries: entries that share the endpoint, by the last report.
     :param reported_at: when the last report came.
     :param failures: failures in a row.
@@ -53,7 +53,7 @@
     speed: float = 0.0
     others: int = 0
     others_long: int = 0
-    others_tokens: float = 0.0
+    others_now: float = 0.0
     entries: int = 1
     reported_at: float = float("-inf")
     report_sequence: int = -1
@@ -62,9 +62,9 @@
     ejections: int = 0
     ejected_until: float = float("-inf")
 
-    def busy(self) -> int:
-        """Return the attempts that it holds, of this entry and of others."""
-        return len(self.in_flight) + self.others
+    def busy(self) -> float:
+        """Return the attempts that it is expected to hold, of this entry and of others."""
+        return len(self.in_flight) + self.others_now
 
     def share(self) -> int:
         """Return the slots that this entry may fill whatever the others do, at least one.
@@ -81,18 +81,6 @@
             return self.slots
         return max(1, ceil(self.slots * age / slow_start_s))
 
-    def work_left(self, now: float, speed: float) -> float:
-        """Return the tokens that it still has to generate, by expectation.
-
-        :param speed: tokens a second of one attempt.
-        """
-        left = self.others_tokens
-        for attempt in self.in_flight.values():
-            done = (now - attempt.sent_at) * speed
-            # An attempt that outlasts its estimate is likely to go on for a while.
-            left += max(attempt.work.tokens - done, attempt.work.tokens * 0.1)
-        return left
-
     def add(self, work: Work, now: float) -> None:
         """Count an attempt that is being sent."""
         self.in_flight[work.request_id] = InFlight(work, now)
@@ -123,7 +111,6 @@
         own_long = load.yours_long if load.yours >= 0 else min(load.long, self.long_in_flight)
         self.others = max(0, total - own)
         self.others_long = max(0, load.long - own_long)
-        self.others_tokens = load.work_left_tokens * self.others / total if total else 0.0
         self.entries = max(1, load.entries)
         self.slots = max(1, load.slots)
         self.draining = self.draining or load.draining
@@ -134,7 +121,7 @@
         """Drop what a report said of other entries; it is too old to mean anything."""
         self.others = 0
         self.others_long = 0
-        self.others_tokens = 0.0
+        self.others_now = 0.0
 
     def eject(self, now: float, ejection_s: float) -> None:
         """Set the endpoint aside, longer each time; it then comes back by slow start."""
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/picker.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/picker.py
@@ -8,15 +8,17 @@
 from bergamotchute_policy.endpoint_record import EndpointRecord
 from bergamotchute_policy.work import Work
 
+CROWD_FACTOR = 4.0
+CROWD_POWER = 4
+
 
 def pick(
     book: EndpointBook, work: Work, availability_zone: str, random: Random, now: float
 ) -> EndpointRecord | None:
     """Return the endpoint that should run the request now, or ``None`` when none has room.
 
-    Endpoints of the entry's own zone come first while one of them is lightly loaded. Of those that
-    are left two are drawn, and the one that is expected to answer sooner is taken: drawing keeps
-    entries that see the same late reports from all taking the same endpoint.
+    All endpoints with room are compared by their speed, by how full they are and by their zone:
+    those of the entry's own come first until they are notably fuller. Equals are drawn.
     """
     candidates = book.with_room(work.size, now)
     if work.avoid:
@@ -24,31 +26,17 @@
         candidates = fresh or candidates
     if not candidates:
         return None
-    near = _lightly_loaded(candidates, availability_zone, book.settings.spill_share)
-    drawn = _draw(near or candidates, book.settings.choices, random)
-    return min(drawn, key=lambda record: expected_seconds(book, record, work, now))
-
-
-def expected_seconds(book: EndpointBook, record: EndpointRecord, work: Work, now: float) -> float:
-    """Return the time that an endpoint is expected to take for the request and its backlog."""
-    speed = book.speed_of(record)
-    return (work.tokens + record.work_left(now, speed) / record.slots) / speed
-
-
-def _lightly_loaded(
-    candidates: list[EndpointRecord], availability_zone: str, spill_share: float
-) -> list[EndpointRecord]:
-    """Return the endpoints of the zone that are under the share from which work spills over."""
-    return [
-        record
-        for record in candidates
-        if record.availability_zone == availability_zone
-        and record.busy() < record.slots * spill_share
-    ]
-
-
-def _draw(candidates: list[EndpointRecord], choices: int, random: Random) -> list[EndpointRecord]:
-    """Return ``choices`` different endpoints at random; all of them for 0 or when there are fewer."""
-    if not choices or len(candidates) <= choices:
-        return candidates
-    return random.sample(candidates, choices)
+
+    def cost(record: EndpointRecord) -> tuple[float, float]:
+        seconds = token_seconds(book, record)
+        if record.availability_zone != availability_zone:
+            seconds *= book.settings.other_zone_factor
+        return seconds, random.random()
+
+    return min(candidates, key=cost)
+
+
+def token_seconds(book: EndpointBook, record: EndpointRecord) -> float:
+    """Return the time that a token is expected to take, which grows as the slots fill up."""
+    full = record.busy() / record.slots
+    return (1.0 + CROWD_FACTOR * full**CROWD_POWER) / book.speed_of(record)
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/scheduler.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/scheduler.py
@@ -57,6 +57,8 @@
 
         :raises ValueError: when a request of this id waits already.
         """
+        if work.size is Size.SHORT:
+            self.book.short_demand.add(work.tokens, now)
         if not self.queue.waits(work.size):
             endpoint = self._choose(work, now)
             if endpoint is not None:
--- a/tests/policy/test_scheduler.py
+++ b/tests/policy/test_scheduler.py
@@ -136,7 +136,8 @@
     scheduler.offer(work(1), 0.0)
     scheduler.offer(work(2), 0.0)
     scheduler.on_load_report(EndpointLoad("a", "a", 1, 3, 0, 90, 4, yours=1), 0.5)
-    assert scheduler.book.records["a"].busy() == 4
+    (record,) = scheduler.book.usable(0.5)
+    assert record.busy() == 4
 
 
 def test_an_entry_that_learns_late_still_gets_its_share_of_a_full_endpoint() -> None:
