Ask the relay which entries callers should use

Cause: entries told every other entry of their spare capacity. At 3,100 entries that is far above the 4 KB/s that a node may spend on control. Change: entries ask their relay for the entries of a zone, at most once a second, keep the report, and put themselves in; relays alone know all entries. Agents get no membership at all. Figures: worked out, not measured: about 100 messages of 200 bytes a second to each entry before, one question of a second's age at most after. Conclusion: address answers stay near first, never draining, and outlive the relay.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/address_book.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/address_book.py
@@ -3,52 +3,133 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, field
 from random import Random
 
+import anyio
+
 from bergamotchute_model.configuration import Configuration
+from bergamotchute_model.control_messages import AddressReport
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.membership import EntryAnnouncement
 
-LOWEST_SPARE = 0.01
-
 ANSWER_ADDRESSES = 4
 """How many addresses an answer gives."""
 
+CANDIDATES = 12
+"""How many entries a relay names, of which some may drain by a file."""
+
+FRESH_S = 1.0
+"""How long a relay's report is used without asking again."""
+
+KNOWN_ZONES = 64
+"""Zones whose reports are kept."""
+
+LOWEST_SPARE = 0.01
+
+AskRelay = Callable[[str], Awaitable[AddressReport | None]]
+
 
 @dataclass(frozen=True)
+class KnownEntries:
+    """What the relay reported for one zone."""
+
+    entries: tuple[EntryAnnouncement, ...]
+    entry_count: int
+    asked_at: float
+
+
+@dataclass
 class AddressBook:
-    """Makes address answers from what the relay tells of entries.
+    """Makes address answers from what the relay reports, also while it can't be asked.
 
-    :param own: this entry's announcement, which counts even before the relay has told it.
-    :param entries: all entries that the relay tells of.
+    :param own: this entry's announcement, which counts even before the relay knows it.
+    :param ask_relay: asks for the entries of a zone.
+    :param known: the newest report for each zone.
     """
 
     own: Callable[[], EntryAnnouncement]
-    entries: Callable[[], Iterable[EntryAnnouncement]]
-    random: Random
+    ask_relay: AskRelay
+    known: dict[str, KnownEntries] = field(default_factory=dict)
 
-    def answer(self, availability_zone: str, configuration: Configuration) -> tuple[Address, ...]:
+    async def answer(
+        self, availability_zone: str, configuration: Configuration
+    ) -> tuple[Address, ...]:
         """Return addresses, those in the caller's zone first, none that drains.
 
         :param availability_zone: the caller's; empty for this entry's own.
         """
         zone = availability_zone or self.own().availability_zone
-        known = {one.entry: one for one in self.entries()} | {self.own().entry: self.own()}
-        usable = [one for one in known.values() if not _is_draining(one, configuration)]
-        usable.sort(key=lambda one: (one.availability_zone != zone, self._draw(one)))
-        return tuple(one.address for one in usable[:ANSWER_ADDRESSES])
+        await self.refresh(zone)
+        return self._usable(zone, configuration)
+
+    async def refresh(self, zone: str) -> None:
+        """Ask the relay about a zone, unless that was done just now."""
+        known = self.known.get(zone)
+        if known is not None and anyio.current_time() - known.asked_at < FRESH_S:
+            return
+        asked_at = anyio.current_time()
+        report = await self.ask_relay(zone)
+        if report is None:
+            return
+        self.known.pop(zone, None)
+        self.known[zone] = KnownEntries(report.entries, report.entry_count, asked_at)
+        if len(self.known) > KNOWN_ZONES:
+            del self.known[next(iter(self.known))]
+
+    async def keep_fresh(self) -> None:
+        """Keep the report for this entry's own zone fresh until cancelled."""
+        while True:
+            await self.refresh(self.own().availability_zone)
+            await anyio.sleep(FRESH_S)
 
     def others(self, configuration: Configuration) -> tuple[str, ...]:
         """Return addresses of other entries, for a caller that this one refuses."""
-        own = self.own().address
-        return tuple(str(one) for one in self.answer("", configuration) if one != own)
+        own = self.own()
+        usable = self._usable(own.availability_zone, configuration)
+        return tuple(str(one) for one in usable if one != own.address)
+
+    def entry_count(self) -> int:
+        """Return how many entries there are, as far as known."""
+        known = self.known.get(self.own().availability_zone)
+        return max(1, known.entry_count if known else 1)
+
+    def _usable(self, zone: str, configuration: Configuration) -> tuple[Address, ...]:
+        """Return the reported entries that don't drain, and this one where it is near."""
+        own = self.own()
+        known = self.known.get(zone)
+        reported = [one for one in known.entries if one.entry != own.entry] if known else []
+        named = known is not None and len(reported) < len(known.entries)
+        if named or not reported or own.availability_zone == zone:
+            place = _place_of(own, known)
+            reported.insert(place, own)
+        usable = [one for one in reported if not _is_draining(one, configuration)]
+        return tuple(one.address for one in usable[:ANSWER_ADDRESSES])
+
+
+def _place_of(own: EntryAnnouncement, known: KnownEntries | None) -> int:
+    """Return where the relay's report puts this entry; last of its zone when it doesn't."""
+    entries = known.entries if known else ()
+    for place, one in enumerate(entries):
+        if one.entry == own.entry:
+            return place
+    return sum(one.availability_zone == own.availability_zone for one in entries)
+
+
+def preferred_entries(
+    entries: Iterable[EntryAnnouncement], zone: str, random: Random
+) -> tuple[EntryAnnouncement, ...]:
+    """Return entries for callers of a zone: near ones first, then by a draw on spare capacity."""
+    usable = [one for one in entries if not one.draining]
+    usable.sort(key=lambda one: (one.availability_zone != zone, _draw(one, random)))
+    return tuple(usable[:CANDIDATES])
+
 
-    def _draw(self, entry: EntryAnnouncement) -> float:
-        """Return a draw by which entries with more spare capacity tend to come first."""
-        exponent = 1.0 / max(entry.spare, LOWEST_SPARE)
-        return -math.pow(self.random.random(), exponent)
+def _draw(entry: EntryAnnouncement, random: Random) -> float:
+    """Return a draw by which entries with more spare capacity tend to come first."""
+    exponent = 1.0 / max(entry.spare, LOWEST_SPARE)
+    return -math.pow(random.random(), exponent)
 
 
 def _is_draining(entry: EntryAnnouncement, configuration: Configuration) -> bool:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/caller_api.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/caller_api.py
@@ -84,7 +84,7 @@
     async def answer_addresses(self, head: HttpRequest, send: Send) -> None:
         """Tell which entries to use, and for how long."""
         configuration = self.holder.configuration
-        found = self.addresses.answer(head.query.get("zone", ""), configuration)
+        found = await self.addresses.answer(head.query.get("zone", ""), configuration)
         lifetime_s = configuration.limits.address_lifetime_s
         document = {"addresses": [str(one) for one in found], "lifetime_s": lifetime_s}
         await send_json(send, 200, document, (("cache-control", f"max-age={int(lifetime_s)}"),))
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/composition_root.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/composition_root.py
@@ -79,11 +79,9 @@
     runner = RequestRunner(scheduling, directory.connector, epoch, log, random, RetryBudget())
     keeper = ClaimKeeper(client.propose, directory.query, log)
     claimed = ClaimedRunner(scheduling, runner, keeper, tasks.start_soon, log)
-    limiter = TeamLimiter()
+    limiter = TeamLimiter(lambda: addresses.entry_count())
     process: EntryProcess
-    addresses = AddressBook(
-        lambda: process.announcement(), lambda: directory.entries.values(), random
-    )
+    addresses = AddressBook(lambda: process.announcement(), client.ask_addresses)
     filters: tuple[Filter, ...] = (
         require_view(view, holder, lambda: addresses.others(holder.configuration)),
         identify_team,
@@ -105,7 +103,9 @@
         log=log,
         metrics=metrics,
     )
-    reports = OperatorReports(settings.name, client, holder, directory, scheduling, limiter, log)
+    reports = OperatorReports(
+        settings.name, client, holder, directory, scheduling, limiter, addresses, log
+    )
     admin = AdminApi(settings.admin_token, view, client.propose, _report_paths(reports), log)
     shared = ProcessApp(log, metrics, lambda: process.why_not_ready(), settings.admin_token)
     process = EntryProcess(
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_client.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_client.py
@@ -13,12 +13,14 @@
 
 from bergamotchute_daemon.backoff import Backoff
 from bergamotchute_daemon.event_log import EventLog
-from bergamotchute_daemon.status_queries import StatusQueries
+from bergamotchute_daemon.queries import Queries
 from bergamotchute_daemon.view_holder import ViewHolder
 from bergamotchute_model import events
 from bergamotchute_model.commands import Command, CommandResult
 from bergamotchute_model.control_messages import (
+    AddressReport,
     Announce,
+    AskAddresses,
     ControlMessage,
     LeaseGrant,
     MembershipDelta,
@@ -31,7 +33,7 @@
 )
 from bergamotchute_model.hello import Hello
 from bergamotchute_model.identifiers import Address
-from bergamotchute_model.status_messages import StatusReport
+from bergamotchute_model.status_messages import AskStatus, StatusReport
 from bergamotchute_wire.link import Dial, DialFailed, Link, LinkClosed
 
 RENEW_S = 1.0
@@ -47,6 +49,8 @@
 
 STATUS_BOUND_S = 2.0
 
+ADDRESSES_BOUND_S = 0.5
+
 PROPOSAL_PATIENCE_S = 1.5
 """How long to wait for the answer to one sending of a proposal."""
 
@@ -90,7 +94,7 @@
         default_factory=dict
     )
     proposal_count: int = 0
-    status_queries: StatusQueries = field(default_factory=StatusQueries)
+    queries: Queries = field(default_factory=Queries)
     preferred: Address | None = None
     confirmed: bool = False
 
@@ -134,12 +138,20 @@
         raise ControlUnavailable(command.kind)
 
     async def ask_status(
-        self, revision: int = 0, *, children_only: bool = False, bound_s: float = STATUS_BOUND_S
+        self, revision: int = 0, bound_s: float = STATUS_BOUND_S
     ) -> StatusReport | None:
         """Ask the peer how things stand; ``None`` when no answer came in time."""
-        if self.link is None:
-            return None
-        return await self.status_queries.ask(self.link, revision, children_only, bound_s)
+        report = await self.queries.ask(
+            self.link, lambda query_id: AskStatus(query_id, revision), bound_s
+        )
+        return report if isinstance(report, StatusReport) else None
+
+    async def ask_addresses(self, availability_zone: str) -> AddressReport | None:
+        """Ask the relay which entries callers of a zone should use."""
+        report = await self.queries.ask(
+            self.link, lambda query_id: AskAddresses(query_id, availability_zone), ADDRESSES_BOUND_S
+        )
+        return report if isinstance(report, AddressReport) else None
 
     async def announce_now(self) -> None:
         """Tell the peer of a change at once."""
@@ -229,8 +241,8 @@
                     self.on_membership(message)
                 case Proposed() | ProposalFailed():
                     self.on_proposal_answer(message)
-                case StatusReport():
-                    self.status_queries.on_status_report(message)
+                case StatusReport() | AddressReport():
+                    self.queries.on_report(message)
                 case _:
                     pass
 
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/endpoint_directory.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/endpoint_directory.py
@@ -16,7 +16,7 @@
 from bergamotchute_model.control_messages import MembershipDelta
 from bergamotchute_model.hello import Hello
 from bergamotchute_model.identifiers import AttemptId
-from bergamotchute_model.membership import EndpointAnnouncement, EntryAnnouncement
+from bergamotchute_model.membership import EndpointAnnouncement
 from bergamotchute_wire.link import Dial
 
 REAP_S = 5.0
@@ -55,24 +55,17 @@
     random: Random
     tasks: TaskGroup
     announcements: dict[str, EndpointAnnouncement] = field(default_factory=dict)
-    entries: dict[str, EntryAnnouncement] = field(default_factory=dict)
     connections: dict[tuple[str, str], Connection] = field(default_factory=dict)
 
     def on_membership(self, delta: MembershipDelta) -> None:
         """Take the relay's word on who is there."""
         lapsed = set(delta.lapsed_endpoints)
-        lapsed_entries = set(delta.lapsed_entries)
         if delta.complete:
             lapsed |= self.announcements.keys() - {one.endpoint for one in delta.endpoints}
-            lapsed_entries |= self.entries.keys() - {one.entry for one in delta.entries}
         for endpoint in sorted(lapsed):
             self._on_lapse(endpoint)
-        for entry in lapsed_entries:
-            self.entries.pop(entry, None)
         for announcement in delta.endpoints:
             self._on_announcement(announcement)
-        for one in delta.entries:
-            self.entries[one.entry] = one
 
     def connector(self, endpoint: str, incarnation: str) -> EndpointConnector | None:
         """Return the connector of one life of an endpoint."""
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/entry_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/entry_process.py
@@ -68,6 +68,7 @@
             tasks.start_soon(self.scheduling.run)
             tasks.start_soon(self.directory.reap)
             tasks.start_soon(self.client.run)
+            tasks.start_soon(self.app.callers.addresses.keep_fresh)
             if self.relay is not None:
                 tasks.start_soon(self.relay.run)
             if self.run_voter is not None:
@@ -106,9 +107,8 @@
         return Announce(entries=(replace(self.announcement(), sequence=self.sequence),))
 
     def on_membership(self, delta: MembershipDelta) -> None:
-        """Follow the members, and share the teams' limits among the entries there are."""
+        """Follow the members."""
         self.directory.on_membership(delta)
-        self.limiter.entries = max(1, len(self.directory.entries))
         self.on_configuration(self.holder.configuration)
 
     def on_configuration(self, configuration: Configuration) -> None:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/membership_table.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/membership_table.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from bergamotchute_model.control_messages import Announce, MembershipDelta
 from bergamotchute_model.membership import EndpointAnnouncement, EntryAnnouncement
@@ -76,6 +76,11 @@
         own = [member.announcement for member in self.members.values() if not member.source]
         return _delta(own, complete=True)
 
+    def entries(self) -> list[EntryAnnouncement]:
+        """Return the entries, from here and from other relays."""
+        members = (member.announcement for member in self.members.values())
+        return [one for one in members if isinstance(one, EntryAnnouncement)]
+
     def _source(self, name: str) -> str | None:
         member = self.members.get(name)
         return None if member is None else member.source
@@ -138,6 +143,11 @@
     return not delta.complete and not any(parts)
 
 
+def without_entries(delta: MembershipDelta) -> MembershipDelta:
+    """Return what a delta says of endpoints."""
+    return replace(delta, entries=(), lapsed_entries=())
+
+
 def _same(first: Announcement, second: Announcement) -> bool:
     """Return whether two announcements say the same, apart from their sequence numbers."""
     fields = vars(first) | {"sequence": 0}
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/operator_reports.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/operator_reports.py
@@ -9,6 +9,7 @@
 import anyio
 
 from bergamotchute_daemon._asgi import HttpRequest
+from bergamotchute_daemon.address_book import AddressBook
 from bergamotchute_daemon.caller_filters import bad_request
 from bergamotchute_daemon.configuration_holder import ConfigurationHolder
 from bergamotchute_daemon.control_client import ControlClient
@@ -33,6 +34,7 @@
     directory: EndpointDirectory
     scheduling: SchedulingController
     limiter: TeamLimiter
+    addresses: AddressBook
     log: EventLog
 
     async def status(self, head: HttpRequest) -> dict[str, Any]:
@@ -88,15 +90,18 @@
         return rows
 
     def _entries(self) -> list[dict[str, Any]]:
+        """Return the entries near this one; at a large size there are more."""
+        known = self.addresses.known.get(self.addresses.own().availability_zone)
         return [
             {
                 "entry": one.entry,
                 "address": str(one.address),
                 "availability_zone": one.availability_zone,
-                "draining": one.draining
-                or self._configuration.is_draining(one.entry, one.vm, one.availability_zone),
+                "draining": self._configuration.is_draining(
+                    one.entry, one.vm, one.availability_zone
+                ),
             }
-            for one in sorted(self.directory.entries.values(), key=lambda one: one.entry)
+            for one in sorted(known.entries if known else (), key=lambda one: one.entry)
         ]
 
     def _endpoints(self) -> list[dict[str, Any]]:
@@ -167,7 +172,7 @@
             return
         use = self.limiter.uses.get(name)
         yield f"weight {team.weight:g}, level {self._configuration.level(team)}"
-        yield f"{team.requests_per_second:g} requests a second over {self.limiter.entries} entries"
+        yield f"{team.requests_per_second:g} requests a second over {self.limiter.entry_count()} entries"
         running = use.running if use else 0
         yield f"{running} in flight here, {team.max_concurrent} allowed over all entries"
         waiting = sum(1 for waiter in self.scheduling.waiters.values() if waiter.work.team == name)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/relay.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/relay.py
@@ -10,15 +10,18 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from bergamotchute_daemon.address_book import preferred_entries
 from bergamotchute_daemon.backoff import Backoff
 from bergamotchute_daemon.control_client import ControlClient, ControlUnavailable
 from bergamotchute_daemon.event_log import EventLog
-from bergamotchute_daemon.membership_table import MembershipTable, is_empty
-from bergamotchute_daemon.status_queries import StatusQueries
+from bergamotchute_daemon.membership_table import MembershipTable, is_empty, without_entries
+from bergamotchute_daemon.queries import Queries
 from bergamotchute_daemon.view_holder import ViewHolder
 from bergamotchute_model import events
 from bergamotchute_model.control_messages import (
+    AddressReport,
     Announce,
+    AskAddresses,
     ControlMessage,
     LeaseGrant,
     MembershipDelta,
@@ -85,7 +88,7 @@
     table: MembershipTable = field(default_factory=MembershipTable)
     children: dict[int, Child] = field(default_factory=dict)
     peer_links: dict[str, Link[ControlMessage]] = field(default_factory=dict)
-    peer_queries: StatusQueries = field(default_factory=StatusQueries)
+    peer_queries: Queries = field(default_factory=Queries)
 
     async def run(self) -> None:
         """Follow the voters and the other relays until cancelled."""
@@ -109,8 +112,10 @@
 
     async def _serve_child(self, link: Link[ControlMessage], child: Child) -> None:
         """Introduce the members, then handle what comes."""
-        is_relay = child.hello.role is Role.RELAY
-        child.outbox.post(self.table.own_children() if is_relay else self.table.all_members())
+        if child.hello.role is Role.RELAY:
+            child.outbox.post(self.table.own_children())
+        elif child.hello.role is Role.ENTRY:
+            child.outbox.post(without_entries(self.table.all_members()))
         self.children[id(child)] = child
         try:
             while True:
@@ -128,6 +133,8 @@
                 self.on_announce(message)
             case Propose():
                 self.tasks.start_soon(self.on_propose, child, message)
+            case AskAddresses():
+                self.on_ask_addresses(child, message)
             case AskStatus():
                 self.tasks.start_soon(self.on_ask_status, child, message)
             case _:
@@ -161,6 +168,12 @@
             answer = ProposalFailed(message.proposal_id, True, "no answer from the voters")
         child.outbox.post(answer)
 
+    def on_ask_addresses(self, child: Child, message: AskAddresses) -> None:
+        """Name entries for callers of a zone."""
+        entries = self.table.entries()
+        chosen = preferred_entries(entries, message.availability_zone, self.random)
+        child.outbox.post(AddressReport(message.query_id, chosen, len(entries)))
+
     async def on_ask_status(self, child: Child, message: AskStatus) -> None:
         """Report how far a revision has reached, here or everywhere, and on the voters."""
         revision = message.revision or self.upstream.view.revision
@@ -185,8 +198,10 @@
         control: list[StatusReport | None] = []
 
         async def ask_peer(link: Link[ControlMessage]) -> None:
-            told = await self.peer_queries.ask(link, revision, True, STATUS_BOUND_S)
-            if told is not None and told.reach is not None:
+            told = await self.peer_queries.ask(
+                link, lambda query_id: AskStatus(query_id, revision, True), STATUS_BOUND_S
+            )
+            if isinstance(told, StatusReport) and told.reach is not None:
                 reaches.append(told.reach)
 
         async def ask_voters() -> None:
@@ -236,7 +251,7 @@
             case MembershipDelta():
                 self._tell(self.table.on_peer_delta(peer, message), to_relays=False)
             case StatusReport():
-                self.peer_queries.on_status_report(message)
+                self.peer_queries.on_report(message)
             case _:
                 pass
 
@@ -245,9 +260,12 @@
         if is_empty(delta):
             return
         self._log(delta)
+        for_entries = without_entries(delta)
         for child in list(self.children.values()):
-            if to_relays or child.hello.role is not Role.RELAY:
+            if child.hello.role is Role.RELAY and to_relays:
                 child.outbox.post(delta)
+            elif child.hello.role is Role.ENTRY and not is_empty(for_entries):
+                child.outbox.post(for_entries)
 
     def _log(self, delta: MembershipDelta) -> None:
         for endpoint in delta.endpoints:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/team_limiter.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/team_limiter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from math import ceil
 
@@ -26,10 +27,10 @@
 class TeamLimiter:
     """Admits requests within this entry's even part of each team's limits.
 
-    :param entries: how many entries share the limits.
+    :param entry_count: how many entries share the limits.
     """
 
-    entries: int = 1
+    entry_count: Callable[[], int] = lambda: 1
     uses: dict[str, TeamUse] = field(default_factory=dict)
 
     def take(self, team: Team, now: float) -> None:
@@ -37,14 +38,15 @@
 
         :raises ProblemError: when the team is over its rate or its concurrency.
         """
-        rate = team.requests_per_second / self.entries
-        burst = max(1.0, team.burst / self.entries)
+        entries = self.entry_count()
+        rate = team.requests_per_second / entries
+        burst = max(1.0, team.burst / entries)
         use = self.uses.setdefault(team.name, TeamUse(burst, now))
         use.tokens = min(burst, use.tokens + (now - use.filled_at) * rate)
         use.filled_at = now
         if use.tokens < 1.0:
             raise ProblemError(_over_rate(team, (1.0 - use.tokens) / rate))
-        if use.running >= ceil(team.max_concurrent / self.entries):
+        if use.running >= ceil(team.max_concurrent / entries):
             raise ProblemError(_over_concurrency(team))
         use.tokens -= 1.0
         use.running += 1
--- a/packages/bergamotchute-model/src/bergamotchute_model/control_messages.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/control_messages.py
@@ -137,7 +137,9 @@
 
 @dataclass(frozen=True)
 class MembershipDelta:
-    """Relay to child or relay: members that changed, and names that lapsed.
+    """Relay to entry or relay: members that changed, and names that lapsed.
+
+    Relays tell each other of entries and endpoints, but entries of endpoints alone.
 
     :param complete: the lists hold all that the receiver watches, not only changes.
     """
@@ -150,6 +152,29 @@
     kind: Literal["membership_delta"] = "membership_delta"
 
 
+@dataclass(frozen=True)
+class AskAddresses:
+    """Child to relay: which entries should callers of this zone use?"""
+
+    query_id: str
+    availability_zone: str
+    kind: Literal["ask_addresses"] = "ask_addresses"
+
+
+@dataclass(frozen=True)
+class AddressReport:
+    """The answer to :class:`AskAddresses`.
+
+    :param entries: candidates in order of preference, more than one answer needs.
+    :param entry_count: how many entries there are in all.
+    """
+
+    query_id: str
+    entries: tuple[EntryAnnouncement, ...]
+    entry_count: int
+    kind: Literal["address_report"] = "address_report"
+
+
 ControlMessage = Annotated[
     Hello
     | Ping
@@ -163,6 +188,8 @@
     | ProposalFailed
     | Announce
     | MembershipDelta
+    | AskAddresses
+    | AddressReport
     | AskStatus
     | StatusReport,
     Discriminator("kind"),
