--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/events.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/events.py
@@ -91,11 +91,6 @@
     voters: tuple[Member, ...]
 
 
-@dataclass(frozen=True)
-class Resign:
-    """Let another voter lead."""
-
-
 Event = (
     Tick
     | Received
@@ -106,5 +101,4 @@
     | ChangeRequested
     | SnapshotTaken
     | FoundCluster
-    | Resign
 )
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -115,8 +115,7 @@
     def each(self, name: str, field: str) -> float:
         """Return the growth of a list message's figure a member."""
         one, many = self.messages[f"{name}_1"], self.messages[f"{name}_100"]
-        growth: float = many[field] - one[field]
-        return growth / 99
+        return (float(many[field]) - float(one[field])) / 99
 
     @property
     def view_bytes(self) -> float:
@@ -336,11 +335,14 @@
 
 
 def _relay(s: Slopes) -> list[Line]:
+    idle_us, renewal_us = float(s.relay["idle_link_us_per_s"]), float(s.relay["renewal_us"])
+    view_us, member_us = float(s.relay["view_us"]), float(s.relay["member_us"])
+
     def processor(z: Size, children: float) -> float:
         return (
-            children * (s.relay["idle_link_us_per_s"] + s.relay["renewal_us"] / RENEW_S)
-            + children * z.changes_per_s * s.relay["view_us"]
-            + children * 2 * z.restarts_per_day / DAY_S * s.relay["member_us"]
+            children * (idle_us + renewal_us / RENEW_S)
+            + children * z.changes_per_s * view_us
+            + children * 2 * z.restarts_per_day / DAY_S * member_us
         )
 
     return [
--- a/tools/proof/network.py
+++ b/tools/proof/network.py
@@ -156,12 +156,14 @@
 
     :param latency_s: one way, between any two processes.
     :param random: jitters the latency, so that ties fall differently by seed.
+    :param tasks: where heartbeats run.
     :param links: ends of links that were opened and not yet closed.
     """
 
-    def __init__(self, latency_s: float, random: Random) -> None:
+    def __init__(self, latency_s: float, random: Random, tasks: TaskGroup) -> None:
         self.latency_s = latency_s
         self.random = random
+        self.tasks = tasks
         self.listeners: dict[Address, Listener] = {}
         self.disturbances: list[Disturbance] = []
         self.links: list[MemoryLink] = []
@@ -237,14 +239,11 @@
         @asynccontextmanager
         async def dial(address: Address) -> AsyncIterator[MemoryLink]:
             link = await self._open(process, path, address)
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(link.keep_alive)
-                try:
-                    yield link
-                finally:
-                    await link.aclose()
-                    self._forget(link)
-                    tasks.cancel_scope.cancel()
+            try:
+                yield link
+            finally:
+                await link.aclose()
+                self._forget(link)
 
         return dial
 
@@ -261,6 +260,8 @@
         far = MemoryLink(self, listener.process, process)
         near.other, far.other = far, near
         self.links += [near, far]
+        for link in (near, far):
+            self.tasks.start_soon(link.keep_alive)
         listener.tasks.start_soon(self._serve, far, listener.handlers[path])
         return near
 
@@ -272,14 +273,11 @@
         return wait_s <= HANDSHAKE_S
 
     async def _serve(self, link: MemoryLink, handler: Handler) -> None:
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(link.keep_alive)
-            try:
-                await handler(link)
-            finally:
-                await link.aclose()
-                self._forget(link)
-                tasks.cancel_scope.cancel()
+        try:
+            await handler(link)
+        finally:
+            await link.aclose()
+            self._forget(link)
 
     def _forget(self, link: MemoryLink) -> None:
         if link in self.links:
--- /dev/null
+++ b/tools/proof/verdict_text.py
@@ -0,0 +1,24 @@
+"""What a person reads of a run."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from bergamotchute_cli.timeline import format_line, merge
+from tools.proof.run import Result
+
+SHOWN_EVENTS = 25
+
+
+def describe(result: Result, path: Path) -> str:
+    """Return what broke, the end of the time line, and the command that runs it again."""
+    lines = [f"{result.scenario.title} (seed {result.seed})"]
+    lines += [f"  promise {v.promise} at {v.at_s:.3f} s: {v.text}" for v in result.violations] or [
+        "  every promise held"
+    ]
+    lines += [f"  expectation, {failure}" for failure in result.failures]
+    events = merge(result.events)
+    lines.append(f"  the last {SHOWN_EVENTS} of {len(events)} events:")
+    lines += [f"    {format_line(event)}" for event in events[-SHOWN_EVENTS:]]
+    lines.append(f"  again: python -m tools.scenario {path} --seed {result.seed}")
+    return "\n".join(lines)
