--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/_election.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/_election.py
@@ -13,6 +13,9 @@
 from bergamotchute_consensus.progress import Progress
 from bergamotchute_consensus.replica_state import ReplicaRole, ReplicaState
 
+RESIGNED_TIMEOUTS = 4
+"""Election timeouts that a replica which resigned waits longer than others."""
+
 
 def become_follower(state: ReplicaState, term: int, leader: Member | None, now: float) -> None:
     """Follow ``leader``, or nobody yet, in ``term``."""
@@ -38,6 +41,13 @@
     state.actions.append(ReportLeading(state.term, False))
 
 
+def resign(state: ReplicaState, now: float) -> None:
+    """Cease to lead and leave the others time to elect one of themselves."""
+    if state.leading:
+        become_follower(state, state.term, None, now)
+        state.election_deadline += RESIGNED_TIMEOUTS * state.settings.election_timeout_s
+
+
 def check_quorum(state: ReplicaState, now: float) -> None:
     """Step down when no quorum answered for an election timeout, as after a long pause."""
     timeout = state.settings.election_timeout_s
--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/events.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/events.py
@@ -91,6 +91,11 @@
     voters: tuple[Member, ...]
 
 
+@dataclass(frozen=True)
+class Resign:
+    """Let another voter lead."""
+
+
 Event = (
     Tick
     | Received
@@ -101,4 +106,5 @@
     | ChangeRequested
     | SnapshotTaken
     | FoundCluster
+    | Resign
 )
--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/messages.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/messages.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Annotated, Literal
 
 from pydantic import Discriminator
@@ -139,7 +140,58 @@
     kind: Literal["introduction"] = "introduction"
 
 
+class RequestPurpose(StrEnum):
+    """What a voter wants of the leader."""
+
+    COMMAND = "command"
+    READ = "read"
+    STATUS = "status"
+
+
+@dataclass(frozen=True)
+class ForwardedRequest:
+    """Voter to leader: what somebody asked me for.
+
+    :param token: matches the answer.
+    :param command: what to commit; empty for other purposes.
+    """
+
+    sender: Member
+    recipient: str
+    token: str
+    purpose: RequestPurpose
+    command: bytes = b""
+    kind: Literal["forwarded_request"] = "forwarded_request"
+
+
+@dataclass(frozen=True)
+class ForwardedAnswer:
+    """Leader to voter: what became of a :class:`ForwardedRequest`.
+
+    :param index: on success, the command's index, or the index that the read must reach.
+    :param result: the command's result or the status; empty for a read or a failure.
+    :param committed_maybe: on a failure, the command may still be committed.
+    """
+
+    sender: Member
+    recipient: str
+    token: str
+    success: bool
+    index: int
+    result: bytes
+    committed_maybe: bool
+    kind: Literal["forwarded_answer"] = "forwarded_answer"
+
+
 ConsensusMessage = Annotated[
-    RequestVote | VoteReply | Append | AppendReply | SnapshotChunk | SnapshotReply | Introduction,
+    RequestVote
+    | VoteReply
+    | Append
+    | AppendReply
+    | SnapshotChunk
+    | SnapshotReply
+    | Introduction
+    | ForwardedRequest
+    | ForwardedAnswer,
     Discriminator("kind"),
 ]
--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/replica.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/replica.py
@@ -21,6 +21,7 @@
     ProposalsMade,
     ReadsRequested,
     Received,
+    Resign,
     SnapshotTaken,
     Tick,
 )
@@ -109,6 +110,8 @@
                 _snapshot_transfer.on_snapshot_taken(state, index, data)
             case FoundCluster():
                 _membership_change.on_found_cluster(state, event)
+            case Resign():
+                _election.resign(state, now)
             case ProposalsMade() | ReadsRequested() | ChangeRequested():
                 self._on_request(event, now)
 
--- /dev/null
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/_voter_planner.py
@@ -0,0 +1,114 @@
+"""What a leading voter does about the membership, once a second."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from result import Ok
+
+from bergamotchute_consensus.membership import (
+    AddLearner,
+    Member,
+    MembershipChange,
+    RemoveMember,
+)
+from bergamotchute_consensus.membership_plan import MemberHealth, can_lose, next_change
+from bergamotchute_consensus.replica_state import ReplicaState
+from bergamotchute_model.configuration import merge_in_force
+from bergamotchute_model.status_messages import ControlStatus, VoterStatus
+from bergamotchute_state.control_state import ControlState
+
+LEARNERS_MAX = 3
+LEARNER_GONE_S = 60.0
+"""A learner that no file names and that was silent for so long is dropped."""
+
+
+@dataclass
+class VoterPlanner:
+    """Follows the voters that the files in force name, and new replicas that introduce themselves.
+
+    :param newcomers: replicas that asked to join, by identity.
+    :param settled_commit: the commit index a moment ago, which members should hold by now.
+    """
+
+    newcomers: dict[str, Member] = field(default_factory=dict)
+    settled_commit: int = 0
+    newest_commit: int = 0
+    wanted: frozenset[str] = frozenset()
+    wanted_revision: int = -1
+
+    def note_commit(self, state: ReplicaState) -> None:
+        """Take the commit index of the last call as settled."""
+        self.settled_commit = self.newest_commit
+        self.newest_commit = state.commit_index
+
+    def next_change(
+        self, state: ReplicaState, control: ControlState, now: float
+    ) -> MembershipChange | None:
+        """Return the change to ask for, if any."""
+        self._read_wanted(control)
+        return (
+            next_change(state.membership, self.wanted, self.health(state, now))
+            or self._drop_learner(state, now)
+            or self._add_newcomer(state)
+        )
+
+    def health(self, state: ReplicaState, now: float) -> dict[str, MemberHealth]:
+        """Return what this leader knows of every member."""
+        timeout = state.settings.election_timeout_s
+        health = {
+            replica: MemberHealth(
+                now - peer.heard_at < timeout, peer.match_index >= self.settled_commit
+            )
+            for replica, peer in state.progress.items()
+        }
+        health[state.me.replica] = MemberHealth(True, True)
+        return health
+
+    def status(self, state: ReplicaState, now: float) -> ControlStatus:
+        """Return the state of the group for operators."""
+        health = self.health(state, now)
+        voters = tuple(
+            VoterStatus(
+                member.replica,
+                str(member.address),
+                state.membership.is_voter(member.replica),
+                health[member.replica].reachable,
+                health[member.replica].caught_up,
+            )
+            for member in state.membership.members
+        )
+        return ControlStatus(
+            state.me.replica,
+            state.term,
+            state.commit_index,
+            voters,
+            can_lose(state.membership, health),
+        )
+
+    def _read_wanted(self, control: ControlState) -> None:
+        if control.view_revision == self.wanted_revision:
+            return
+        self.wanted_revision = control.view_revision
+        merged = merge_in_force(control.files.in_force.values())
+        if isinstance(merged, Ok):
+            self.wanted = frozenset(voter.replica for voter in merged.ok_value.voters)
+
+    def _drop_learner(self, state: ReplicaState, now: float) -> MembershipChange | None:
+        """Drop a learner whose folder was emptied since, or that is gone."""
+        replaced = {member.address: member.replica for member in self.newcomers.values()}
+        for learner in state.membership.learners:
+            newer = replaced.get(learner.address, learner.replica) != learner.replica
+            heard_at = state.progress[learner.replica].heard_at
+            gone = learner.replica not in self.wanted and now - heard_at > LEARNER_GONE_S
+            if newer or gone:
+                return RemoveMember(learner.replica)
+        return None
+
+    def _add_newcomer(self, state: ReplicaState) -> MembershipChange | None:
+        for replica, member in list(self.newcomers.items()):
+            del self.newcomers[replica]
+            known = state.membership.find(replica) is not None
+            if not known and len(state.membership.learners) < LEARNERS_MAX:
+                return AddLearner(member)
+        return None
--- a/packages/bergamotchute-model/src/bergamotchute_model/events.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/events.py
@@ -81,6 +81,23 @@
 # 1300-1399: the control group.
 LEADER_ELECTED = _define(1300, "leader_elected", "A voter became leader of its term.")
 LEADER_STEPPED_DOWN = _define(1301, "leader_stepped_down", "A leader gave up its term.")
+MEMBERSHIP_CHANGED = _define(
+    1302, "membership_changed", "The voters and learners of the log changed by one."
+)
+CLUSTER_FOUNDED = _define(1303, "cluster_founded", "A voter founded a new control group.")
+SNAPSHOT_INSTALLED = _define(1304, "snapshot_installed", "A voter took over a leader's snapshot.")
+VOTER_DISK_FAILED = _define(
+    1305,
+    "voter_disk_failed",
+    "A voter's disk refused a write; it takes no part until the folder can be opened again.",
+    logging.ERROR,
+)
+VOTER_REFUSES = _define(
+    1306,
+    "voter_refuses",
+    "A voter found its folder damaged and takes no part; empty the folder to make it new.",
+    logging.ERROR,
+)
 FILE_APPLIED = _define(1310, "file_applied", "A file came into force.")
 FILE_REFUSED = _define(1311, "file_refused", "A file was refused.", logging.WARNING)
 PLANNED_CHANGE_BEGUN = _define(1312, "planned_change_begun", "A planned change has begun.")
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/expert_planner.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/expert_planner.py
@@ -17,6 +17,8 @@
 )
 from bergamotchute_policy.expert_repair import Move, balanced, relative_times, repaired
 
+SHARES_FIRST_PART = 0.25
+
 
 class PlanKind(StrEnum):
     """What a plan changes."""
@@ -45,6 +47,7 @@
     :param expert_bytes: weights of one expert of one layer.
     :param switch_pause_s: time that all ranks lose at a switch.
     :param horizon_s: how long a gain is taken to last.
+    :param least_gain: the least part of the step time that a change must save.
     :param gain_over_cost: how many times the cost a gain must be.
     :param moving_slowdown: part of the step time lost while weights load.
     :param start_over: how far a layer's slowest rank may be over a perfect split before experts
@@ -59,10 +62,11 @@
     expert_bytes: int
     switch_pause_s: float = 0.002
     horizon_s: float = 60.0
+    least_gain: float = 0.003
     gain_over_cost: float = 2.0
     moving_slowdown: float = 0.02
-    start_over: float = 0.03
-    stop_over: float = 0.015
+    start_over: float = 0.02
+    stop_over: float = 0.005
     calm_interval_s: float = 10.0
     urgent_gain: float = 0.03
     staging_slots: int = 8
@@ -138,7 +142,7 @@
         by_shares = self._weighed(
             present, shared, (), seen, over_now=over_now, over_planned=over_shared
         )
-        if by_shares.gain_s > 0 and over_now - over_shared >= self.settings.urgent_gain:
+        if by_shares.kind is PlanKind.SHARES and self._helps_at_once(over_now, over_shared):
             return by_shares
         by_moves = self._with_moves(present, shared, seen, over_now)
         best = by_moves if by_moves.kind is PlanKind.MOVES else by_shares
@@ -150,6 +154,11 @@
             return _nothing(present, PlanReason.TOO_SOON, best)
         return best
 
+    def _helps_at_once(self, over_now: float, over_shared: float) -> bool:
+        """Return whether new shares alone save so much that they should not wait for moves."""
+        saved = over_now - over_shared
+        return saved >= max(self.settings.urgent_gain, SHARES_FIRST_PART * over_now)
+
     def _with_moves(
         self, present: ExpertMap, shared: ExpertMap, seen: Observation, over_now: float
     ) -> Plan:
@@ -198,7 +207,8 @@
         if moves:
             load_s = len(moves) * self.settings.expert_bytes / seen.rate_bytes_s
             cost_s += load_s * self.settings.moving_slowdown
-        worth = gain_s > self.settings.gain_over_cost * cost_s if self.settings.gated else True
+        least_s = self.settings.least_gain * self.settings.horizon_s
+        worth = gain_s > max(least_s, self.settings.gain_over_cost * cost_s)
         change = Plan(
             kind,
             PlanReason.GAIN_EXCEEDS_COST,
@@ -209,7 +219,7 @@
             gain_s,
             cost_s,
         )
-        if worth:
+        if worth or not self.settings.gated:
             return change
         return _nothing(present, PlanReason.GAIN_BELOW_COST, change)
 
--- /dev/null
+++ b/tests/support/voters.py
@@ -0,0 +1,153 @@
+"""Voters under the paused clock, on disks and links in memory."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from random import Random
+
+import anyio
+import trio
+import trio.testing
+from anyio.abc import TaskGroup
+
+from bergamotchute_daemon.environment import CONSENSUS_PATH, VOTER_PATH
+from bergamotchute_daemon.event_log import EventLog
+from bergamotchute_daemon.voter import Voter, VoterSettings
+from bergamotchute_model.commands import Command, CommandResult, NextFence
+from bergamotchute_model.control_messages import (
+    ControlMessage,
+    LeaseGrant,
+    Propose,
+    Proposed,
+    RenewLease,
+)
+from bergamotchute_model.identifiers import Address
+from bergamotchute_model.membership import Role
+from bergamotchute_model.status_messages import AskStatus, ControlStatus, StatusReport
+from bergamotchute_wire.link import LinkClosed
+from support.memory_disk import MemoryDisk
+from support.memory_links import MemoryNetwork
+
+
+async def run_inline(function: Callable[[], None]) -> None:
+    """Run a disk write at once, as the paused clock has no threads."""
+    function()
+    await anyio.sleep(0.0005)
+
+
+@dataclass
+class VoterGroup:
+    """Voters by number; each runs in a scope of its own that a test can end."""
+
+    tasks: TaskGroup
+    network: MemoryNetwork
+    size: int = 3
+    disks: dict[int, MemoryDisk] = field(default_factory=dict)
+    voters: dict[int, Voter] = field(default_factory=dict)
+    scopes: dict[int, anyio.CancelScope] = field(default_factory=dict)
+    starts: int = 0
+
+    def address(self, number: int) -> Address:
+        return Address(f"10.0.0.{number + 1}", 7000)
+
+    def start_all(self, bootstrap: bool = True) -> None:
+        for number in range(self.size):
+            self.start(number, bootstrap=bootstrap)
+
+    def start(self, number: int, bootstrap: bool = False) -> Voter:
+        """Start a voter on its disk, which is new at its first start."""
+        self.starts += 1
+        name = f"voter-{number}"
+        disk = self.disks.setdefault(number, MemoryDisk(Random(number)))
+        addresses = tuple(self.address(one) for one in range(self.size))
+        voter = Voter(
+            VoterSettings(self.address(number), addresses, bootstrap),
+            disk,
+            self.network.dial(name, CONSENSUS_PATH),
+            log=EventLog(name, Role.VOTER, f"i{self.starts}", lambda: 0),
+            random=Random(self.starts),
+            run_blocking=run_inline,
+        )
+        self.voters[number] = voter
+        self.network.serve(name, self.address(number), CONSENSUS_PATH, voter.serve_peer)
+        self.network.serve(name, self.address(number), VOTER_PATH, voter.serve_relay)
+        scope = self.scopes[number] = anyio.CancelScope()
+
+        async def run() -> None:
+            with scope:
+                await voter.run()
+
+        self.tasks.start_soon(run)
+        return voter
+
+    def kill(self, number: int, power: bool = False) -> None:
+        """End a voter at once; with ``power`` lost its unsynced bytes go too."""
+        self.scopes[number].cancel()
+        self.network.stop_serving(f"voter-{number}")
+        if power:
+            self.disks[number].lose_power()
+
+    def wipe(self, number: int) -> None:
+        """End a voter and empty its folder."""
+        self.kill(number)
+        del self.disks[number]
+
+    @property
+    def leader(self) -> int | None:
+        """The number of the leader of the newest term."""
+        leading = [
+            (voter.replica.state.term, number)
+            for number, voter in self.voters.items()
+            if voter.replica is not None and voter.replica.state.leading
+        ]
+        return max(leading)[1] if leading else None
+
+    def identity(self, number: int) -> str:
+        replica = self.voters[number].replica
+        assert replica is not None
+        return replica.state.me.replica
+
+    async def ask(
+        self, number: int, message: ControlMessage, bound_s: float = 3.0
+    ) -> ControlMessage | None:
+        """Send a relay's message to a voter and return the answer, if one comes in time."""
+        with anyio.move_on_after(bound_s):
+            try:
+                async with self.network.dial("relay", VOTER_PATH)(self.address(number)) as link:
+                    await link.send(message)
+                    return await link.receive()
+            except LinkClosed:
+                return None
+        return None
+
+    async def commit(self, number: int, command: Command) -> CommandResult | None:
+        """Propose a command at a voter; ``None`` when it was refused or no answer came."""
+        answer = await self.ask(number, Propose("p", command))
+        return answer.result if isinstance(answer, Proposed) else None
+
+    async def lease(self, number: int) -> LeaseGrant | None:
+        """Ask a voter for a lease."""
+        answer = await self.ask(number, RenewLease(1, 0))
+        return answer if isinstance(answer, LeaseGrant) else None
+
+    async def status(self, number: int) -> ControlStatus | None:
+        """Ask a voter how the group stands."""
+        answer = await self.ask(number, AskStatus("q"))
+        return answer.control if isinstance(answer, StatusReport) else None
+
+
+def fence(number: int, scope: str = "runner-0") -> NextFence:
+    """Return a command whose result tells how many of its kind were committed before."""
+    return NextFence(scope, "tester", f"grant-{number}")
+
+
+def run_voters(body: Callable[[VoterGroup], Awaitable[None]], size: int = 3) -> None:
+    """Run a test body with voters under the paused clock."""
+
+    async def main() -> None:
+        async with anyio.create_task_group() as tasks:
+            await body(VoterGroup(tasks, MemoryNetwork(tasks), size))
+            tasks.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/tools/measure_experts.py
+++ b/tools/measure_experts.py
@@ -38,7 +38,7 @@
 SWITCH_TICKS = 1
 INTERVAL_TICKS = 10
 SEEDS = (11, 12, 13)
-PROCESSES = 3
+PROCESSES = 2
 
 
 @dataclass(frozen=True)
@@ -242,10 +242,10 @@
     Policy("re-solve, 300 s", resolve_ticks=300),
     Policy("hindsight bound", bound=True),
     Policy("without drift detection", detects_drift=False),
-    Policy("without weighted shares", weighted=False),
+    Policy("ranks ignore the shares", weighted=False),
     Policy("without rank speeds", measures_speed=False),
     Policy("without the gate", replace(SETTINGS, gated=False)),
-    Policy("without hysteresis", replace(SETTINGS, start_over=0.015)),
+    Policy("without hysteresis", replace(SETTINGS, start_over=0.005)),
     Policy("without the crest pause", replace(SETTINGS, pauses_at_crest=False)),
     Policy("reports 5 s late", lag_ticks=5),
 )
