Bring about the named failures of the control log

Cause: each failure that the log is built for needs a run that shows it. Conclusion: nothing acknowledged was lost in any of them; majorities of emptied folders found nothing.

--- /dev/null
+++ b/tests/consensus/test_failures.py
@@ -0,0 +1,305 @@
+"""Named failures of the replicated log, each brought about."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from bergamotchute_consensus.events import ReadsRequested, Tick
+from bergamotchute_consensus.membership import AddLearner, PromoteLearner, RemoveMember
+from bergamotchute_consensus.replica_state import ReplicaRole
+from support.consensus_cluster import SETTINGS, Cluster, Node
+from support.memory_disk import PowerLost
+
+SMALL = replace(SETTINGS, append_bytes=1)
+"""One entry a message."""
+
+WRITE_STEPS = 14
+"""More than the operations of any one write, so that every step is met."""
+
+
+def others(cluster: Cluster, node: Node) -> list[Node]:
+    return [each for each in cluster.nodes if each is not node]
+
+
+def assert_goes_on(cluster: Cluster, acknowledged: list[str]) -> None:
+    """See that the cluster commits and that nothing acknowledged was lost."""
+    leader = cluster.elect()
+    tokens = cluster.propose(leader, 2)
+    cluster.settle(1.0)
+    assert set(tokens) <= cluster.checks.acknowledged
+    kept = {entry.data for entry in cluster.checks.committed.values()}
+    assert {token.encode() for token in acknowledged} <= kept
+    replicas = [node for node in cluster.nodes if node.up]
+    assert len({(node.applied, node.digest) for node in replicas}) == 1
+
+
+@pytest.mark.parametrize("step", range(1, WRITE_STEPS))
+@pytest.mark.parametrize("snapshot", [False, True])
+def test_leader_loses_power_at_each_step_of_a_write(step: int, snapshot: bool) -> None:
+    cluster = Cluster(3, seed=step)
+    leader = cluster.elect()
+    before = cluster.propose(leader, 6)
+    cluster.settle(1.0)
+    if snapshot:
+        cluster.snapshot(leader)
+    cluster.propose(leader, 3)
+    leader.disk.power_lost_at = leader.disk.operations + step
+    try:
+        cluster.write(leader)
+    except PowerLost:
+        pass
+    else:
+        assert step > 2, "the write had fewer steps than expected"
+    cluster.crash(leader, power=True)
+    assert_goes_on(cluster, before)
+    cluster.start(leader)
+    assert_goes_on(cluster, before)
+
+
+@pytest.mark.parametrize("delivered", range(12))
+def test_leader_dies_after_each_message_of_an_append(delivered: int) -> None:
+    cluster = Cluster(3, seed=delivered)
+    leader = cluster.elect()
+    before = cluster.propose(leader, 2)
+    cluster.settle(1.0)
+    cluster.propose(leader, 4)
+    for _ in range(delivered):
+        for node in cluster.nodes:
+            cluster.write(node)
+        if cluster.network:
+            cluster.deliver(cluster.network.pop(0))
+    cluster.crash(leader, power=True)
+    assert_goes_on(cluster, before)
+    cluster.start(leader)
+    assert_goes_on(cluster, before)
+
+
+def test_a_voter_cut_off_for_hours_returns_with_an_old_term() -> None:
+    cluster = Cluster(3)
+    leader = cluster.elect()
+    lost = others(cluster, leader)[0]
+    cluster.cut_off.add(lost.address)
+    tokens = cluster.propose(leader, 30)
+    cluster.settle(1.0)
+    cluster.snapshot(leader)
+    for _ in range(40):
+        cluster.now += 300.0
+        cluster.settle(0.3)
+    term = max(node.replica.state.term for node in cluster.nodes if node.replica)
+    assert lost.replica is not None
+    assert lost.replica.state.role is not ReplicaRole.LEADER
+    assert lost.replica.state.term <= term, "a voter alone raised the term"
+    cluster.cut_off.clear()
+    assert_goes_on(cluster, tokens)
+    assert lost.digest == leader.digest
+
+
+def test_a_leader_cut_off_answers_no_read_and_commits_nothing() -> None:
+    cluster = Cluster(3)
+    old = cluster.elect()
+    cluster.cut_off.add(old.address)
+    read = cluster.read(old)
+    proposal = cluster.propose(old)[0]
+    cluster.settle(4.0)
+    assert read in cluster.reads_rejected
+    assert cluster.rejected[proposal].committed_maybe
+    assert not old.leading
+    assert cluster.leader is not None
+
+
+def test_a_leader_stopped_for_minutes_answers_no_read_from_before() -> None:
+    cluster = Cluster(3)
+    old = cluster.elect()
+    before = cluster.read(old)
+    cluster.network.clear()
+    old.frozen = True
+    cluster.cut_off.add(old.address)
+    cluster.settle(300.0)
+    old.frozen = False
+    old.clock_offset_s = 0.0
+    cluster.cut_off.clear()
+    after = cluster.token("r")
+    cluster.checks.on_read_requested(after)
+    assert old.replica is not None
+    cluster.take_actions(old, old.replica.step(ReadsRequested((after,)), cluster.now))
+    assert {before, after} <= cluster.reads_rejected
+    assert not old.leading
+    cluster.settle(3.0)
+    assert before not in cluster.answered
+
+
+def test_a_jump_of_the_clock_makes_a_leader_step_down_and_costs_nothing() -> None:
+    cluster = Cluster(3)
+    leader = cluster.elect()
+    tokens = cluster.propose(leader, 3)
+    cluster.settle(1.0)
+    leader.clock_offset_s += 3600.0
+    cluster.step(leader, Tick())
+    assert not leader.leading
+    assert_goes_on(cluster, tokens)
+
+
+def test_repair_followed_at_once_by_a_second_loss() -> None:
+    cluster = Cluster(3)
+    leader = cluster.elect()
+    tokens = cluster.propose(leader, 40)
+    cluster.settle(1.0)
+    cluster.snapshot(leader)
+    cluster.settle(0.5)
+    emptied, other = others(cluster, leader)
+    gone = emptied.identity
+    cluster.crash(emptied, power=True)
+    cluster.wipe(emptied)
+    fresh = emptied.member
+    cluster.change(leader, AddLearner(fresh))
+    early = cluster.change(leader, PromoteLearner(fresh.replica))
+    assert early in cluster.rejected, "a learner without the log got a vote"
+    cluster.settle(1.0)
+    cluster.change(leader, RemoveMember(gone))
+    cluster.settle(0.5)
+    cluster.change(leader, PromoteLearner(fresh.replica))
+    cluster.settle(0.5)
+    assert emptied.digest == leader.digest
+    cluster.crash(leader, power=True)
+    assert_goes_on(cluster, tokens)
+    assert cluster.leader in (emptied, other)
+
+
+def test_two_emptied_of_three_form_no_quorum() -> None:
+    cluster = Cluster(3)
+    leader = cluster.elect()
+    cluster.propose(leader, 3)
+    cluster.settle(1.0)
+    for node in others(cluster, leader):
+        cluster.crash(node, power=True)
+        cluster.wipe(node)
+    cluster.settle(10.0)
+    assert cluster.leader is None
+    tokens = cluster.propose(leader)
+    cluster.settle(1.0)
+    assert not set(tokens) & cluster.checks.acknowledged
+
+
+def test_an_emptied_voter_never_speaks_for_its_former_identity() -> None:
+    cluster = Cluster(3)
+    leader = cluster.elect()
+    cluster.propose(leader, 3)
+    cluster.settle(1.0)
+    emptied = others(cluster, leader)[0]
+    former = emptied.identity
+    cluster.crash(emptied, power=True)
+    cluster.wipe(emptied)
+    assert leader.replica is not None
+    leader.replica.state.progress[former].heard_at = float("-inf")
+    cluster.settle(3.0)
+    assert leader.replica.state.progress[former].heard_at == float("-inf")
+
+
+def test_restart_of_all_after_five_hundred_changes() -> None:
+    cluster = Cluster(3)
+    leader = cluster.elect()
+    tokens: list[str] = []
+    for round_number in range(50):
+        tokens += cluster.propose(leader, 10)
+        cluster.pump()
+        if round_number % 20 == 19:
+            for node in cluster.nodes:
+                cluster.snapshot(node)
+    cluster.settle(1.0)
+    digest = leader.digest
+    for node in cluster.nodes:
+        cluster.crash(node, power=True)
+    for node in cluster.nodes:
+        cluster.start(node)
+    assert set(tokens) <= cluster.checks.acknowledged
+    cluster.elect()
+    assert {node.digest for node in cluster.nodes} == {digest}
+    assert_goes_on(cluster, tokens)
+
+
+@pytest.mark.parametrize("chunks", [1, 4, 7])
+def test_a_snapshot_goes_on_where_it_was_interrupted(chunks: int) -> None:
+    cluster = Cluster(3, settings=replace(SETTINGS, chunk_bytes=4))
+    leader = cluster.elect()
+    lost = others(cluster, leader)[0]
+    cluster.crash(lost, power=False)
+    tokens = cluster.propose(leader, 30)
+    cluster.settle(1.0)
+    for node in others(cluster, lost):
+        cluster.snapshot(node)
+    cluster.settle(0.5)
+    cluster.start(lost)
+    assert lost.replica is not None
+    for _ in range(400):
+        incoming = lost.replica.state.incoming
+        if incoming is not None and len(incoming.data) >= 4 * chunks:
+            break
+        cluster.tick(0.01)
+        for node in cluster.nodes:
+            cluster.write(node)
+        if cluster.network:
+            cluster.deliver(cluster.network.pop(0))
+    cluster.crash(leader, power=True)
+    held = len(lost.replica.state.incoming.data) if lost.replica.state.incoming else 0
+    cluster.elect()
+    assert held == 4 * chunks
+    assert_goes_on(cluster, tokens)
+    cluster.start(leader)
+    assert_goes_on(cluster, tokens)
+
+
+@pytest.mark.parametrize("fault", ["full", "sync"])
+@pytest.mark.parametrize("role", ["leader", "follower"])
+def test_a_failing_disk_takes_a_replica_out_and_loses_nothing(fault: str, role: str) -> None:
+    cluster = Cluster(3)
+    leader = cluster.elect()
+    before = cluster.propose(leader, 3)
+    cluster.settle(1.0)
+    failing = leader if role == "leader" else others(cluster, leader)[0]
+    if fault == "full":
+        failing.disk.capacity_bytes = sum(len(one.data) for one in failing.disk.files.values())
+    else:
+        failing.disk.sync_fails = True
+    during = cluster.propose(leader, 3)
+    cluster.settle(0.3)
+    assert failing.replica is not None
+    assert failing.replica.failed
+    if role == "leader":
+        assert all(cluster.rejected[token].committed_maybe for token in during)
+    cluster.settle(4.0)
+    acknowledged = [token for token in during if token in cluster.checks.acknowledged]
+    failing.disk.capacity_bytes = None
+    failing.disk.sync_fails = False
+    cluster.crash(failing, power=True)
+    cluster.start(failing)
+    assert_goes_on(cluster, before + acknowledged)
+
+
+def test_an_entry_of_an_older_term_commits_only_with_one_of_the_present_term() -> None:
+    cluster = Cluster(3, settings=SMALL)
+    old = cluster.elect()
+    first, second = others(cluster, old)
+    cluster.cut_off |= {first.address, second.address}
+    cluster.propose(old, 1)
+    cluster.write(old)
+    left = old.replica.state.log.last_index if old.replica else 0
+    cluster.crash(old, power=True)
+    cluster.start(old)
+    cluster.cut_off = {second.address}
+    cluster.network.clear()
+    for _ in range(400):
+        cluster.tick(0.05)
+        for node in cluster.nodes:
+            cluster.write(node)
+        while cluster.network:
+            cluster.deliver(cluster.network.pop(0))
+            for node in cluster.nodes:
+                cluster.write(node)
+            for node in (old, first):
+                state = node.replica.state if node.replica else None
+                if state and state.leading and state.term_start_index > left:
+                    committed = state.commit_index
+                    assert committed < left or committed >= state.term_start_index
+    assert cluster.leader in (old, first)
--- /dev/null
+++ b/tests/consensus/test_storage.py
@@ -0,0 +1,207 @@
+"""The data folder: what it keeps, what it cuts off and what it refuses."""
+
+from __future__ import annotations
+
+import contextlib
+from pathlib import Path
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bergamotchute_consensus.actions import Persist
+from bergamotchute_consensus.file_disk import FileDisk
+from bergamotchute_consensus.frames import encode_frame, scan_frames
+from bergamotchute_consensus.hard_state import HardState
+from bergamotchute_consensus.log_entry import EntryContent, LogEntry
+from bergamotchute_consensus.membership import Membership
+from bergamotchute_consensus.snapshot import Snapshot
+from bergamotchute_consensus.storage import Storage
+from bergamotchute_consensus.storage_errors import CorruptStorageError, DiskError
+from support.memory_disk import MemoryDisk, PowerLost
+
+FILES = ("log-00000000000000000001",)
+
+
+def entry(index: int, term: int = 1, data: bytes = b"x") -> LogEntry:
+    return LogEntry(index, term, EntryContent.COMMAND, data)
+
+
+def open_storage(disk: MemoryDisk) -> Storage:
+    return Storage(disk, lambda: "replica-a", segment_bytes=400)
+
+
+def filled_disk(writes: int = 4) -> MemoryDisk:
+    """Return a disk with a vote and one entry a write."""
+    disk = MemoryDisk(Random(1))
+    storage = open_storage(disk)
+    for index in range(1, writes + 1):
+        storage.write([Persist(index, HardState("c", 1, "a"), (entry(index),))])
+    return disk
+
+
+def test_what_was_written_is_there_after_a_power_failure() -> None:
+    disk = filled_disk(20)
+    disk.lose_power()
+    storage = open_storage(disk)
+    assert storage.identity == "replica-a"
+    assert storage.recovered.hard_state == HardState("c", 1, "a")
+    assert [one.index for one in storage.recovered.entries] == list(range(1, 21))
+
+
+def test_many_persists_share_one_sync() -> None:
+    disk = filled_disk(1)
+    storage = open_storage(disk)
+    before = disk.operations
+    storage.write([Persist(n, None, (entry(n + 1),)) for n in range(1, 51)])
+    assert disk.operations - before == 3
+    assert open_storage(disk).recovered.entries[-1].index == 51
+
+
+def test_an_entry_replaces_what_followed_it() -> None:
+    disk = filled_disk(5)
+    open_storage(disk).write([Persist(6, None, (entry(3, term=2),))])
+    recovered = open_storage(disk).recovered
+    assert [(one.index, one.term) for one in recovered.entries] == [(1, 1), (2, 1), (3, 2)]
+
+
+def test_a_snapshot_takes_the_place_of_what_it_covers() -> None:
+    disk = filled_disk(10)
+    snapshot = Snapshot(8, 1, Membership(), b"state")
+    open_storage(disk).write([Persist(11, snapshot=snapshot)])
+    recovered = open_storage(disk).recovered
+    assert recovered.snapshot == snapshot
+    assert [one.index for one in recovered.entries] == [9, 10]
+    assert recovered.hard_state == HardState("c", 1, "a")
+    assert sum(name.startswith("log-") for name in disk.names()) == 1
+
+
+def test_a_torn_tail_is_cut_off() -> None:
+    disk = filled_disk(3)
+    name = FILES[0]
+    whole = bytes(disk.files[name].data)
+    frame = encode_frame(4, b"never synced")
+    for kept in range(len(frame)):
+        disk.files[name].data = bytearray(whole + frame[:kept])
+        assert open_storage(disk).recovered.entries[-1].index == 3
+
+
+def test_a_damaged_middle_is_refused_at_every_byte() -> None:
+    disk = filled_disk(3)
+    name = FILES[0]
+    whole = bytes(disk.files[name].data)
+    marks_and_last = scan_frames(name, whole).frames
+    end_of_last_frame = marks_and_last[-2].end
+    refused = 0
+    for offset in range(end_of_last_frame):
+        damaged = bytearray(whole)
+        damaged[offset] ^= 0x40
+        disk.files[name].data = damaged
+        try:
+            assert len(open_storage(disk).recovered.entries) == 3, "an entry was lost silently"
+        except CorruptStorageError:
+            refused += 1
+    assert refused > end_of_last_frame // 2
+
+
+@pytest.mark.parametrize("name", ["identity", "snapshot-00000000000000000008"])
+def test_a_damaged_whole_file_is_refused(name: str) -> None:
+    disk = filled_disk(10)
+    open_storage(disk).write([Persist(11, snapshot=Snapshot(8, 1, Membership(), b"state"))])
+    disk.files[name].data[-1] ^= 1
+    with pytest.raises(CorruptStorageError):
+        open_storage(disk)
+
+
+def test_missing_files_are_refused() -> None:
+    for name in [one for one in filled_disk(10).names() if one != "started"]:
+        disk = filled_disk(10)
+        last = max(one for one in disk.names() if one.startswith("log-"))
+        disk.remove(name)
+        if name == last:
+            continue
+        with pytest.raises(CorruptStorageError):
+            open_storage(disk)
+
+
+def test_all_of_the_log_missing_is_refused() -> None:
+    disk = filled_disk(10)
+    for name in disk.names():
+        if name.startswith("log-"):
+            disk.remove(name)
+    with pytest.raises(CorruptStorageError):
+        open_storage(disk)
+
+
+@pytest.mark.parametrize("fault", ["full", "sync"])
+def test_a_disk_that_refuses_is_not_written_again(fault: str) -> None:
+    disk = filled_disk(3)
+    storage = open_storage(disk)
+    disk.sync_fails = fault == "sync"
+    disk.capacity_bytes = 0 if fault == "full" else None
+    for _ in range(2):
+        with pytest.raises(DiskError):
+            storage.write([Persist(4, None, (entry(4),))])
+        disk.sync_fails, disk.capacity_bytes = False, None
+    assert [one.index for one in open_storage(disk).recovered.entries][:3] == [1, 2, 3]
+
+
+def test_what_is_read_after_a_failed_sync_is_made_durable_first() -> None:
+    disk = filled_disk(3)
+    storage = open_storage(disk)
+    disk.sync_fails = True
+    with pytest.raises(DiskError):
+        storage.write([Persist(4, None, (entry(4),))])
+    disk.sync_fails = False
+    read = open_storage(disk).recovered.entries
+    disk.lose_power()
+    assert open_storage(disk).recovered.entries == read
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.binary(max_size=300), st.integers(0, 3))
+def test_any_bytes_are_read_or_refused(data: bytes, frames: int) -> None:
+    disk = filled_disk(3)
+    name = FILES[0]
+    whole = bytes(disk.files[name].data)
+    keep = scan_frames(name, whole).frames[frames].end if frames else 0
+    disk.files[name].data = bytearray(whole[:keep] + data)
+    with contextlib.suppress(CorruptStorageError):
+        open_storage(disk)
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(st.randoms(use_true_random=False), st.integers(1, 60))
+def test_a_power_failure_at_any_operation_loses_nothing_acknowledged(
+    random: Random, operation: int
+) -> None:
+    disk = MemoryDisk(random)
+    acknowledged = 0
+    disk.power_lost_at = operation
+    try:
+        storage = open_storage(disk)
+        for index in range(1, 20):
+            storage.write([Persist(index, None, (entry(index),))])
+            acknowledged = index
+            if index % 7 == 0:
+                snapshot = Snapshot(index - 1, 1, Membership(), b"s")
+                storage.write([Persist(index, snapshot=snapshot)])
+    except PowerLost:
+        pass
+    disk.lose_power()
+    recovered = open_storage(disk).recovered
+    last = recovered.entries[-1].index if recovered.entries else recovered.snapshot.index
+    assert last >= acknowledged
+
+
+def test_a_real_folder_is_held_by_one_process(tmp_path: Path) -> None:
+    disk = FileDisk(tmp_path / "data")
+    storage = Storage(disk, lambda: "replica-a")
+    storage.write([Persist(1, HardState("c", 1, "a"), (entry(1),))])
+    with pytest.raises(BlockingIOError):
+        FileDisk(tmp_path / "data")
+    disk.close()
+    again = FileDisk(tmp_path / "data")
+    assert Storage(again, lambda: "other").recovered.entries == (entry(1),)
+    again.close()
