--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/_voter_planner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/_voter_planner.py
@@ -14,7 +14,7 @@
 )
 from bergamotchute_consensus.membership_plan import MemberHealth, can_lose, next_change
 from bergamotchute_consensus.replica_state import ReplicaState
-from bergamotchute_model.configuration import merge_in_force
+from bergamotchute_model.configuration import ConfigurationReader
 from bergamotchute_model.status_messages import ControlStatus, VoterStatus
 from bergamotchute_state.control_state import ControlState
 
@@ -36,6 +36,7 @@
     newest_commit: int = 0
     wanted: frozenset[str] = frozenset()
     wanted_revision: int = -1
+    reader: ConfigurationReader = field(default_factory=ConfigurationReader)
 
     def note_commit(self, state: ReplicaState) -> None:
         """Take the commit index of the last call as settled."""
@@ -90,7 +91,7 @@
         if control.view_revision == self.wanted_revision:
             return
         self.wanted_revision = control.view_revision
-        merged = merge_in_force(control.files.in_force.values())
+        merged = self.reader.read(control.files.in_force.values())
         if isinstance(merged, Ok):
             self.wanted = frozenset(voter.replica for voter in merged.ok_value.voters)
 
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/configuration_holder.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/configuration_holder.py
@@ -10,7 +10,7 @@
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.view_holder import ViewHolder
 from bergamotchute_model import events
-from bergamotchute_model.configuration import Configuration, merge_in_force
+from bergamotchute_model.configuration import Configuration, ConfigurationReader
 
 
 @dataclass
@@ -24,11 +24,12 @@
     log: EventLog
     configuration: Configuration = field(default_factory=Configuration)
     revision: int = 0
+    reader: ConfigurationReader = field(default_factory=ConfigurationReader)
     listeners: list[Callable[[Configuration], None]] = field(default_factory=list)
 
     def on_view_change(self, view: ViewHolder) -> None:
         """Merge the files in force; the voters checked them, so a fault here is a defect."""
-        merged = merge_in_force(view.files.values(), view.decisions.values())
+        merged = self.reader.read(view.files.values(), view.decisions.values())
         if not isinstance(merged, Ok):
             self.log.emit(events.VIEW_UNREADABLE, revision=view.revision)
             return
--- a/packages/bergamotchute-state/src/bergamotchute_state/files.py
+++ b/packages/bergamotchute-state/src/bergamotchute_state/files.py
@@ -16,6 +16,7 @@
 
 KEPT_CHANGES = 174_000
 FILES_MAX = 200
+FILES_MAX_BYTES = 16 * 1024 * 1024
 
 _DIGEST_BYTES = 32
 _REVISION_BYTES = 8
@@ -145,12 +146,12 @@
         if (content.file, content.number) != (command.name, command.number):
             found = f"{content.file} number {content.number}"
             return (f"{command.name} number {command.number}: the text says {found}",)
-        faults = self._faults_with_others(command.name, read.ok_value)
+        faults = self._faults_with_others(command.name, read.ok_value, len(command.text))
         if not faults:
             self.parsed[command.name] = read.ok_value
         return faults
 
-    def _faults_with_others(self, name: str, file: ParsedFile) -> tuple[str, ...]:
+    def _faults_with_others(self, name: str, file: ParsedFile, text_length: int) -> tuple[str, ...]:
         """Return the faults of a file together with all others in force."""
         files = [file]
         for other in self.in_force:
@@ -162,6 +163,9 @@
             files.append(read.ok_value)
         if len(files) > FILES_MAX:
             return (f"{name}: at most {FILES_MAX} files are allowed",)
+        size = sum(len(self.in_force[other].text) for other in self.in_force if other != name)
+        if size + text_length > FILES_MAX_BYTES:
+            return (f"{name}: all files together may have at most {FILES_MAX_BYTES} characters",)
         merged = merge(files)
         return _lines(merged.err_value) if isinstance(merged, Err) else ()
 
