--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import secrets
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -37,6 +36,19 @@
         return f"{LOOPBACK}:{self.peer_port}"
 
 
+@dataclass(frozen=True)
+class EndpointPlan:
+    """Endpoints that are alike, named ``NAME-1``, ``NAME-2``, ...
+
+    :param plain: order services rather than model engines.
+    """
+
+    name: str
+    services: tuple[str, ...]
+    count: int
+    plain: bool = False
+
+
 @dataclass(frozen=True)
 class EndpointVm:
     """An endpoint with its agent.
@@ -46,7 +58,7 @@
 
     name: str
     zone: str
-    service: str
+    services: tuple[str, ...]
     port: int
     peer_port: int
     agent_port: int
@@ -87,29 +99,23 @@
         return secret
 
     def plan(
-        self, zones: tuple[str, ...], voters: int, others: int, endpoints: Mapping[str, int]
+        self, zones: tuple[str, ...], voters: int, others: int, endpoints: list[EndpointPlan]
     ) -> None:
-        """Lay out entries and endpoints over the zones; nothing starts yet.
-
-        :param endpoints: how many of each service; one named ``*orders*`` is a plain service.
-        """
+        """Lay out entries and endpoints over the zones; nothing starts yet."""
         count = voters + others
-        ports = free_ports(2 * count + 3 * sum(endpoints.values()))
+        ports = free_ports(2 * count + 3 * sum(plan.count for plan in endpoints))
         for index in range(count):
             zone = zones[index % len(zones)]
             port, peer_port = ports[2 * index : 2 * index + 2]
             name = f"entry-{index + 1}"
             self.entries.append(EntryVm(name, zone, port, peer_port, index < voters))
         rest = ports[2 * count :]
-        for service, number in endpoints.items():
-            for index in range(number):
+        for plan in endpoints:
+            for index in range(plan.count):
                 (port, peer, agent), rest = rest[:3], rest[3:]
-                zone = zones[index % len(zones)]
-                name = f"{service}-{index + 1}"
-                plain = "orders" in service
-                self.endpoints.append(
-                    EndpointVm(name, zone, service, port, peer, agent, plain=plain)
-                )
+                zone, name = zones[index % len(zones)], f"{plan.name}-{index + 1}"
+                endpoint = EndpointVm(name, zone, plan.services, port, peer, agent, plan.plain)
+                self.endpoints.append(endpoint)
 
     def entry(self, name: str) -> EntryVm:
         """Return an entry by its name."""
@@ -145,7 +151,7 @@
         common[common.index(endpoint.agent_name)] = endpoint.name
         arguments = ["bergamotchuted", "agent", *common]
         arguments += ["--endpoint-url", f"http://{LOOPBACK}:{endpoint.port}"]
-        arguments += ["--services", endpoint.service, "--slots", str(endpoint.slots)]
+        arguments += ["--services", ",".join(endpoint.services), "--slots", str(endpoint.slots)]
         arguments += ["--listen", f"{LOOPBACK}:{endpoint.agent_port}"]
         self.fleet.start(endpoint.agent_name, arguments)
 
