Run rank agents and a group's controller over links

Speed was compared with the median of one rank, and a drop was forgotten between a rank's own reports; both now count per rank.

--- /dev/null
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/map_log.py
@@ -0,0 +1,102 @@
+"""A rank group's record in the control log, read from the view and written by proposals."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import anyio
+import cbor2
+from pydantic import TypeAdapter
+
+from bergamotchute_daemon.view_holder import ViewHolder
+from bergamotchute_model.commands import (
+    Command,
+    CommandResult,
+    DecisionResult,
+    FenceGranted,
+    NextFence,
+    RecordDecision,
+)
+from bergamotchute_model.rank_messages import ChangeId, LoggedMap, MapRecord
+from bergamotchute_policy.map_transaction import DecisionLogged, FenceTaken
+
+ProposeCommand = Callable[[Command], Awaitable[CommandResult]]
+"""Commits a command; raises ``ControlUnavailable`` when no answer comes in time."""
+
+VIEW_POLL_S = 0.05
+
+_RECORD: TypeAdapter[MapRecord] = TypeAdapter(MapRecord)
+
+
+def encode_record(record: MapRecord) -> bytes:
+    """Return the bytes of a record as the log holds them."""
+    return cbor2.dumps(_RECORD.dump_python(record))
+
+
+def decode_record(data: bytes) -> MapRecord | None:
+    """Return the record that the log holds; ``None`` when there is none yet."""
+    return _RECORD.validate_python(cbor2.loads(data)) if data else None
+
+
+@dataclass
+class MapLog:
+    """Reads and writes the decision ``map/GROUP``.
+
+    :param view: the process's view; read only while its lease holds.
+    :param holder: who takes fencing numbers, unique to this life of the process.
+    """
+
+    group: str
+    view: ViewHolder
+    propose: ProposeCommand
+    holder: str
+    grants: int = field(default=0)
+
+    @property
+    def name(self) -> str:
+        """The name of the decision, which is also the scope of its fencing numbers."""
+        return f"map/{self.group}"
+
+    def read(self) -> LoggedMap | None:
+        """Return the record in the confirmed view; ``None`` while the view may not be used."""
+        if not self.view.is_confirmed(anyio.current_time()):
+            return None
+        decision = self.view.decisions.get(self.name)
+        if decision is None:
+            return LoggedMap(0, 0, None)
+        return LoggedMap(decision.version, decision.fence, decode_record(decision.value))
+
+    async def take_fence(self) -> FenceTaken:
+        """Take the next fencing number, and read the record in a view that shows it.
+
+        :raises ControlUnavailable: when no answer came in time; a number may have been used up.
+        """
+        number = await self.raise_fence()
+        while True:
+            logged = self.read()
+            if logged is not None and logged.fence >= number:
+                return FenceTaken(number, logged)
+            await anyio.sleep(VIEW_POLL_S)
+
+    async def raise_fence(self) -> int:
+        """Take the next fencing number.
+
+        :raises ControlUnavailable: when no answer came in time; a number may have been used up.
+        """
+        self.grants += 1
+        result = await self.propose(NextFence(self.name, self.holder, str(self.grants)))
+        assert isinstance(result, FenceGranted)
+        return result.number
+
+    async def write(self, change: ChangeId, record: MapRecord) -> DecisionLogged:
+        """Write a record over the version that ``change`` follows.
+
+        :raises ControlUnavailable: when no answer came in time; it may have been written.
+        """
+        value = encode_record(record)
+        result = await self.propose(
+            RecordDecision(self.name, change.fence, change.base_version, value)
+        )
+        assert isinstance(result, DecisionResult)
+        return DecisionLogged(change, result.granted, result.version, decode_record(result.value))
--- a/packages/bergamotchute-model/src/bergamotchute_model/rank_messages.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/rank_messages.py
@@ -220,6 +220,28 @@
 ]
 
 
+@dataclass(frozen=True)
+class FetchMap:
+    """To a rank: send me the map of this digest."""
+
+    group: str
+    digest: str
+    kind: Literal["fetch_map"] = "fetch_map"
+
+
+@dataclass(frozen=True)
+class MapData:
+    """From a rank: the map that was asked for.
+
+    :param data: the encoded map; empty when the rank does not have it.
+    """
+
+    group: str
+    digest: str
+    data: bytes
+    kind: Literal["map_data"] = "map_data"
+
+
 @dataclass(frozen=True)
 class FanOut:
     """Coordinator or rank to rank: take this message and pass it on.
@@ -255,6 +277,8 @@
     | ChangeRefused
     | DecisionKnown
     | RankReport
+    | FetchMap
+    | MapData
     | FanOut
     | Gathered,
     Discriminator("kind"),
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/expert_planner.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/expert_planner.py
@@ -147,7 +147,7 @@
         by_moves = self._with_moves(present, shared, seen, over_now)
         best = by_moves if by_moves.kind is PlanKind.MOVES else by_shares
         if best.kind is PlanKind.NOTHING:
-            return by_moves if by_moves.reason is not PlanReason.BALANCED else best
+            return by_moves
         too_soon = now - self.changed_at_s < self.settings.calm_interval_s
         little = over_now - best.over_planned < self.settings.urgent_gain
         if too_soon and little and self.settings.gated:
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/expert_speed.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/expert_speed.py
@@ -23,12 +23,12 @@
 
     :param sequence: grows with each report.
     :param speeds: shape (ranks,); 1 for a healthy rank; NaN where a rank did not report.
-    :param period_s: the time that the report covers.
+    :param period_s: the time that the report covers, for all ranks or for each.
     """
 
     sequence: int
     speeds: Floats
-    period_s: float
+    period_s: float | Floats
 
 
 @dataclass
@@ -64,10 +64,11 @@
         heard = ~np.isnan(report.speeds) & (self.speeds > 0)
         seen = np.where(heard, report.speeds, self.speeds)
         low = heard & (seen < self.speeds * (1.0 - DEMOTION_DROP))
-        self.lowest = np.where(low & (self.below > 0), np.maximum(self.lowest, seen), seen)
-        self.below = np.where(low, self.below + 1, 0.0)
+        lowest = np.where(low & (self.below > 0), np.maximum(self.lowest, seen), seen)
+        self.lowest = np.where(heard, lowest, self.lowest)
+        self.below = np.where(low, self.below + 1, np.where(heard, 0.0, self.below))
         demoted = self.below >= DEMOTION_SAMPLES
-        kept = 0.5 ** (report.period_s / RETURN_HALF_LIFE_S)
+        kept = 0.5 ** (np.asarray(report.period_s) / RETURN_HALF_LIFE_S)
         calm = heard & ~low
         blended = kept * self.speeds + (1.0 - kept) * seen
         self.speeds = np.where(calm, blended, self.speeds)
--- a/tests/experts/test_expert_planner.py
+++ b/tests/experts/test_expert_planner.py
@@ -247,6 +247,14 @@
     assert estimate.speeds[3] == 1.0
 
 
+def test_reports_of_other_ranks_do_not_hide_a_drop() -> None:
+    estimate = SpeedEstimate(np.ones(2))
+    for sequence in range(4):
+        speeds = np.array([np.nan, 1.0]) if sequence % 2 else np.array([0.6, np.nan])
+        estimate.observe(RankSpeeds(sequence, speeds, 1.0))
+    assert estimate.speeds[0] == pytest.approx(0.6)
+
+
 def test_only_the_rank_that_does_not_wait_is_blamed() -> None:
     begun = dict.fromkeys(range(8), 40)
     waiting = {rank: 100.0 for rank in range(8) if rank != 5}
--- /dev/null
+++ b/tests/support/rank_group.py
@@ -0,0 +1,259 @@
+"""A rank group with real agents and controllers over links in memory, and fake engines."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+import anyio
+import numpy as np
+from anyio.abc import TaskGroup
+
+from bergamotchute_daemon.control_client import ControlUnavailable
+from bergamotchute_daemon.map_log import MapLog
+from bergamotchute_daemon.rank_agent import EngineUnreachable, RankAgent
+from bergamotchute_daemon.rank_group_controller import RankGroupController
+from bergamotchute_daemon.view_holder import ViewHolder
+from bergamotchute_model.commands import Command, CommandResult
+from bergamotchute_model.control_messages import LeaseGrant, ViewDelta
+from bergamotchute_model.identifiers import Address
+from bergamotchute_model.operator_file import RankGroup
+from bergamotchute_model.rank_messages import NO_STEP, RankReport
+from bergamotchute_policy.expert_map import ExpertMap, step_skew
+from bergamotchute_policy.expert_planner import Plan
+from bergamotchute_policy.map_rank import GuideEngine
+from bergamotchute_state.control_state import ControlState
+from support.memory_links import MemoryNetwork
+from support.step_checker import StepBegun
+
+STEP_S = 0.034
+VIEW_S = 0.05
+LEASE_S = 3.0
+PROPOSE_S = 0.004
+
+
+@dataclass
+class Engine:
+    """A rank's engine in lock-step with the others of the group."""
+
+    group: Group
+    rank: int
+    guide_now: GuideEngine = field(default_factory=lambda: GuideEngine(None, None))
+    begun: int = NO_STEP
+    maps: set[str] = field(default_factory=set)
+    stalled: bool = False
+    unreachable: bool = False
+    load_s: float = 0.2
+    work: float = 0.0
+    compute_s: float = 0.0
+    waits_since: float | None = None
+    speed: float = 1.0
+
+    async def load_map(self, digest: str, data: bytes) -> bool:
+        if self.unreachable:
+            raise EngineUnreachable
+        self.group.map_data[digest] = data
+        await anyio.sleep(self.load_s)
+        self.maps.add(digest)
+        return True
+
+    async def drop_map(self, digest: str) -> None:
+        self.maps.discard(digest)
+
+    async def guide(self, guide: GuideEngine) -> int:
+        if self.unreachable:
+            raise EngineUnreachable
+        await anyio.sleep(0.001)
+        self.guide_now = guide
+        return self.begun
+
+    async def report(self) -> RankReport | None:
+        now = anyio.current_time()
+        waits = 0.0 if self.waits_since is None else now - self.waits_since
+        counts = self.group.counts if self.rank == 0 else b""
+        work, spent = self.work, self.compute_s
+        self.work = self.compute_s = 0.0
+        self.group.reports += 1
+        return RankReport(
+            "g", self.rank, "0", self.group.reports, self.begun, 0, waits, work, spent, counts
+        )
+
+    def startable(self) -> int | None:
+        record = self.guide_now.record
+        if self.stalled or record is None or self.guide_now.leaves:
+            return None
+        step = max(self.begun + 1, record.first_step(self.rank))
+        if self.guide_now.hold is not None and step >= self.guide_now.hold:
+            return None
+        digest = record.digest if step >= record.switch_step else record.previous_digest
+        return step if digest in self.maps else None
+
+
+class Group:
+    """Everything of one group that a test needs, under the paused clock."""
+
+    def __init__(self, tasks: TaskGroup, settings: RankGroup) -> None:
+        self.tasks = tasks
+        self.settings = settings
+        self.network = MemoryNetwork(tasks)
+        self.state = ControlState()
+        self.log_index = 0
+        self.views: dict[str, ViewHolder] = {}
+        self.cut_off: set[str] = set()
+        self.engines = [Engine(self, rank) for rank in range(settings.ranks)]
+        self.agents: dict[int, tuple[RankAgent, anyio.CancelScope]] = {}
+        self.controllers: dict[str, tuple[RankGroupController, anyio.CancelScope]] = {}
+        self.lives: dict[int, int] = {}
+        self.history: list[StepBegun] = []
+        self.map_data: dict[str, bytes] = {}
+        self.popularity = np.full((settings.layers, settings.experts), 1.0 / settings.experts)
+        self.reports = 0
+        self.rate = 1e9
+        self.load = 0.5
+
+    @property
+    def counts(self) -> bytes:
+        return (self.popularity * 100_000).astype("<f4").tobytes()
+
+    def view(self, name: str) -> ViewHolder:
+        self.views[name] = ViewHolder()
+        return self.views[name]
+
+    def proposer(self, name: str) -> Callable[[Command], Awaitable[CommandResult]]:
+        async def propose(command: Command) -> CommandResult:
+            await anyio.sleep(PROPOSE_S)
+            if name in self.cut_off:
+                raise ControlUnavailable(command.kind)
+            self.log_index += 1
+            return self.state.apply(command, self.log_index)
+
+        return propose
+
+    async def spread_views(self) -> None:
+        """Bring every view that is not cut off up to date and renew its lease."""
+        while True:
+            revision = self.state.view_revision
+            for name, view in self.views.items():
+                if name in self.cut_off:
+                    continue
+                changes = self.state.changes_since(view.revision)
+                assert changes is not None
+                view.on_delta(ViewDelta(view.revision, revision, changes))
+                view.on_grant(LeaseGrant(1, LEASE_S, revision), anyio.current_time())
+            await anyio.sleep(VIEW_S)
+
+    async def run_steps(self) -> None:
+        """Let the ranks compute in lock-step; one that can't go on stops all."""
+        while True:
+            await anyio.sleep(STEP_S)
+            ready = {engine.rank: engine.startable() for engine in self.engines}
+            steps = [step for step in ready.values() if step is not None]
+            for engine in self.engines:
+                self._step(engine, ready[engine.rank], min(steps, default=0))
+
+    def _step(self, engine: Engine, step: int | None, slowest: int) -> None:
+        record = engine.guide_now.record
+        if step is None or record is None or step > slowest or not self._all_reach(record, step):
+            if engine.waits_since is None and not engine.stalled and record is not None:
+                engine.waits_since = anyio.current_time()
+            return
+        epoch = record.epoch_at(step)
+        digest = record.digest if epoch == record.epoch else record.previous_digest
+        self.history.append(StepBegun(engine.rank, step, epoch, digest))
+        engine.begun = step
+        engine.waits_since = None
+        engine.work += 100.0
+        engine.compute_s += STEP_S / engine.speed
+
+    def _all_reach(self, record: Any, step: int) -> bool:
+        return all(
+            step <= record.first_step(rank) or self.engines[rank].begun >= step - 1
+            for rank in record.members
+        )
+
+    def dial_rank(self, name: str) -> Callable[[int], AbstractAsyncContextManager[Any]]:
+        dial = self.network.dial(name, "/ranks")
+        return lambda rank: dial(Address("10.0.0.1", 1000 + rank))
+
+    async def run_agent(self, rank: int) -> None:
+        """Run one rank's agent; starting it again ends the life before."""
+        if rank in self.agents:
+            self.agents[rank][1].cancel()
+        life = self.lives[rank] = self.lives.get(rank, -1) + 1
+        name = f"rank{rank}"
+        log = MapLog("g", self.view(name), self.proposer(name), f"{name}/{life}")
+        agent = RankAgent(
+            "g",
+            rank,
+            self.settings.ranks,
+            self.engines[rank],
+            log,
+            self.dial_rank(name),
+            lambda: f"{name}/{life}",
+        )
+        with anyio.CancelScope() as scope:
+            self.agents[rank] = (agent, scope)
+            self.network.stop_serving(name)
+            address = Address("10.0.0.1", 1000 + rank)
+            self.network.serve(name, address, "/ranks", agent.serve_link)
+            await agent.run()
+
+    def restart_rank(self, rank: int) -> None:
+        """Restart engine and agent; the engine learns the group's step from its peers."""
+        begun = self.engines[rank].begun
+        self.engines[rank] = Engine(self, rank, begun=begun - 1)
+        self.tasks.start_soon(self.run_agent, rank)
+
+    async def run_controller(self, name: str, leads: Callable[[], bool] = lambda: True) -> None:
+        life = len(self.controllers) + 1
+        log = MapLog("g", self.view(name), self.proposer(name), f"{name}/{life}")
+        controller = RankGroupController(
+            self.settings,
+            log,
+            self.dial_rank(name),
+            leads,
+            lambda: self.rate,
+            lambda: self.load,
+            life,
+            lambda: {rank: str(life) for rank, life in self.lives.items()},
+            run_plan=plan_here,
+        )
+        with anyio.CancelScope() as scope:
+            self.controllers[name] = (controller, scope)
+            await controller.run()
+
+    def start(self, controllers: tuple[str, ...] = ("entry1",)) -> None:
+        self.tasks.start_soon(self.spread_views)
+        self.tasks.start_soon(self.run_steps)
+        for rank in range(self.settings.ranks):
+            self.tasks.start_soon(self.run_agent, rank)
+        for name in controllers:
+            self.tasks.start_soon(self.run_controller, name)
+
+    def skew(self) -> float:
+        """Return the skew of the map that the last step used."""
+        placed = ExpertMap.decode(self.map_data[self.history[-1].digest])
+        speeds = np.array([engine.speed for engine in self.engines])
+        return step_skew(placed, self.popularity, speeds)
+
+    def stop_controller(self, name: str) -> None:
+        self.controllers[name][1].cancel()
+
+
+async def plan_here(work: Callable[[], Plan]) -> Plan:
+    return work()
+
+
+def small_group(**changes: Any) -> RankGroup:
+    settings = RankGroup(
+        name="g",
+        service="drafting",
+        ranks=4,
+        layers=2,
+        experts=8,
+        slots_per_rank=4,
+        expert_bytes=1000,
+    )
+    return replace(settings, **changes)
