--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/rank_group_controller.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/rank_group_controller.py
@@ -65,7 +65,7 @@
 
 
 async def in_thread(work: Callable[[], Plan]) -> Plan:
-    """Plan in a worker thread, as a large group takes a good part of a second."""
+    """Plan in a thread, as a large group takes a good part of a second."""
     return await anyio.to_thread.run_sync(work)
 
 
