--- a/packages/bergamotchute-state/src/bergamotchute_state/claims.py
+++ b/packages/bergamotchute-state/src/bergamotchute_state/claims.py
@@ -20,19 +20,18 @@
 )
 from bergamotchute_model.identifiers import AttemptId, ClaimKey
 
-OPEN_CLAIMS = 65_536
+OPEN_CLAIMS = 32_768
 FINISHED_CLAIMS = 16_384
-KEPT_OUTCOME_BYTES = 32 * 1024 * 1024
+KEPT_OUTCOME_BYTES = 16 * 1024 * 1024
 OUTCOME_MAX_BYTES = 256 * 1024
 ENDED_CLAIMS = 400_000
 
 ClaimCommand = TakeClaim | ReleaseClaim | SettleClaim | LookUpClaim
 
 _NO_ATTEMPT = AttemptId("", 0, "", "", "")
-_ENDED_KEY_BYTES = 16
-_ENDED_VALUE_BYTES = 8
+_ENDED_KEY_BYTES = 8
+_ENDED_BYTES = _ENDED_KEY_BYTES + 1
 _ENDED_STATES = (ClaimState.SETTLED, ClaimState.UNKNOWN)
-_ENDED_STATE_BITS = 2
 
 
 class Claims:
@@ -49,7 +48,7 @@
         self.finished: dict[ClaimKey, ClaimRecord] = {}
         self.outcome_sizes: dict[ClaimKey, int] = {}
         self.outcome_bytes = 0
-        self.ended: dict[bytes, int] = {}
+        self.ended: dict[int, int] = {}
 
     def apply(self, command: ClaimCommand) -> ClaimResult:
         """Apply a claim command."""
@@ -112,8 +111,8 @@
     def dump(self) -> list[Any]:
         """Return the claims as plain lists, oldest first in each age."""
         ended = b"".join(
-            digest + value.to_bytes(_ENDED_VALUE_BYTES, "big")
-            for digest, value in self.ended.items()
+            key.to_bytes(_ENDED_KEY_BYTES, "big") + bytes((value,))
+            for key, value in self.ended.items()
         )
         return [
             [_dump_record(record) for record in self.open.values()],
@@ -131,11 +130,9 @@
         claims.finished = {record.key: record for record in map(_load_record, finished)}
         for key in (ClaimKey(*fields) for fields in with_outcome):
             claims._count_outcome(claims.finished[key])
-        step = _ENDED_KEY_BYTES + _ENDED_VALUE_BYTES
-        for start in range(0, len(ended), step):
-            middle = start + _ENDED_KEY_BYTES
-            value = int.from_bytes(ended[middle : start + step], "big")
-            claims.ended[ended[start:middle]] = value
+        for start in range(0, len(ended), _ENDED_BYTES):
+            end = start + _ENDED_KEY_BYTES
+            claims.ended[int.from_bytes(ended[start:end], "big")] = ended[end]
         return claims
 
     def _find(self, key: ClaimKey) -> ClaimRecord | None:
@@ -227,18 +224,20 @@
             del self.ended[next(iter(self.ended))]
 
 
-def _ended_key(key: ClaimKey) -> bytes:
-    """Return the short digest that stands for a key."""
+def _ended_key(key: ClaimKey) -> int:
+    """Return the short digest that stands for a key.
+
+    Another key of the same digest would be barred in its place; none ever runs twice by it.
+    """
     data = cbor2.dumps(_dump_key(key))
-    return hashlib.blake2b(data, digest_size=_ENDED_KEY_BYTES).digest()
+    digest = hashlib.blake2b(data, digest_size=_ENDED_KEY_BYTES).digest()
+    return int.from_bytes(digest, "big")
 
 
 def _ended_value(state: ClaimState, body_digest: str) -> int:
-    """Pack how a claim ended with a short digest of its body."""
-    size = _ENDED_VALUE_BYTES - 1
-    body = hashlib.blake2b(body_digest.encode(), digest_size=size).digest()
-    code = 0 if state is ClaimState.SETTLED else 1
-    return int.from_bytes(body, "big") << _ENDED_STATE_BITS | code
+    """Pack how a claim ended with a few bits of its body's digest into one byte."""
+    body = hashlib.blake2b(body_digest.encode(), digest_size=1).digest()[0]
+    return body & ~1 | _ENDED_STATES.index(state)
 
 
 def _ended_state(value: int | None) -> ClaimState | None:
--- a/tests/operator/test_examples.py
+++ b/tests/operator/test_examples.py
@@ -10,7 +10,7 @@
 from bergamotchute_cli.apply_order import find_order
 from bergamotchute_cli.local_files import parse_all, read_local_files
 from bergamotchute_model.commands import ApplyFile, ApplyOutcome, FileApplied
-from bergamotchute_model.configuration import ConfigurationReader
+from bergamotchute_model.configuration import ConfigurationReader, merge
 from bergamotchute_model.parsed_file import parse_file
 from bergamotchute_state.control_state import ControlState
 
@@ -50,3 +50,8 @@
     emptied = [parse_file(name, text).unwrap() for name, text in texts.items()]
     order = [emptied[index].content.file for index in find_order(emptied, in_force)]
     assert order.index("services") > max(order.index(name) for name in ("teams", "changes"))
+
+
+def test_the_smallest_example_is_valid_by_itself() -> None:
+    parsed = parse_all(read_local_files([str(EXAMPLES.parent / "docs" / "examples")])).unwrap()
+    assert merge(parsed).unwrap().service_by_model["writer"].name == "drafts"
