--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/composition_root.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/composition_root.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Coroutine
-from typing import Any
-
 from anyio.abc import TaskGroup
 
+from bergamotchute_consensus.disk import Disk
 from bergamotchute_daemon.address_book import AddressBook
 from bergamotchute_daemon.admin_api import ADMIN_PREFIX, AdminApi, Report
 from bergamotchute_daemon.agent import Agent
@@ -42,6 +40,7 @@
 from bergamotchute_daemon.settings import AgentSettings, EntrySettings
 from bergamotchute_daemon.team_limiter import TeamLimiter
 from bergamotchute_daemon.view_holder import ViewHolder
+from bergamotchute_daemon.voter import Voter, VoterSettings
 from bergamotchute_model.hello import Hello
 from bergamotchute_model.membership import Role
 from bergamotchute_policy.retry import RetryBudget
@@ -52,12 +51,12 @@
     settings: EntrySettings,
     environment: Environment,
     tasks: TaskGroup,
-    run_voter: Callable[[], Coroutine[Any, Any, None]] | None = None,
+    disk: Disk | None = None,
 ) -> EntryProcess:
     """Return an entry whose parts know each other; nothing runs yet.
 
     :param tasks: where work that outlives its connection runs.
-    :param run_voter: runs the voter that this entry hosts, if any.
+    :param disk: the data folder of the voter that this entry hosts; ``None`` for no voter.
     """
     random = environment.random
     log = EventLog(settings.name, Role.ENTRY, environment.incarnation, environment.wall_us)
@@ -120,7 +119,7 @@
         client=client,
         app=EntryApp(callers, admin, shared),
         relay=_compose_relay(settings, environment, tasks, log) if settings.relay else None,
-        run_voter=run_voter,
+        voter=_compose_voter(settings, environment, disk, log) if disk is not None else None,
         planned_changes=PlannedChangeController(
             holder, view, client.propose, environment.wall_us, random, log, epoch
         ),
@@ -138,6 +137,15 @@
     return {f"{ADMIN_PREFIX}status": reports.status, f"{ADMIN_PREFIX}explain": reports.explain}
 
 
+def _compose_voter(
+    settings: EntrySettings, environment: Environment, disk: Disk, log: EventLog
+) -> Voter:
+    """Return the voter that an entry hosts."""
+    voter_settings = VoterSettings(settings.peer_listen, settings.voters, settings.bootstrap)
+    dial = environment.dial_consensus
+    return Voter(voter_settings, disk, dial, log=log, random=environment.random)
+
+
 def _compose_relay(
     settings: EntrySettings, environment: Environment, tasks: TaskGroup, log: EventLog
 ) -> Relay:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/entry_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/entry_process.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, replace
-from typing import Any
 
 import anyio
 
@@ -19,6 +17,7 @@
 from bergamotchute_daemon.settings import EntrySettings
 from bergamotchute_daemon.team_limiter import TeamLimiter
 from bergamotchute_daemon.view_holder import ViewHolder
+from bergamotchute_daemon.voter import Voter
 from bergamotchute_model import events
 from bergamotchute_model.configuration import Configuration
 from bergamotchute_model.control_messages import Announce, MembershipDelta
@@ -43,7 +42,7 @@
     :param client: the way to the relays.
     :param planned_changes: runs where a voter is hosted.
     :param relay: hosted here, or ``None``.
-    :param run_voter: runs the voter hosted here, or ``None``.
+    :param voter: hosted here, or ``None``.
     :param epoch: fresh at each start.
     """
 
@@ -59,7 +58,7 @@
     app: EntryApp
     planned_changes: PlannedChangeController
     relay: Relay | None = None
-    run_voter: Callable[[], Coroutine[Any, Any, None]] | None = None
+    voter: Voter | None = None
     sequence: int = 0
 
     async def run(self) -> None:
@@ -71,8 +70,8 @@
             tasks.start_soon(self.app.callers.addresses.keep_fresh)
             if self.relay is not None:
                 tasks.start_soon(self.relay.run)
-            if self.run_voter is not None:
-                tasks.start_soon(self.run_voter)
+            if self.voter is not None:
+                tasks.start_soon(self.voter.run)
                 tasks.start_soon(self.planned_changes.run)
 
     async def drain(self) -> bool:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/environment.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/environment.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass
 from random import Random
-from typing import Any
 
+from bergamotchute_consensus.messages import ConsensusMessage
 from bergamotchute_daemon.event_log import WallClock
 from bergamotchute_model.attempt_messages import AttemptMessage
 from bergamotchute_model.control_messages import ControlMessage
@@ -39,4 +39,4 @@
     dial_attempts: Dial[AttemptMessage]
     dial_control: Dial[ControlMessage]
     dial_voter: Dial[ControlMessage]
-    dial_consensus: Dial[Any]
+    dial_consensus: Dial[ConsensusMessage]
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/process_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/process_runner.py
@@ -14,7 +14,9 @@
 import httpx
 from anyio.abc import TaskGroup
 
+from bergamotchute_consensus.file_disk import FileDisk
 from bergamotchute_daemon.composition_root import compose_agent, compose_entry
+from bergamotchute_daemon.entry_process import EntryProcess
 from bergamotchute_daemon.environment import (
     ATTEMPTS_PATH,
     CONSENSUS_PATH,
@@ -24,6 +26,7 @@
 )
 from bergamotchute_daemon.event_log import EventLog, wall_clock, write_events
 from bergamotchute_daemon.settings import AgentSettings, EntrySettings, ProcessSettings
+from bergamotchute_daemon.voter import CONSENSUS_CODEC
 from bergamotchute_model import events
 from bergamotchute_model.attempt_messages import AttemptMessage
 from bergamotchute_model.control_messages import ControlMessage
@@ -65,9 +68,9 @@
     status = EXIT_FAILED
     try:
         if isinstance(settings, EntrySettings):
-            status = anyio.run(run_entry, settings)
+            status = anyio.run(run_entry, settings, backend=settings.event_loop)
         else:
-            status = anyio.run(run_agent, settings)
+            status = anyio.run(run_agent, settings, backend=settings.event_loop)
     except* OSError as group:
         for error in group.exceptions:
             logging.getLogger("bergamotchute").error("%s", error)
@@ -80,11 +83,10 @@
     """Run an entry until it is told to stop."""
     environment = _environment(settings)
     async with anyio.create_task_group() as tasks:
-        process = compose_entry(settings, environment, tasks)
+        disk = FileDisk(settings.data_folder) if settings.data_folder is not None else None
+        process = compose_entry(settings, environment, tasks, disk)
         process.log.emit(events.PROCESS_STARTED, listen=str(settings.listen))
-        routes: dict[str, LinkRoute] = {}
-        if process.relay is not None:
-            routes[CONTROL_PATH] = LinkRoute(CONTROL_CODEC, process.relay.serve_link)
+        routes = _entry_routes(process)
         if routes:
             tasks.start_soon(
                 serve_web_socket_links, settings.peer_listen, routes, settings.cluster_token
@@ -98,6 +100,17 @@
     return EXIT_ENDED if ended else EXIT_OVERRUN
 
 
+def _entry_routes(process: EntryProcess) -> dict[str, LinkRoute]:
+    """Return the links that an entry accepts, by what it hosts."""
+    routes: dict[str, LinkRoute] = {}
+    if process.relay is not None:
+        routes[CONTROL_PATH] = LinkRoute(CONTROL_CODEC, process.relay.serve_link)
+    if process.voter is not None:
+        routes[VOTER_PATH] = LinkRoute(CONTROL_CODEC, process.voter.serve_relay)
+        routes[CONSENSUS_PATH] = LinkRoute(CONSENSUS_CODEC, process.voter.serve_peer)
+    return routes
+
+
 async def run_agent(settings: AgentSettings) -> int:
     """Run an agent until it is told to stop."""
     environment = _environment(settings)
@@ -151,7 +164,6 @@
 def _environment(settings: ProcessSettings) -> Environment:
     """Return the real outside."""
     token = settings.cluster_token
-    codec: MessageCodec[Any] = MessageCodec(Any)
     return Environment(
         incarnation=uuid.uuid4().hex[:INCARNATION_CHARACTERS],
         random=Random(),
@@ -159,5 +171,5 @@
         dial_attempts=web_socket_dial(ATTEMPTS_PATH, ATTEMPT_CODEC, token),
         dial_control=web_socket_dial(CONTROL_PATH, CONTROL_CODEC, token),
         dial_voter=web_socket_dial(VOTER_PATH, CONTROL_CODEC, token),
-        dial_consensus=web_socket_dial(CONSENSUS_PATH, codec, token),
+        dial_consensus=web_socket_dial(CONSENSUS_PATH, CONSENSUS_CODEC, token),
     )
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/settings.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/settings.py
@@ -19,6 +19,7 @@
 MIN_SECRET_CHARACTERS = 16
 DRAIN_BOUND_S = 600.0
 LAME_DUCK_S = 5.0
+EVENT_LOOPS = ("asyncio", "trio")
 LOG_LEVELS = ("debug", "info", "warning", "error", "none")
 
 
@@ -32,6 +33,7 @@
     :param drain_bound_s: how long a planned stop waits for work in flight, in seconds.
     :param event_file: where events go; ``None`` for nowhere but the log.
     :param log_level: the lowest level on stderr; ``none`` for silence.
+    :param event_loop: what runs the tasks.
     """
 
     name: str
@@ -43,6 +45,7 @@
     drain_bound_s: float
     event_file: Path | None
     log_level: str
+    event_loop: str
 
 
 @dataclass(frozen=True)
@@ -158,6 +161,7 @@
     flags.add("--cluster-token-file", "file with the secret of the deployment", "FILE")
     flags.add("--drain-bound", "longest wait of a planned stop", "SECONDS", str(DRAIN_BOUND_S))
     flags.add("--event-file", "file that numbered events are appended to", "FILE")
+    flags.add("--event-loop", "asyncio, or the slower trio for comparison", "NAME", "asyncio")
     flags.add("--log-level", f"lowest level on stderr: {', '.join(LOG_LEVELS)}", "LEVEL", "info")
 
 
@@ -197,6 +201,7 @@
         "cluster_token": _secret("--cluster-token-file", values.cluster_token_file),
         "drain_bound_s": _number("--drain-bound", values.drain_bound, 0, 86_400),
         "event_file": Path(values.event_file) if values.event_file else None,
+        "event_loop": _one_of("--event-loop", values.event_loop, EVENT_LOOPS),
         "log_level": _one_of("--log-level", values.log_level, LOG_LEVELS),
     }
 
--- a/tools/check_words.py
+++ b/tools/check_words.py
@@ -13,7 +13,7 @@
 PLACES = ("packages/*/src/**/*.py", "tools/**/*.py", "tests/**/*.py", "docs/**/*.md", "*.md")
 SOURCES = "packages/*/src/**/*.py"
 EXEMPT = frozenset({GLOSSARY, Path(__file__).resolve()})
-LIBRARY_NAMES = ("anyio_backend",)
+LIBRARY_NAMES = ("anyio_backend", "backend=settings.event_loop")
 
 _ROW = re.compile(r"^\| `([a-z_]+)` \| .* \|([^|]*)\|$")
 _QUOTED = re.compile(r"`([^`]+)`")
--- a/tools/proof/world.py
+++ b/tools/proof/world.py
@@ -190,6 +190,7 @@
             "relays": self.relays,
             "cluster_token": CLUSTER_TOKEN,
             "drain_bound_s": DRAIN_BOUND_S,
+            "event_loop": "trio",
             "event_file": None,
             "log_level": "none",
         }
