--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,8 @@
 SOURCES := packages tests tools scenarios
 READY := $(VENV)/.ready
 
-.PHONY: demo measure-experts env format lint types imports events words capacity bench unit scenarios-long test lock clean
 
+.PHONY: env
 env: $(READY)
 
 $(READY): requirements.lock $(wildcard packages/*/pyproject.toml)
@@ -17,54 +17,73 @@
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(foreach p,$(PACKAGES),-e packages/bergamotchute-$(p))
 	touch $@
 
+.PHONY: format
 format: env
 	$(BIN)/ruff check --fix --quiet $(SOURCES)
 	$(BIN)/black --quiet $(SOURCES)
 
+.PHONY: lint
 lint: env
 	$(BIN)/black --check --quiet $(SOURCES)
 	$(BIN)/ruff check $(SOURCES)
 
+.PHONY: types
 types: env
 	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/bergamotchute-$(p)/src)
 
+.PHONY: imports
 imports: env
 	$(BIN)/lint-imports --no-cache
 
+.PHONY: events
 events: env
 	$(BIN)/python -m tools.check_events
 
+.PHONY: words
 words: env
 	$(BIN)/python -m tools.check_words
 
+.PHONY: capacity
 capacity: env
 	$(BIN)/python -m tools.capacity
 
+.PHONY: bench
 bench: env
 	$(BIN)/python -m tools.bench_messages
 	$(BIN)/python -m tools.bench_state
 	$(BIN)/python -m tools.bench_relay_links
 	$(BIN)/python -m tools.capacity --write
 
+.PHONY: demo
 demo: env
 	$(BIN)/python -m tools.demo
 
 # Tests and scenarios run side by side.
+.PHONY: unit
 unit: env
 	@$(BIN)/pytest scenarios >$(VENV)/scenarios.log 2>&1 & scenarios=$$!; \
 	$(BIN)/pytest; status=$$?; \
 	wait $$scenarios || status=1; cat $(VENV)/scenarios.log; exit $$status
 
+.PHONY: scenarios-long
 scenarios-long: env
 	$(BIN)/pytest scenarios/long
 
+.PHONY: test
 test: lint types imports events words unit
 
+.PHONY: bench-relay
+bench-relay: env
+	$(BIN)/python -m tools.bench_relay --write
+
+.PHONY: lock
 lock:
 	uv pip compile --generate-hashes --no-header --universal --python-version 3.11 requirements.in -o requirements.lock
 
+.PHONY: clean
 clean:
 	rm -rf $(VENV)
 
+.PHONY: measure-experts
 measure-experts: env
 	OMP_NUM_THREADS=1 OPENBLAS_NUM_THREADS=1 $(BIN)/python -m tools.measure_experts
