--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,6 @@
 SOURCES := packages tests tools scenarios
 READY := $(VENV)/.ready
 
-
 .PHONY: env
 env: $(READY)
 
@@ -47,6 +46,10 @@
 capacity: env
 	$(BIN)/python -m tools.capacity
 
+.PHONY: bench-control
+bench-control: env
+	$(BIN)/python -m tools.bench_control
+
 .PHONY: bench
 bench: env
 	$(BIN)/python -m tools.bench_messages
--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/replica_settings.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/replica_settings.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 HEARTBEAT_S = 0.2
-ELECTION_TIMEOUT_S = 1.0
+ELECTION_TIMEOUT_S = 1.5
 APPEND_BYTES = 1_048_576
 CHUNK_BYTES = 262_144
 IN_FLIGHT_APPENDS = 16
