Measure a sync, a round trip and a commit in turn

Cause: syncs right after each other are faster than spaced ones, so the ratio depended on the order of measuring. Change: each round takes the three in turn.

--- a/tools/bench_control.py
+++ b/tools/bench_control.py
@@ -49,8 +49,6 @@
 TOKEN = "bench"
 RECORD_BYTES = 400
 ROUNDS = 5
-SYNCS = 100
-ROUND_TRIPS = 300
 COMMITS = 200
 SPAN_S = 4.0
 PROPOSERS = (1, 8, 64, 256)
@@ -67,17 +65,12 @@
     return COMMAND_CODEC.encode(TakeClaim(key, "d" * 64, attempt))
 
 
-def sync_seconds(folder: Path) -> list[float]:
-    """Return how long each of some appends takes with its sync, in seconds."""
-    disk = FileDisk(folder)
-    taken = []
-    for _ in range(SYNCS):
-        started_at = time.perf_counter()
-        disk.append("bare", b"x" * RECORD_BYTES)
-        disk.sync("bare")
-        taken.append(time.perf_counter() - started_at)
-    disk.close()
-    return taken
+def sync_seconds(disk: FileDisk) -> float:
+    """Return how long one append of a record takes with its sync, in seconds."""
+    started_at = time.perf_counter()
+    disk.append("bare", b"x" * RECORD_BYTES)
+    disk.sync("bare")
+    return time.perf_counter() - started_at
 
 
 async def echo(port: int) -> None:
@@ -92,18 +85,14 @@
     await listener.serve(serve)
 
 
-async def round_trip_seconds(port: int) -> list[float]:
-    """Return how long each of some round trips of a record takes, in seconds."""
-    taken = []
-    async with await anyio.connect_tcp(LOOPBACK, port) as stream:
-        for _ in range(ROUND_TRIPS):
-            started_at = time.perf_counter()
-            await stream.send(b"x" * RECORD_BYTES)
-            left = RECORD_BYTES
-            while left:
-                left -= len(await stream.receive(left))
-            taken.append(time.perf_counter() - started_at)
-    return taken
+async def round_trip_seconds(stream: Any) -> float:
+    """Return how long one round trip of a record takes, in seconds."""
+    started_at = time.perf_counter()
+    await stream.send(b"x" * RECORD_BYTES)
+    left = RECORD_BYTES
+    while left:
+        left -= len(await stream.receive(left))
+    return time.perf_counter() - started_at
 
 
 async def commit(voter: Voter, command: bytes) -> None:
@@ -117,15 +106,12 @@
     raise RuntimeError("the leader refused a command")
 
 
-async def commit_seconds(voter: Voter, first: int) -> list[float]:
-    """Return how long each of some commits takes, one at a time, in seconds."""
-    taken = []
-    for number in range(first, first + COMMITS):
-        command = claim(number)
-        started_at = time.perf_counter()
-        await commit(voter, command)
-        taken.append(time.perf_counter() - started_at)
-    return taken
+async def commit_seconds(voter: Voter, number: int) -> float:
+    """Return how long one commit takes, in seconds."""
+    command = claim(number)
+    started_at = time.perf_counter()
+    await commit(voter, command)
+    return time.perf_counter() - started_at
 
 
 async def claims_per_second(voter: Voter, proposers: int, first: int) -> dict[str, float]:
@@ -155,30 +141,33 @@
 
 async def measure(voter: Voter, folder: Path, echo_port: int) -> dict[str, Any]:
     """Measure as the leader."""
-    rounds = [await measure_round(voter, folder, echo_port, number) for number in range(ROUNDS)]
+    disk = FileDisk(folder / "bare")
+    async with await anyio.connect_tcp(LOOPBACK, echo_port) as stream:
+        rounds = [await measure_round(voter, disk, stream, number) for number in range(ROUNDS)]
     rates = []
     for position, proposers in enumerate(PROPOSERS):
         rates.append(await claims_per_second(voter, proposers, (position + 1) * 10_000_000))
-    sync_ms = statistics.median(sync_seconds(folder / "bare")) * 1e3
+    sync_ms = statistics.median(one["sync_ms"] for one in rounds)
     best = max(rate["claims_per_s"] for rate in rates)
     return {
         "rounds": rounds,
         "commit_over_sync_and_round_trip": statistics.median(one["ratio"] for one in rounds),
         "claims": rates,
-        "sync_after_claims_ms": sync_ms,
         "claims_over_one_sync_each": best * sync_ms / 1e3,
         "claims_over_one_at_a_time": best / rates[0]["claims_per_s"],
     }
 
 
-async def measure_round(
-    voter: Voter, folder: Path, echo_port: int, number: int
-) -> dict[str, float]:
-    """Measure syncs, round trips and commits right after each other."""
-    sync_ms = statistics.median(sync_seconds(folder / "bare")) * 1e3
-    trip_ms = statistics.median(await round_trip_seconds(echo_port)) * 1e3
-    commits = await commit_seconds(voter, number * COMMITS)
-    commit_ms = statistics.median(commits) * 1e3
+async def measure_round(voter: Voter, disk: FileDisk, stream: Any, number: int) -> dict[str, float]:
+    """Measure a sync, a round trip and a commit in turn, so that all meet the same disk."""
+    syncs, trips, commits = [], [], []
+    for position in range(COMMITS):
+        syncs.append(sync_seconds(disk))
+        trips.append(await round_trip_seconds(stream))
+        commits.append(await commit_seconds(voter, number * COMMITS + position))
+    sync_ms, trip_ms, commit_ms = (
+        statistics.median(taken) * 1e3 for taken in (syncs, trips, commits)
+    )
     return {
         "sync_ms": sync_ms,
         "round_trip_ms": trip_ms,
