Estimate a limit never seen by all requests with such a prompt

Cause: a team that always states the highest max_tokens was refused as out of reach, since its requests counted as 4,096 tokens, and as refused requests never complete nothing was learnt. Their prompts are like those of short work, so the history by prompt alone now stands in.

--- a/packages/bergamotchute-policy/src/bergamotchute_policy/work_estimate.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/work_estimate.py
@@ -69,9 +69,9 @@
     """Estimates requests by the history of their team, service and limits.
 
     Requests are alike when team, service and the magnitudes of their prompt and of ``max_tokens``
-    agree. Without enough history of its like, a request counts as those of all teams do; without
-    that either, as its whole ``max_tokens``. Histories that are not used are forgotten, the oldest
-    first.
+    agree. Without enough history of its like, a request counts as those of all teams do, then as
+    all with such a prompt; without that either, as its whole ``max_tokens``. Histories that are
+    not used are forgotten, the oldest first.
 
     :param long_tokens: expected work from which a request is long.
     """
@@ -105,10 +105,10 @@
             self.histories.popitem(last=False)
 
 
-def _keys(team: str, service: str, prompt_tokens: int, max_tokens: int) -> tuple[Key, Key]:
-    """Return what alike requests have in common, of the team and of all teams."""
+def _keys(team: str, service: str, prompt_tokens: int, max_tokens: int) -> tuple[Key, ...]:
+    """Return what alike requests have in common, the closest likeness first."""
     prompt, limit = _magnitude(prompt_tokens), _magnitude(max_tokens)
-    return (team, service, prompt, limit), ("", service, prompt, limit)
+    return (team, service, prompt, limit), ("", service, prompt, limit), ("", service, prompt, -1)
 
 
 def _magnitude(tokens: int) -> int:
--- a/tests/policy/test_work_estimates.py
+++ b/tests/policy/test_work_estimates.py
@@ -29,6 +29,13 @@
     assert estimator.estimate("new", "draft", 9_000, 4_000).size is Size.LONG
 
 
+def test_a_limit_never_seen_counts_as_all_with_such_a_prompt() -> None:
+    estimator = WorkEstimator()
+    for _ in range(20):
+        estimator.on_finish("t", "draft", 100, 64, 60)
+    assert estimator.estimate("new", "draft", 100, 4_000).size is Size.SHORT
+
+
 def test_the_estimate_follows_a_mix_that_drifts() -> None:
     estimator = WorkEstimator()
     for _ in range(2_000):
