Keep teams with a backlog out of the room beyond the slots

Cause: work of a large team that stood at the runners beyond their slots delayed what small teams sent, behind which the fair share could do nothing any more.

--- a/packages/bergamotchute-policy/src/bergamotchute_policy/admission.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/admission.py
@@ -67,6 +67,11 @@
         """Return whether a request of this size waits."""
         return bool(self.lines[size])
 
+    def backlogged(self, work: Work) -> bool:
+        """Return whether more of the team's work of this size waits than this request."""
+        line = self.lines[work.size].get(work.team)
+        return line is not None and line.count > 1
+
     def offer(self, work: Work, drain_rate: float, speed: float, now: float) -> list[Shed]:
         """Put a request into the queue; return those refused for it, which may be itself.
 
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/endpoint_book.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/endpoint_book.py
@@ -120,17 +120,21 @@
             return None
         return record
 
-    def with_room(self, size: Size, now: float) -> list[EndpointRecord]:
+    def with_room(self, size: Size, now: float, spare: bool = True) -> list[EndpointRecord]:
         """Return the endpoints that can take a request of this size now.
 
         Those with a free slot; when there are none, those that may hold more than their slots.
+
+        :param spare: whether a short request may take such room beyond the slots.
         """
         usable = self.usable(now)
         if size is Size.LONG:
             self._set_long_share(usable, now)
             return [record for record in usable if self._has_long_room(record, now)]
         free = [record for record in usable if self._has_free_slot(record, now)]
-        return free or [record for record in usable if self._has_spare_room(record, now)]
+        if free or not spare:
+            return free
+        return [record for record in usable if self._has_spare_room(record, now)]
 
     def usable(self, now: float) -> list[EndpointRecord]:
         """Return the endpoints that are neither draining nor ejected."""
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/picker.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/picker.py
@@ -13,14 +13,22 @@
 
 
 def pick(
-    book: EndpointBook, work: Work, availability_zone: str, random: Random, now: float
+    book: EndpointBook,
+    work: Work,
+    availability_zone: str,
+    random: Random,
+    now: float,
+    *,
+    spare: bool = True,
 ) -> EndpointRecord | None:
     """Return the endpoint that should run the request now, or ``None`` when none has room.
 
     All endpoints with room are compared by their speed, by how full they are and by their zone:
     those of the entry's own come first until they are notably fuller. Equals are drawn.
+
+    :param spare: whether a short request may go where it has to wait for a slot.
     """
-    candidates = book.with_room(work.size, now)
+    candidates = book.with_room(work.size, now, spare)
     if work.avoid:
         fresh = [record for record in candidates if record.endpoint not in work.avoid]
         candidates = fresh or candidates
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/scheduler.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/scheduler.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from random import Random
 
 from bergamotchute_model.attempt_messages import EndpointLoad
@@ -18,8 +17,6 @@
 RECHECK_S = 0.1
 LONG_PRIORITY_OFFSET = 100
 
-Pick = Callable[[EndpointBook, Work, str, Random, float], EndpointRecord | None]
-
 
 class ServiceScheduler:
     """Decides where and when the requests of one service run.
@@ -41,14 +38,12 @@
         random: Random,
         settings: SchedulingSettings | None = None,
         weights: dict[str, float] | None = None,
-        pick: Pick = pick,
     ) -> None:
         self.availability_zone = availability_zone
         self.random = random
         self.settings = settings or SchedulingSettings()
         self.book = EndpointBook(self.settings)
         self.queue = AdmissionQueue(self.settings, weights)
-        self.pick = pick
 
     def offer(self, work: Work, now: float) -> list[Decision]:
         """Take a request in: it is dispatched, refused, or waits.
@@ -145,8 +140,13 @@
         return None if deadline is None else max(now, min(deadline, now + RECHECK_S))
 
     def _choose(self, work: Work, now: float) -> EndpointRecord | None:
-        """Return an endpoint with room for the request."""
-        return self.pick(self.book, work, self.availability_zone, self.random, now)
+        """Return an endpoint with room for the request.
+
+        A team with more that waits gets no room beyond the slots: its work would stand at the
+        endpoints before that of teams which come rarely.
+        """
+        spare = not self.queue.backlogged(work)
+        return pick(self.book, work, self.availability_zone, self.random, now, spare=spare)
 
     def _dispatch(self, work: Work, endpoint: EndpointRecord, now: float) -> Dispatch:
         """Count the request at its endpoint and return the decision."""
