--- a/tools/service_bench/entries.py
+++ b/tools/service_bench/entries.py
@@ -136,7 +136,10 @@
         request.attempts += 1
 
         def on_end(whole: bool) -> None:
-            _settle(request, whole, self.clock.now)
+            if whole or not runner.gone:
+                _settle(request, whole, self.clock.now)
+            else:
+                line.appendleft(request)
             self.clock.after(0.0, self._fill)
 
         execution = Execution(request, 0, request.long, on_end)
@@ -146,7 +149,7 @@
 
     def _has_room(self, runner: FakeRunner, long: bool) -> bool:
         """Return whether a runner has a slot for the size."""
-        if runner.free() <= 0:
+        if runner.free() <= 0 or runner.gone or runner.failing:
             return False
         held = sum(execution.long for execution in runner.running)
         return not long or held < runner.slots * self.long_share
