--- a/tools/measure_service.py
+++ b/tools/measure_service.py
@@ -44,7 +44,7 @@
 from tools.service_bench.workload import QUIET_S, RAMP_S, Traffic
 
 SEEDS = 5
-WORKERS = 2
+PROCESSES = 2
 CREST_RATES = (55.0, 65.0, 80.0)
 ABLATION_RATE = 65.0
 TEAM_RATE = 25.0
@@ -184,7 +184,7 @@
 
 
 def _run(job: Job) -> Figures:
-    """Run one job in a worker."""
+    """Run one job in a process of the pool."""
     measurement, policy, seed = job
     policies, traffic, fault = MEASUREMENTS[measurement]
     return run(policies[policy], traffic, seed, fault)
@@ -198,7 +198,7 @@
         for policy in policies
         for seed in range(SEEDS)
     ]
-    with multiprocessing.get_context("fork").Pool(WORKERS) as pool:
+    with multiprocessing.get_context("fork").Pool(PROCESSES) as pool:
         figures = pool.map(_run, jobs, chunksize=1)
     results: dict[str, dict[str, list[Figures]]] = {}
     for (name, policy, _), figure in zip(jobs, figures, strict=True):
