Take unreadable answers and nested reports in the operators' command

Cause: an answer without the expected parts ended in a traceback, and the control group's voters stood on one line.

--- a/packages/bergamotchute-cli/src/bergamotchute_cli/files_in_force.py
+++ b/packages/bergamotchute-cli/src/bergamotchute_cli/files_in_force.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Any
 
 from bergamotchute_cli.command_error import CommandError
 from bergamotchute_cli.entries import Entries, problem_text, read_json
@@ -34,8 +35,22 @@
     response = await entries.ask("GET", FILES_PATH)
     if response.status_code != 200:
         raise CommandError(ExitCode.REFUSED, problem_text(response))
-    files = [
-        ShownFile(file["file"], file["number"], file["revision"], file["digest"], file["text"])
-        for file in read_json(response).get("files", [])
-    ]
+    try:
+        files = [_read_file(document) for document in read_json(response)["files"]]
+    except (KeyError, TypeError, ValueError) as error:
+        raise CommandError(ExitCode.REFUSED, "the entry's answer can't be read") from error
     return sorted(files, key=lambda file: file.name)
+
+
+def _read_file(document: dict[str, Any]) -> ShownFile:
+    """Read one file of an answer.
+
+    :raises KeyError: when a part is missing; :exc:`TypeError` or :exc:`ValueError` likewise.
+    """
+    return ShownFile(
+        str(document["file"]),
+        int(document["number"]),
+        int(document["revision"]),
+        str(document["digest"]),
+        str(document["text"]),
+    )
--- a/packages/bergamotchute-cli/src/bergamotchute_cli/reports.py
+++ b/packages/bergamotchute-cli/src/bergamotchute_cli/reports.py
@@ -86,7 +86,7 @@
         print(json.dumps(document))
     else:
         print(document.get("subject", ""))
-        for line in document.get("lines", []):
+        for line in document.get("lines") or ():
             print(f"  {line}")
     return ExitCode.OK
 
@@ -96,7 +96,7 @@
     entries = Entries(entry_addresses(options), "", options.patience, transport_of(options))
     query = {"zone": options.zone} if options.zone else {}
     document = anyio.run(_fetch, entries, "/v1/addresses", query)
-    found = [str(address) for address in document.get("addresses", [])]
+    found = [str(address) for address in document.get("addresses") or ()]
     if options.output == "json":
         print(json.dumps(document))
     else:
@@ -112,20 +112,24 @@
     response = await entries.ask("GET", path, query)
     if response.status_code != 200:
         raise CommandError(ExitCode.REFUSED, problem_text(response))
-    return read_json(response)
+    document = read_json(response)
+    if not document:
+        raise CommandError(ExitCode.REFUSED, "the entry's answer can't be read")
+    return document
 
 
 def _lines(document: dict[str, Any]) -> list[str]:
     """Return a report as lines: plain values first, then a table for each list of objects."""
-    lines: list[str] = []
+    plain: list[str] = []
+    tables: list[str] = []
     for name, value in document.items():
         if isinstance(value, dict):
-            lines.append(f"{name}: " + ", ".join(f"{k} {_plain(v)}" for k, v in value.items()))
+            tables += ["", f"{name}:", *(f"  {line}" for line in _lines(value) if line)]
         elif isinstance(value, list) and value and all(isinstance(row, dict) for row in value):
-            lines += ["", f"{name}:", *_table(value)]
+            tables += ["", f"{name}:", *_table(value)]
         else:
-            lines.append(f"{name}: {_plain(value)}")
-    return lines
+            plain.append(f"{name}: {_plain(value)}")
+    return plain + tables
 
 
 def _table(rows: list[dict[str, Any]]) -> list[str]:
