--- a/Makefile
+++ b/Makefile
@@ -72,6 +72,10 @@
 	$(BIN)/pytest; status=$$?; \
 	wait $$scenarios || status=1; cat $(VENV)/scenarios.log; exit $$status
 
+.PHONY: matrix
+matrix: env
+	$(BIN)/python -m tools.matrix
+
 .PHONY: scenarios-long
 scenarios-long: env
 	$(BIN)/pytest scenarios/long
--- a/tools/proof/faults.py
+++ b/tools/proof/faults.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from tools.proof.history import EndpointReturned
+from tools.proof.history import EndpointReturned, FaultBrought
 from tools.proof.network import FOREVER_S, Disturbance
 from tools.proof.scenario import Fault
 from tools.proof.scenario_parser import LEADER
@@ -26,13 +26,19 @@
     crashed_leader: str = ""
 
     async def bring(self, fault: Fault) -> None:
-        """Bring about one fault."""
+        """Bring about one fault of a scenario."""
         target = self.resolve(fault)
+        if fault.kind == "restart":
+            await self.restart(target)
+        else:
+            self.bring_now(fault, target)
+
+    def bring_now(self, fault: Fault, target: str) -> None:
+        """Bring about one fault at a process, before anything else happens."""
+        self.world.history.add(FaultBrought(anyio.current_time(), target, fault.kind))
         match fault.kind:
             case "crash":
-                self.world.kill(target)
-            case "restart":
-                await self.restart(target)
+                self.world.kill(target, loses_unsynced=fault.loses_unsynced)
             case "stall":
                 self.stall(target, fault.for_s)
             case "mute":
@@ -44,6 +50,11 @@
             case kind if kind in DISTURBANCES:
                 self.disturb(fault, target)
 
+    async def restart_later(self, name: str, after_s: float) -> None:
+        """Start a process again after a while."""
+        await anyio.sleep(after_s)
+        await self.restart(name)
+
     def resolve(self, fault: Fault) -> str:
         """Return the process that a fault aims at."""
         if fault.target != LEADER:
--- a/tools/proof/history.py
+++ b/tools/proof/history.py
@@ -112,6 +112,15 @@
     process: str
 
 
+@dataclass(frozen=True)
+class FaultBrought:
+    """A fault was brought about at a process."""
+
+    at_s: float
+    process: str
+    kind: str
+
+
 @dataclass(frozen=True)
 class ProcessEnded:
     """A process ended.
@@ -174,6 +183,7 @@
     | EndpointLeaving
     | EndpointReturned
     | StopPlanned
+    | FaultBrought
     | ProcessEnded
     | RankStepped
     | ChangeAccepted
--- a/tools/proof/run.py
+++ b/tools/proof/run.py
@@ -62,11 +62,13 @@
 
     :param numbers: the number in force of each file, as operators know it.
     :param drained: endpoints that the operations file drains.
+    :param began: whether the files are in force and the steps have begun.
     """
 
     world: World
     numbers: dict[str, int] = field(default_factory=dict)
     drained: set[str] = field(default_factory=set)
+    began: bool = False
 
     def __post_init__(self) -> None:
         self.callers = Callers(self.world)
@@ -81,6 +83,7 @@
         await anyio.sleep(SETTLE_S)
         await self.operators.apply(BASE, base_file(scenario))
         await anyio.sleep(SETTLE_S)
+        self.began = True
         began_s = anyio.current_time()
         async with anyio.create_task_group() as tasks:
             for step in scenario.steps:
--- a/tools/proof/world.py
+++ b/tools/proof/world.py
@@ -207,10 +207,11 @@
             dial_consensus=dial(name, CONSENSUS_PATH),
         )
 
-    def kill(self, name: str, *, silently: bool = False) -> None:
+    def kill(self, name: str, *, silently: bool = False, loses_unsynced: bool = False) -> None:
         """End a process at once.
 
         :param silently: its VM is gone too, so that its peers hear nothing of it.
+        :param loses_unsynced: bytes and names that its disk had not synced are gone.
         """
         process = self.processes[name]
         if process.tasks is None:
