Run scenarios over the real control voters on disks in memory

The stand-in voter is gone: entries host the real voters, whose disks outlast their processes and lose unsynced bytes when a crash says so.

--- a/tools/proof/world.py
+++ b/tools/proof/world.py
@@ -15,6 +15,7 @@
 import anyio
 import anyio.lowlevel
 from anyio.abc import TaskGroup
+from tests.support.memory_disk import MemoryDisk
 
 from bergamotchute_daemon.agent_process import AgentProcess
 from bergamotchute_daemon.composition_root import compose_agent, compose_entry
@@ -34,7 +35,6 @@
 from tools.proof.history import History, ProcessEnded, StopPlanned, ViewDropped, ViewUsed
 from tools.proof.network import Network
 from tools.proof.scenario import RunnerGroup, Scenario
-from tools.proof.sole_voter import SoleVoter
 
 LATENCY_S = 0.0005
 VIEW_SAMPLE_S = 0.25
@@ -42,8 +42,7 @@
 LAME_DUCK_S = 1.0
 CLUSTER_TOKEN = "cluster-token-0123456789abcdef"
 ADMIN_TOKEN = "admin-token-0123456789abcdef"
-VOTER_ADDRESS = Address("10.0.9.1", 7000)
-VOTER_NAME = "control"
+DISK_WRITE_S = 0.0005
 
 
 @dataclass
@@ -85,17 +84,13 @@
 
     def __post_init__(self) -> None:
         self.network = Network(LATENCY_S, Random(self.seed), self.tasks)
-        self.voter = SoleVoter()
+        self.disks: dict[str, MemoryDisk] = {}
         self.groups: dict[str, RunnerGroup] = {}
         self.relays: tuple[Address, ...] = ()
 
     async def start(self) -> None:
         """Start everything."""
         self.lay_out()
-        self.tasks.start_soon(
-            self.network.listen, VOTER_NAME, VOTER_ADDRESS, {VOTER_PATH: self.voter.serve_link}
-        )
-        await anyio.lowlevel.checkpoint()
         for name in self.processes:
             await self.start_process(name)
         self.tasks.start_soon(self.sample_views)
@@ -153,15 +148,29 @@
             **self._settings(process),
             listen=Address(process.peer.host, 8080),
             data_folder=None,
-            voters=(VOTER_ADDRESS,),
-            bootstrap=False,
+            voters=self.relays,
+            bootstrap=process.peer in self.relays and process.life == 1,
             relay=process.peer in self.relays,
             admin_token=ADMIN_TOKEN,
             lame_duck_s=LAME_DUCK_S,
         )
-        entry = compose_entry(settings, self._environment(process), tasks)
+        disk = self._disk(process.name) if process.peer in self.relays else None
+        entry = compose_entry(settings, self._environment(process), tasks, disk)
         process.running = entry
-        return {} if entry.relay is None else {CONTROL_PATH: entry.relay.serve_link}
+        handlers: dict[str, Any] = {}
+        if entry.relay is not None:
+            handlers[CONTROL_PATH] = entry.relay.serve_link
+        if entry.voter is not None:
+            entry.voter.run_blocking = _write_inline
+            handlers[VOTER_PATH] = entry.voter.serve_relay
+            handlers[CONSENSUS_PATH] = entry.voter.serve_peer
+        return handlers
+
+    def _disk(self, name: str) -> MemoryDisk:
+        """Return the disk of a VM, which outlasts its processes."""
+        if name not in self.disks:
+            self.disks[name] = MemoryDisk(Random(f"{self.seed}/disk/{name}"))
+        return self.disks[name]
 
     def _compose_agent(self, process: Process, tasks: TaskGroup) -> dict[str, Any]:
         group = self.groups[process.name]
@@ -222,6 +231,8 @@
             process.endpoint.die()
         process.tasks.cancel_scope.cancel()
         self._gone(process, planned=False)
+        if loses_unsynced and name in self.disks:
+            self.disks[name].lose_power()
 
     async def stop(self, name: str) -> None:
         """Stop a process in order."""
@@ -255,6 +266,12 @@
             await anyio.sleep(VIEW_SAMPLE_S)
 
 
+async def _write_inline(function: Callable[[], None]) -> None:
+    """Run a disk write at once: the paused clock knows no threads."""
+    function()
+    await anyio.sleep(DISK_WRITE_S)
+
+
 class EventCollector(logging.Handler):
     """Hands the numbered events of all processes to a world."""
 
