--- a/tests/consensus/test_failures.py
+++ b/tests/consensus/test_failures.py
@@ -11,9 +11,7 @@
 from bergamotchute_consensus.replica_state import ReplicaRole
 from support.consensus_cluster import SETTINGS, Cluster, Node
 from support.memory_disk import PowerLost
-
-SMALL = replace(SETTINGS, append_bytes=1)
-"""One entry a message."""
+from support.older_term import replicate_older_term
 
 WRITE_STEPS = 14
 """More than the operations of any one write, so that every step is met."""
@@ -278,28 +276,4 @@
 
 
 def test_an_entry_of_an_older_term_commits_only_with_one_of_the_present_term() -> None:
-    cluster = Cluster(3, settings=SMALL)
-    old = cluster.elect()
-    first, second = others(cluster, old)
-    cluster.cut_off |= {first.address, second.address}
-    cluster.propose(old, 1)
-    cluster.write(old)
-    left = old.replica.state.log.last_index if old.replica else 0
-    cluster.crash(old, power=True)
-    cluster.start(old)
-    cluster.cut_off = {second.address}
-    cluster.network.clear()
-    for _ in range(400):
-        cluster.tick(0.05)
-        for node in cluster.nodes:
-            cluster.write(node)
-        while cluster.network:
-            cluster.deliver(cluster.network.pop(0))
-            for node in cluster.nodes:
-                cluster.write(node)
-            for node in (old, first):
-                state = node.replica.state if node.replica else None
-                if state and state.leading and state.term_start_index > left:
-                    committed = state.commit_index
-                    assert committed < left or committed >= state.term_start_index
-    assert cluster.leader in (old, first)
+    replicate_older_term()
--- a/tests/consensus/test_mutants.py
+++ b/tests/consensus/test_mutants.py
@@ -13,6 +13,7 @@
 from bergamotchute_consensus.storage_errors import CorruptStorageError
 from support.consensus_checks import PromiseBroken
 from support.consensus_walk import ChangingWalk, Walk, WalkTotals
+from support.older_term import replicate_older_term
 
 MOST_RUNS = 300
 STEPS = 300
@@ -78,3 +79,14 @@
 def test_overlapping_membership_changes_are_caught(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(_membership_change, "_check", lambda state, change, now: None)
     assert is_caught(kind=ChangingWalk)
+
+
+def test_committing_an_older_term_by_count_alone_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    def advance_commit(state: ReplicaState) -> None:
+        voters = state.membership.voters
+        held = sorted(_replication._durable_at(state, voter.replica) for voter in voters)
+        state.commit_through(held[-state.membership.quorum])
+
+    monkeypatch.setattr(_replication, "advance_commit", advance_commit)
+    with pytest.raises(AssertionError):
+        replicate_older_term()
