--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/rank_group_controller.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/rank_group_controller.py
@@ -16,9 +16,10 @@
 from bergamotchute_daemon._group_load import GroupLoad
 from bergamotchute_daemon.control_client import ControlUnavailable
 from bergamotchute_daemon.map_log import MapLog
+from bergamotchute_daemon.peer_links import PeerLinks
 from bergamotchute_daemon.rank_agent import fetch_map
 from bergamotchute_daemon.rank_group_status import RankGroupStatus, status_of
-from bergamotchute_daemon.rank_links import DialRank, RankLinks
+from bergamotchute_daemon.rank_links import DialRank, RankLinks, fan_out
 from bergamotchute_model.operator_file import RankGroup
 from bergamotchute_model.rank_messages import (
     CoordinatorMessage,
@@ -122,7 +123,7 @@
         """Keep the group balanced until cancelled."""
         async with self.sender, self.receiver, anyio.create_task_group() as tasks:
             self.tasks = tasks
-            self.links = RankLinks(tasks, self.dial, self.on_from_ranks)
+            self.links: RankLinks = PeerLinks(tasks, self.dial, self.on_from_ranks)
             tasks.start_soon(self._tick)
             tasks.start_soon(self._keep_balanced)
             async for event in self.receiver:
@@ -175,7 +176,7 @@
         self.sent = message
         self.fan_outs += 1
         number = self.life * NUMBERS_PER_LIFE + self.fan_outs
-        self.links.fan_out(number, message, ranks, turn=self.repeats)
+        fan_out(self.links, number, message, ranks, turn=self.repeats)
 
     def _ask_for_reports(self, now: float) -> None:
         """Speak to members that were not heard of, as a new agent knows no way up the tree."""
--- /dev/null
+++ b/tests/experts/test_order_tasks.py
@@ -0,0 +1,217 @@
+"""Order controllers and gates over links: takeover, restarts, both kinds of engine."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import anyio
+import pytest
+import trio
+from anyio.abc import TaskGroup
+from trio.testing import MockClock
+
+from bergamotchute_daemon.order_controller import OrderController, ServiceMembers
+from bergamotchute_daemon.order_gate import FenceTooOld, OrderFailed, OrderGate
+from bergamotchute_daemon.view_holder import ViewHolder
+from bergamotchute_model.commands import Command, CommandResult
+from bergamotchute_model.control_messages import LeaseGrant, ViewDelta
+from bergamotchute_model.identifiers import Address
+from bergamotchute_model.order_messages import Order, ServiceLoad
+from bergamotchute_policy.order_floor import EngineState, OrderFloor
+from bergamotchute_policy.order_keeper import Member
+from bergamotchute_policy.order_rollout import Target
+from bergamotchute_state.control_state import ControlState
+from support.memory_links import MemoryNetwork
+
+SERVICE = "drafting"
+LEASE_S = 3.0
+ORDER_S = 4.0
+ZONES = ("bergamo-b", "brescia-c", "milano-a")
+
+
+@dataclass
+class SlowEngine:
+    """Takes some seconds for each order; carries on whoever asked for it."""
+
+    honours_fencing: bool
+    load: ServiceLoad = field(default_factory=lambda: ServiceLoad(SERVICE, "v1"))
+    running: Order | None = None
+    floor: int = 0
+    ran: list[Order] = field(default_factory=list)
+    breaks: bool = False
+
+    async def state(self) -> EngineState:
+        return EngineState((self.load,), self.running)
+
+    async def carry_out(self, order: Order, fence: int | None) -> None:
+        assert (fence is not None) == self.honours_fencing
+        if fence is not None and fence < self.floor:
+            raise FenceTooOld(self.floor)
+        self.floor = max(self.floor, fence or 0)
+        assert self.running is None
+        self.running = order
+        self.ran.append(order)
+        with anyio.CancelScope(shield=True):
+            await anyio.sleep(ORDER_S)
+        self.running = None
+        if self.breaks:
+            raise OrderFailed
+        self.load = ServiceLoad(SERVICE, order.value)
+
+
+class Deployment:
+    """Engines, gates and controllers of one service."""
+
+    def __init__(self, tasks: TaskGroup, *, honours_fencing: bool) -> None:
+        self.tasks = tasks
+        self.network = MemoryNetwork(tasks)
+        self.state = ControlState()
+        self.index = 0
+        self.views: list[ViewHolder] = []
+        self.target = Target("v1")
+        self.names = [f"{zone}-{number}" for zone in ZONES for number in range(2)]
+        self.engines = {name: SlowEngine(honours_fencing) for name in self.names}
+        self.gates: dict[str, anyio.CancelScope] = {}
+        self.controllers: dict[str, anyio.CancelScope] = {}
+        self.most_busy = 0
+
+    async def propose(self, command: Command) -> CommandResult:
+        await anyio.sleep(0.005)
+        self.index += 1
+        return self.state.apply(command, self.index)
+
+    async def spread_views(self) -> None:
+        while True:
+            revision = self.state.view_revision
+            for view in self.views:
+                changes = self.state.changes_since(view.revision)
+                assert changes is not None
+                view.on_delta(ViewDelta(view.revision, revision, changes))
+                view.on_grant(LeaseGrant(1, LEASE_S, revision), anyio.current_time())
+            busy = sum(engine.running is not None for engine in self.engines.values())
+            self.most_busy = max(self.most_busy, busy)
+            await anyio.sleep(0.1)
+
+    async def run_gate(self, name: str, life: str) -> None:
+        if name in self.gates:
+            self.gates[name].cancel()
+        view = ViewHolder()
+        self.views.append(view)
+        engine = self.engines[name]
+        floor = OrderFloor(name, name[:-2], life)
+        gate = OrderGate(floor, view, engine, engine.honours_fencing, lambda: (SERVICE,))
+        address = Address("10.0.0.1", 1 + self.names.index(name))
+        with anyio.CancelScope() as scope:
+            self.gates[name] = scope
+            self.network.stop_serving(name)
+            self.network.serve(name, address, "/orders", gate.serve_link)
+            await gate.run()
+
+    async def run_controller(self, name: str) -> None:
+        dial = self.network.dial(name, "/orders")
+
+        def services() -> dict[str, ServiceMembers]:
+            members = {one: Member(one, one[:-2], self.target) for one in self.names}
+            return {SERVICE: ServiceMembers(members, 0.75)}
+
+        controller = OrderController(
+            services,
+            lambda endpoint: dial(Address("10.0.0.1", 1 + self.names.index(endpoint))),
+            self.propose,
+            lambda: True,
+            LEASE_S,
+            name,
+        )
+        with anyio.CancelScope() as scope:
+            self.controllers[name] = scope
+            await controller.run()
+
+    def versions(self) -> set[str]:
+        return {engine.load.version for engine in self.engines.values()}
+
+    def orders(self) -> int:
+        return sum(len(engine.ran) for engine in self.engines.values())
+
+    def busy(self) -> str:
+        return next(name for name, one in self.engines.items() if one.running is not None)
+
+
+def play(
+    scenario: Callable[[Deployment], Awaitable[None]], *, honours_fencing: bool = False
+) -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as tasks:
+            deployment = Deployment(tasks, honours_fencing=honours_fencing)
+            tasks.start_soon(deployment.spread_views)
+            for name in deployment.names:
+                tasks.start_soon(deployment.run_gate, name, "0")
+            tasks.start_soon(deployment.run_controller, "entry1")
+            await anyio.sleep(8)
+            await scenario(deployment)
+            assert deployment.most_busy <= 1
+            tasks.cancel_scope.cancel()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+@pytest.mark.parametrize("honours_fencing", [True, False])
+def test_a_new_version_reaches_every_engine_once(honours_fencing: bool) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        deployment.target = Target("v2")
+        await anyio.sleep(80)
+        assert deployment.versions() == {"v2"}
+        assert deployment.orders() == len(deployment.names)
+
+    play(scenario, honours_fencing=honours_fencing)
+
+
+def test_an_order_outlasts_its_controller_and_is_adopted() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        deployment.target = Target("v2")
+        await anyio.sleep(1)
+        assert deployment.busy()
+        deployment.controllers["entry1"].cancel()
+        deployment.tasks.start_soon(deployment.run_controller, "entry2")
+        await anyio.sleep(90)
+        assert deployment.versions() == {"v2"}
+        assert deployment.orders() == len(deployment.names)
+
+    play(scenario)
+
+
+def test_agents_that_restart_during_an_order_do_not_give_it_again() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        deployment.target = Target("v2")
+        for turn in range(8):
+            await anyio.sleep(1.5)
+            for name, engine in deployment.engines.items():
+                if engine.running is not None:
+                    deployment.tasks.start_soon(deployment.run_gate, name, str(turn + 1))
+        await anyio.sleep(120)
+        assert deployment.versions() == {"v2"}
+        assert deployment.orders() == len(deployment.names)
+
+    play(scenario)
+
+
+def test_two_controllers_at_once_give_no_order_twice() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        deployment.tasks.start_soon(deployment.run_controller, "entry2")
+        deployment.target = Target("v2")
+        await anyio.sleep(120)
+        assert deployment.orders() <= len(deployment.names)
+
+    play(scenario)
+
+
+def test_a_version_that_fails_stops_and_the_old_one_serves() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        for engine in deployment.engines.values():
+            engine.breaks = True
+        deployment.target = Target("broken")
+        await anyio.sleep(120)
+        assert deployment.orders() == 2
+        assert deployment.versions() == {"v1"}
+
+    play(scenario)
