Let a link that closes while its task is cancelled end quietly

Cause: a closed link raised inside a task group that was being cancelled; the group wrapped it together with the cancellation, so it was not recognised and ended the controller.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/peer_links.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/peer_links.py
@@ -51,12 +51,11 @@
             with suppress(DialFailed, LinkClosed):
                 async with self.dial(peer) as link, anyio.create_task_group() as tasks:
                     tasks.start_soon(self._receive, link, tasks.cancel_scope)
-                    async for message in outbox:
-                        await link.send(message)
-        except ExceptionGroup as group:
-            _, others = group.split(LinkClosed)
-            if others is not None:
-                raise others from None
+                    # Inside the group, as it would wrap the error together with others.
+                    with suppress(LinkClosed):
+                        async for message in outbox:
+                            await link.send(message)
+                    tasks.cancel_scope.cancel()
         finally:
             self.outboxes.pop(peer).close()
             outbox.close()
