--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/_snapshot_transfer.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/_snapshot_transfer.py
@@ -29,7 +29,7 @@
         snapshot.membership,
         peer.snapshot_offset,
         len(snapshot.data),
-        crc32(snapshot.data),
+        state.snapshot_checksum,
         snapshot.data[peer.snapshot_offset : end],
         state.round,
     )
--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/replica_state.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/replica_state.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 from random import Random
+from zlib import crc32
 
 from bergamotchute_consensus.actions import Action, Apply, Persist, Send
 from bergamotchute_consensus.hard_state import HardState
@@ -86,6 +87,8 @@
         self.random = random
         self.hard_state = recovered.hard_state
         self.snapshot = recovered.snapshot
+        self.checksum_of = 0
+        self.checksum = 0
         self.log = ReplicaLog(recovered.snapshot.index, recovered.snapshot.term, recovered.entries)
         self.memberships: list[tuple[int, Membership]] = [
             (self.snapshot.index, self.snapshot.membership)
@@ -115,6 +118,14 @@
         """The newest term seen."""
         return self.hard_state.term
 
+    @property
+    def snapshot_checksum(self) -> int:
+        """CRC-32 of the newest snapshot, worked out once for each."""
+        if self.checksum_of != self.snapshot.index:
+            self.checksum = crc32(self.snapshot.data)
+            self.checksum_of = self.snapshot.index
+        return self.checksum
+
     @property
     def membership(self) -> Membership:
         """The newest membership in the log, committed or not."""
