Let a replica without a vote lead until the voters hold its log

Cause: a walk of 750,000 states found a group at rest though a quorum of its folders was left: the newest log was at a learner, whose voters may not win without it, and learners didn't stand. Change: a replica without a vote stands late, doesn't count itself, and steps down once its term has a commit. A test builds the case; it fails without the change.

--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/_election.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/_election.py
@@ -11,10 +11,7 @@
 from bergamotchute_consensus.membership import Member
 from bergamotchute_consensus.messages import RequestVote, VoteReply
 from bergamotchute_consensus.progress import Progress
-from bergamotchute_consensus.replica_state import ReplicaRole, ReplicaState
-
-RESIGNED_TIMEOUTS = 4
-"""Election timeouts that a replica which resigned waits longer than others."""
+from bergamotchute_consensus.replica_state import PATIENT_TIMEOUTS, ReplicaRole, ReplicaState
 
 
 def become_follower(state: ReplicaState, term: int, leader: Member | None, now: float) -> None:
@@ -45,7 +42,7 @@
     """Cease to lead and leave the others time to elect one of themselves."""
     if state.leading:
         become_follower(state, state.term, None, now)
-        state.election_deadline += RESIGNED_TIMEOUTS * state.settings.election_timeout_s
+        state.election_deadline += PATIENT_TIMEOUTS * state.settings.election_timeout_s
 
 
 def check_quorum(state: ReplicaState, now: float) -> None:
@@ -58,9 +55,14 @@
 
 
 def on_election_timeout(state: ReplicaState, now: float) -> None:
-    """Ask whether the others would give a vote; learners and blank replicas never stand."""
+    """Ask whether the others would give a vote; blank replicas never stand.
+
+    A replica without a vote stands too, if late, and its own vote counts for nothing: it may hold
+    the newest log of all that are left, without which no voter wins. It leads only until the voters
+    hold that log.
+    """
     state.reset_election_deadline(now)
-    if not state.membership.is_voter(state.me.replica):
+    if not state.membership.voters:
         return
     state.role = ReplicaRole.PRE_CANDIDATE
     state.leader = None
--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/replica.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/replica.py
@@ -89,8 +89,10 @@
         return state.actions
 
     def _removed(self) -> bool:
+        """Return whether this leader has no vote, and the voters hold its log."""
         state = self.state
-        return state.membership_committed and not state.membership.is_voter(state.me.replica)
+        current = state.membership_committed and _replication.may_read(state)
+        return current and not state.membership.is_voter(state.me.replica)
 
     def _dispatch(self, event: Event, now: float) -> None:
         state = self.state
--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/replica_state.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/replica_state.py
@@ -25,6 +25,9 @@
 from bergamotchute_consensus.replica_settings import ReplicaSettings
 from bergamotchute_consensus.snapshot import Snapshot
 
+PATIENT_TIMEOUTS = 4
+"""Election timeouts that a replica waits beyond the usual while another one should lead."""
+
 
 class ReplicaRole(StrEnum):
     """What a replica does at present."""
@@ -217,6 +220,8 @@
         return now - self.leader_heard_at < self.settings.election_timeout_s
 
     def reset_election_deadline(self, now: float) -> None:
-        """Wait between one and two election timeouts from now."""
+        """Wait between one and two election timeouts from now, and longer without a vote."""
         timeout = self.settings.election_timeout_s
         self.election_deadline = now + self.random.uniform(timeout, 2 * timeout)
+        if self.membership.voters and not self.membership.is_voter(self.me.replica):
+            self.election_deadline += PATIENT_TIMEOUTS * timeout
--- a/tests/consensus/test_failures.py
+++ b/tests/consensus/test_failures.py
@@ -277,3 +277,46 @@
 
 def test_an_entry_of_an_older_term_commits_only_with_one_of_the_present_term() -> None:
     replicate_older_term()
+
+
+def test_a_learner_with_the_newest_log_lets_the_voters_go_on() -> None:
+    cluster = Cluster(3)
+    old = cluster.elect()
+    learner = cluster.add_node()
+    cluster.nodes.append(learner)
+    cluster.change(old, AddLearner(learner.member))
+    cluster.settle(1.0)
+    tokens = cluster.propose(old)
+    cluster.settle(1.0)
+    cluster.cut_off.add(old.address)
+    cluster.change(old, PromoteLearner(learner.identity))
+    cluster.write(old)
+    cluster.crash(old, power=True)
+    cluster.network.clear()
+    second, third = others(cluster, old)[:2]
+    while cluster.leader is None:
+        cluster.tick(0.05)
+        for node in cluster.nodes:
+            cluster.write(node)
+            if cluster.leader is not None:
+                break
+            cluster.network, sends = [], cluster.network
+            for send in sends:
+                cluster.deliver(send)
+    newest = cluster.leader
+    last = third if newest is second else second
+    cluster.cut_links.add(frozenset((newest.address, last.address)))
+    cluster.pump()
+    assert learner.replica is not None
+    assert learner.replica.state.log.last_term > 2
+    cluster.crash(newest, power=True)
+    cluster.wipe(newest)
+    cluster.cut_off.clear()
+    cluster.start(old)
+    cluster.settle(20.0)
+    leader = cluster.leader
+    assert leader is not None
+    assert leader in (old, last)
+    more = cluster.propose(leader)
+    cluster.settle(1.0)
+    assert {*tokens, *more} <= cluster.checks.acknowledged
