Excuse a cut by the death of the caller's own entry; follow the newest code in the capacity page

The time line asks running processes with the same token option as the other commands; the demo shows it.

--- a/Makefile
+++ b/Makefile
@@ -72,6 +72,9 @@
 	$(BIN)/pytest; status=$$?; \
 	wait $$scenarios || status=1; cat $(VENV)/scenarios.log; exit $$status
 
+.PHONY: measure
+measure: measure-service measure-experts
+
 .PHONY: matrix
 matrix: env
 	$(BIN)/python -m tools.matrix
--- a/packages/bergamotchute-cli/src/bergamotchute_cli/timeline.py
+++ b/packages/bergamotchute-cli/src/bergamotchute_cli/timeline.py
@@ -14,17 +14,17 @@
 import httpx
 
 from bergamotchute_cli._picture import draw_html, draw_svg
+from bergamotchute_cli.options import ADMIN_TOKEN_FILE_VARIABLE, read_token
 from bergamotchute_model.event_record import EventRecord, parse_event
 from bergamotchute_model.hybrid_clock import HybridStamp
 
 POLL_S = 0.5
 FETCH_TIMEOUT_S = 5.0
 EVENTS_PATH = "/v1/admin/events"
-ADMIN_TOKEN_VARIABLE = "BERGAMOTCHUTE_ADMIN_TOKEN"
 DESCRIPTION = """Merge the numbered events of all processes into one ordered time line.
 
 SOURCE is an event file, a folder of *.jsonl event files, or the HOST:PORT of a running process,
-which is asked with the admin token. docs/EVENTS.md lists the events.
+which is asked with the operators' token. docs/EVENTS.md lists the events.
 
   bergamotchute timeline out/events --request r-17
   bergamotchute timeline 10.0.0.1:8080 10.0.0.2:8080 --follow
@@ -149,14 +149,19 @@
         return records
 
 
-def _sources(names: list[str], admin_token: str) -> list[EventFiles | LiveProcesses]:
+def _sources(names: list[str], admin_token_file: str) -> list[EventFiles | LiveProcesses]:
+    """Return readers of all sources.
+
+    :raises CommandError: when a process is to be asked and there is no token.
+    """
     files = [Path(name) for name in names if Path(name).exists() or ":" not in name]
     live = [name for name in names if ":" in name and not Path(name).exists()]
     sources: list[EventFiles | LiveProcesses] = []
     if files:
         sources.append(EventFiles(files))
     if live:
-        sources.append(LiveProcesses(live, admin_token))
+        token = read_token("--admin-token-file", admin_token_file, ADMIN_TOKEN_FILE_VARIABLE)
+        sources.append(LiveProcesses(live, token))
     return sources
 
 
@@ -206,6 +211,12 @@
     parser.add_argument("--event", default="", help="only this kind of event, by its name")
     parser.add_argument("--follow", action="store_true", help="go on showing what is new")
     parser.add_argument("--output", choices=("text", "json"), default="text")
+    parser.add_argument(
+        "--admin-token-file",
+        default=os.environ.get(ADMIN_TOKEN_FILE_VARIABLE, ""),
+        metavar="FILE",
+        help=f"file with the operators' token (${ADMIN_TOKEN_FILE_VARIABLE})",
+    )
     parser.add_argument("--picture", type=Path, help="also draw FILE.svg or FILE.html")
     parser.set_defaults(run=run_timeline)
 
@@ -221,7 +232,7 @@
         revision=options.revision,
     )
     write = _print_json if options.output == "json" else _print_text
-    sources = _sources(options.sources, os.environ.get(ADMIN_TOKEN_VARIABLE, ""))
+    sources = _sources(options.sources, options.admin_token_file)
 
     def show(record: EventRecord) -> None:
         if selection.takes(record):
--- a/tests/proof/test_checkers.py
+++ b/tests/proof/test_checkers.py
@@ -15,6 +15,7 @@
     EndpointLeaving,
     ExecutionEnded,
     ExecutionStarted,
+    FaultBrought,
     History,
     HistoryEvent,
     ProcessEnded,
@@ -111,5 +112,15 @@
     assert promise in {violation.promise for violation in check(history_of(events))}
 
 
+def test_a_cut_is_excused_only_by_the_death_of_its_own_entry() -> None:
+    broken = edit(CallEnded, named("draft"), ending=Ending.CUT, answer="in the ")
+    cut = tuple(replace(e, completed=False) if e == SOUND[16] else e for e in broken)
+    for dead, red in (("entry-2", True), ("entry-1", False)):
+        struck = (FaultBrought(2.1, dead, "crash"), ProcessEnded(2.1, dead, False))
+        events = tuple(sorted((*cut, *struck), key=lambda event: event.at_s))
+        found = {violation.promise for violation in check(history_of(events))}
+        assert ("planned_stop_cuts_nothing" in found) is red
+
+
 def test_every_promise_has_a_mutant() -> None:
     assert {checker.__name__ for checker in PROMISES} == {promise for promise, _ in MUTANTS}
--- a/tools/bench_messages.py
+++ b/tools/bench_messages.py
@@ -12,8 +12,10 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from random import Random
 from typing import Any
 
+from bergamotchute_daemon.address_book import preferred_entries
 from bergamotchute_model.attempt_messages import (
     AnswerChunk,
     AttemptMessage,
@@ -148,11 +150,18 @@
     return figures
 
 
+def choose_us(entries: int) -> float:
+    """Return what it costs a relay to choose the entries for one question."""
+    known = tuple(entry(index) for index in range(entries))
+    return microseconds(lambda: preferred_entries(known, "milano-a", Random(1)))
+
+
 def main() -> None:
     """Measure, print and write the figures."""
     figures = {
         "python": platform.python_version(),
         "file_characters": FILE_CHARACTERS,
+        "choose_entries_us": {str(number): choose_us(number) for number in (8, 3100)},
         "messages": {
             **measure(ControlMessage, control_messages()),
             **measure(AttemptMessage, attempt_messages()),
--- a/tools/bench_relay_links.py
+++ b/tools/bench_relay_links.py
@@ -1,4 +1,4 @@
-"""What children cost their relay: writes docs/data/bench_relay.json.
+"""What children cost their relay: writes docs/data/bench_relay_links.json.
 
 One process runs the real relay, on a view of 990 files that is always confirmed, and serves N
 children over loopback. Another process holds the children, which renew and announce as entries do.
@@ -48,7 +48,7 @@
 from tools.bench_messages import endpoint, entry
 from tools.fleet import LOOPBACK, Fleet, free_ports
 
-DATA = Path(__file__).resolve().parent.parent / "docs" / "data" / "bench_relay.json"
+DATA = Path(__file__).resolve().parent.parent / "docs" / "data" / "bench_relay_links.json"
 SPAN_S = 4.0
 SETTLE_S = 1.5
 OPEN_AT_ONCE = 20
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, replace
 from pathlib import Path
 
+from bergamotchute_daemon.address_book import CANDIDATES, FRESH_S
 from bergamotchute_daemon.agent import LOAD_REPORT_S
 from bergamotchute_daemon.control_client import RENEW_S
 from bergamotchute_state.claims import ENDED_CLAIMS
@@ -105,7 +106,7 @@
             for path in folder.glob("*.json")
         }
         self.messages = self.files["bench_messages"]["messages"]
-        self.relay = self.files["bench_relay"]["slopes"]
+        self.relay = self.files["bench_relay_links"]["slopes"]
         self.state = self.files["bench_state"]
 
     def bytes(self, message: str) -> float:
@@ -179,6 +180,7 @@
     half_us = s.relay["renewal_us"] / 2
     member_us = s.each("membership_endpoints", "decode_us")
     view_us = s.messages["view_delta_files_1"]["decode_us"]
+    entry_bytes = s.each("membership_entries", "bytes")
     return [
         Line("entry", "links to agents", lambda z: z.watched, "", None, "bounded subset a service"),
         Line(
@@ -233,12 +235,11 @@
         ),
         Line(
             "entry",
-            f"members: entries whose spare share moves a step every {SPARE_STEP_S} s",
-            lambda z: z.nodes / SPARE_STEP_S * s.bytes("membership_entries_1"),
+            "addresses for callers of one zone, asked of the relay",
+            lambda z: (2 * FRAME_BYTES + min(CANDIDATES, z.nodes) * entry_bytes) / FRESH_S,
             "B/s",
             NODE_BYTES_PER_S,
-            "relay's membership deltas",
-            "reckoned",
+            "a report of the best candidates, kept a second",
         ),
         Line(
             "entry",
@@ -337,6 +338,7 @@
 def _relay(s: Slopes) -> list[Line]:
     idle_us, renewal_us = float(s.relay["idle_link_us_per_s"]), float(s.relay["renewal_us"])
     view_us, member_us = float(s.relay["view_us"]), float(s.relay["member_us"])
+    choose_us = float(s.files["bench_messages"]["choose_entries_us"]["3100"])
 
     def processor(z: Size, children: float) -> float:
         return (
@@ -365,13 +367,21 @@
         ),
         Line(
             "relay",
-            "processor: spare shares of all entries to all children",
-            lambda z: z.children * z.nodes / SPARE_STEP_S * s.relay["member_us"],
+            f"processor: spare shares of all entries, a step every {SPARE_STEP_S} s, over relays",
+            lambda z: 2 * z.nodes / SPARE_STEP_S * member_us,
             "us/s",
             VM_US_PER_S,
-            "membership deltas",
+            "membership deltas between relays",
             "reckoned",
         ),
+        Line(
+            "relay",
+            "processor: choosing entries for its children's callers",
+            lambda z: z.nodes / z.relays / FRESH_S * (choose_us * z.nodes / 3100 + renewal_us / 2),
+            "us/s",
+            VM_US_PER_S,
+            "each question looks at all entries",
+        ),
         Line(
             "relay",
             "network: children's leases and the changes to them",
@@ -406,6 +416,10 @@
 def _voter(s: Slopes) -> list[Line]:
     apply_us = s.state["changes"]["apply_us"]
     claim_us = s.state["ended_claims"]["apply_us"]
+    claims = s.files["bench_control"]["claims"]
+    leader_us = next(
+        float(row["leader_processor_us_per_claim"]) for row in claims if row["proposers"] == 64
+    )
     stages = ("changes", "finished_claims", "ended_claims", "open_claims", "fences")
     full_mb = sum(float(s.state[stage]["rss_added_bytes"]) for stage in stages) / MEGABYTE
     return [
@@ -427,6 +441,14 @@
             VM_US_PER_S,
             "replicated state machine",
         ),
+        Line(
+            "control voter",
+            "processor of the leader: claims, 64 under way together",
+            lambda z: z.claims_per_s * leader_us,
+            "us/s",
+            VM_US_PER_S,
+            "group commit",
+        ),
         Line(
             "control voter",
             "memory: process, and the state at its stated bounds",
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -23,7 +23,7 @@
 import httpx
 
 from tools.demo_files import DemoFiles, DemoTeam
-from tools.deployment import Deployment, EntryVm
+from tools.deployment import ADMIN_TOKEN_FILE, Deployment, EntryVm
 from tools.fakes.engine import answer_text
 from tools.fleet import ROOT, Fleet
 
@@ -35,6 +35,7 @@
 RECOVERY_S = 15.0
 LONG_TOKENS = 240
 TIMELINE_LINES = 12
+CLI = str(Path(sys.executable).parent / "bergamotchute")
 
 
 class DemoFailed(Exception):
@@ -91,6 +92,7 @@
         await self.order()
         await self.drain_during_a_stream()
         await self.lose_the_leader()
+        await self.ask_live()
         await self.stop()
 
     async def start(self) -> None:
@@ -328,6 +330,16 @@
         await self.answers(entry, "/readyz")
         self.check(f"{name} is back and confirmed", True)
 
+    async def ask_live(self) -> None:
+        """Ask the running entries for their events."""
+        addresses = [entry.address for entry in self.deployment.entries]
+        token = str(self.deployment.folder / ADMIN_TOKEN_FILE)
+        command = ["timeline", *addresses, "--admin-token-file", token, "--event", "view_confirmed"]
+        shown = await anyio.run_process([CLI, *command, "--output", "json"], check=False)
+        told = {json.loads(line)["process"] for line in shown.stdout.splitlines()}
+        known = {entry.name for entry in self.deployment.entries}
+        self.check("a live time line of all 5 running entries", told == known)
+
     async def stop(self) -> None:
         """Stop everything in order."""
         self.say("stopping all processes (SIGTERM)")
@@ -346,7 +358,7 @@
         """Print the end of the merged time line, and each check."""
         events = self.deployment.folder / "events"
         picture = self.deployment.folder / "timeline.html"
-        command = [str(Path(sys.executable).parent / "bergamotchute"), "timeline", str(events)]
+        command = [CLI, "timeline", str(events)]
         shown = subprocess.run(
             [*command, "--picture", str(picture)], capture_output=True, text=True, check=False
         )
