--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/agent.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/agent.py
@@ -4,7 +4,7 @@
 
 import json
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, TypeAlias
 
 import anyio
 from anyio.abc import TaskGroup
@@ -42,10 +42,14 @@
     EndpointUnreached,
 )
 from bergamotchute_wire.link import Link, LinkClosed
+from bergamotchute_wire.outbox import Outbox
 
 LOAD_REPORT_S = 0.25
 """How often an agent tells its entries how busy it is."""
 
+GATHER_S = 0.002
+"""How long a message to an entry waits for others to join it; runners give many tokens at once."""
+
 ANSWER_S = 120.0
 """How long an endpoint may send nothing at all."""
 
@@ -56,19 +60,21 @@
 
 EVENT_STREAM = "text/event-stream"
 
+EntryOutbox: TypeAlias = Outbox[AttemptMessage]
+
 
 @dataclass
 class Execution:
     """An attempt in execution.
 
-    :param link: where its answer goes; ``None`` once its entry is gone.
+    :param outbox: where its answer goes; ``None`` once its entry is gone.
     :param credit_bytes: how many bytes of answer may still be sent.
     :param heard_at: when the endpoint last sent something, on the runtime's clock.
     :param silent: it was stopped because its endpoint fell silent.
     """
 
     message: StartAttempt
-    link: Link[AttemptMessage] | None
+    outbox: EntryOutbox | None
     credit_bytes: int
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     credit_granted: anyio.Event = field(default_factory=anyio.Event)
@@ -111,24 +117,32 @@
         self.log = log
         self.tasks = tasks
         self.executions: dict[AttemptId, Execution] = {}
-        self.links: set[Link[AttemptMessage]] = set()
+        self.outboxes: set[EntryOutbox] = set()
         self.load_sequence = 0
         self.idle = anyio.Event()
 
     async def serve_link(self, link: Link[AttemptMessage]) -> None:
         """Serve one entry until its link closes."""
-        hello = Hello(self.table.endpoint, Role.AGENT, self.table.incarnation)
-        self.links.add(link)
+        outbox: EntryOutbox = Outbox(link, GATHER_S)
+        outbox.post(Hello(self.table.endpoint, Role.AGENT, self.table.incarnation))
+        outbox.post(self.load(outbox))
+        self.outboxes.add(outbox)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(outbox.run)
+                await self._read(link, outbox)
+                tasks.cancel_scope.cancel()
+        finally:
+            self.outboxes.discard(outbox)
+            self._on_link_closed(outbox)
+
+    async def _read(self, link: Link[AttemptMessage], outbox: EntryOutbox) -> None:
+        """Take an entry's messages until its link closes."""
         try:
-            await link.send(hello)
-            await link.send(self.load(link))
             while True:
-                await self._on_message(link, await link.receive())
+                self._on_message(outbox, await link.receive())
         except LinkClosed as closed:
             self.log.emit(events.LINK_CLOSED, peer=link.peer, reason=closed.reason)
-        finally:
-            self.links.discard(link)
-            self._on_link_closed(link)
 
     async def report_load(self) -> None:
         """Tell all entries how busy the endpoint is, again and again."""
@@ -164,32 +178,32 @@
             return False
         return True
 
-    async def _on_message(self, link: Link[AttemptMessage], message: AttemptMessage) -> None:
+    def _on_message(self, outbox: EntryOutbox, message: AttemptMessage) -> None:
         """Handle one message of an entry; unknown kinds are for later protocol versions."""
         match message:
             case StartAttempt():
-                await self.on_start_attempt(link, message)
+                self.on_start_attempt(outbox, message)
             case GrantCredit():
                 self.on_grant_credit(message)
             case CancelAttempt():
-                await self.on_cancel_attempt(link, message)
+                self.on_cancel_attempt(outbox, message)
             case QueryAttempt():
-                await self.on_query_attempt(link, message)
+                self.on_query_attempt(outbox, message)
             case _:
                 pass
 
-    async def on_start_attempt(self, link: Link[AttemptMessage], message: StartAttempt) -> None:
+    def on_start_attempt(self, outbox: EntryOutbox, message: StartAttempt) -> None:
         """Start an attempt, or say why not."""
         decision = self.table.on_start_attempt(message)
         match decision:
             case Accepted():
-                execution = Execution(message, link, message.credit_bytes)
+                execution = Execution(message, outbox, message.credit_bytes)
                 self.executions[message.attempt] = execution
                 self.tasks.start_soon(self._execute, execution)
             case Refused(verdict, code):
                 self._emit(events.ATTEMPT_REFUSED, message.attempt, verdict=verdict, code=code)
                 detail = f"the agent of {self.table.endpoint} refused the attempt: {code}"
-                await link.send(AttemptFailed(message.attempt, verdict, code, detail))
+                outbox.post(AttemptFailed(message.attempt, verdict, code, detail))
             case _:
                 pass
 
@@ -200,19 +214,19 @@
             execution.credit_bytes += message.credit_bytes
             execution.credit_granted.set()
 
-    async def on_cancel_attempt(self, link: Link[AttemptMessage], message: CancelAttempt) -> None:
+    def on_cancel_attempt(self, outbox: EntryOutbox, message: CancelAttempt) -> None:
         """Stop an attempt; one that never came is barred."""
         execution = self.executions.get(message.attempt)
         if execution is not None:
             execution.scope.cancel()
             return
         record = self.table.on_query_attempt(message.attempt)
-        await link.send(AttemptReport("", record.attempt, record.state))
+        outbox.post(AttemptReport("", record.attempt, record.state))
 
-    async def on_query_attempt(self, link: Link[AttemptMessage], message: QueryAttempt) -> None:
+    def on_query_attempt(self, outbox: EntryOutbox, message: QueryAttempt) -> None:
         """Report what became of an attempt."""
         record = self.table.on_query_attempt(message.attempt)
-        await link.send(
+        outbox.post(
             AttemptReport(
                 message.query_id,
                 message.attempt,
@@ -223,11 +237,11 @@
             )
         )
 
-    def _on_link_closed(self, link: Link[AttemptMessage]) -> None:
+    def _on_link_closed(self, outbox: EntryOutbox) -> None:
         """Stop the idempotent attempts of a lost entry; the others run to their end."""
         for execution in list(self.executions.values()):
-            if execution.link is link:
-                execution.link = None
+            if execution.outbox is outbox:
+                execution.outbox = None
                 execution.credit_granted.set()
                 if execution.message.idempotent:
                     execution.scope.cancel()
@@ -248,7 +262,7 @@
                 ending = self._failed(execution, Verdict.MAY_HAVE_RUN, "endpoint_silent", "")
         finally:
             self._record(execution, ending)
-        await self._send(execution, ending)
+        self._send(execution, ending)
 
     async def _call(self, execution: Execution) -> AttemptMessage:
         """Call the endpoint and pass its answer on; return the closing message."""
@@ -258,9 +272,7 @@
         )
         try:
             async with self.call_endpoint(request) as answer:
-                await self._send(
-                    execution, AnswerHead(message.attempt, answer.status, answer.headers)
-                )
+                self._send(execution, AnswerHead(message.attempt, answer.status, answer.headers))
                 content_type = dict(answer.headers).get("content-type", "")
                 splitter = EventSplitter() if content_type.startswith(EVENT_STREAM) else None
                 kept = bytearray()
@@ -290,7 +302,7 @@
             data, number = splitter.feed(data)
         if not data:
             return
-        while execution.credit_bytes <= 0 and execution.link is not None:
+        while execution.credit_bytes <= 0 and execution.outbox is not None:
             execution.waits_for_credit = True
             execution.credit_granted = anyio.Event()
             await execution.credit_granted.wait()
@@ -301,7 +313,7 @@
         chunk = AnswerChunk(execution.message.attempt, execution.sequence, data, number)
         execution.sequence += 1
         execution.events += number
-        await self._send(execution, chunk)
+        self._send(execution, chunk)
 
     def _headers(self, message: StartAttempt) -> tuple[tuple[str, str], ...]:
         """Return the caller's headers with the attempt's identity added."""
@@ -336,25 +348,21 @@
             **fields,
         )
 
-    async def _send(self, execution: Execution, message: AttemptMessage) -> None:
+    def _send(self, execution: Execution, message: AttemptMessage) -> None:
         """Send to the attempt's entry, if it is still there."""
-        if execution.link is None:
-            return
-        try:
-            await execution.link.send(message)
-        except LinkClosed:
-            execution.link = None
+        if execution.outbox is not None:
+            execution.outbox.post(message)
 
     def _send_load(self) -> None:
         """Report to every entry, without waiting for a slow one."""
-        for link in list(self.links):
-            self.tasks.start_soon(_send_quietly, link, self.load(link))
+        for outbox in self.outboxes:
+            outbox.post(self.load(outbox))
 
-    def load(self, link: Link[AttemptMessage]) -> EndpointLoad:
-        """Return the present load as the entry behind ``link`` is to see it."""
+    def load(self, outbox: EntryOutbox) -> EndpointLoad:
+        """Return the present load as the entry behind an outbox is to see it."""
         self.load_sequence += 1
         running = list(self.executions.values())
-        own = [execution for execution in running if execution.link is link]
+        own = [execution for execution in running if execution.outbox is outbox]
         return EndpointLoad(
             endpoint=self.table.endpoint,
             incarnation=self.table.incarnation,
@@ -367,7 +375,7 @@
             long=_count_long(running),
             yours=len(own),
             yours_long=_count_long(own),
-            entries=max(1, len({id(execution.link) for execution in running})),
+            entries=max(1, len({id(execution.outbox) for execution in running})),
         )
 
 
@@ -376,14 +384,6 @@
     return sum(execution.message.long for execution in executions)
 
 
-async def _send_quietly(link: Link[AttemptMessage], message: AttemptMessage) -> None:
-    """Send, and leave a closed link to its reader."""
-    try:
-        await link.send(message)
-    except LinkClosed:
-        return
-
-
 def _body(message: StartAttempt) -> bytes:
     """Return the body for the endpoint; a resumed stream says how far it came."""
     if not message.resume_offset:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/answer_buffer.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/answer_buffer.py
@@ -26,6 +26,9 @@
     :param problem: why it will never be whole.
     :param read_bytes: how far the foremost reader has come.
     :param readers: callers that read now.
+    :param changed: set, and replaced, when the answer grows or ends.
+    :param read_on: set, and replaced, when a reader passes :attr:`read_mark`.
+    :param readers_changed: set, and replaced, when a caller comes or goes.
     """
 
     status: int = 0
@@ -37,7 +40,10 @@
     readers: int = 0
     ended: bool = False
     problem: Problem | None = None
+    read_mark: float = float("inf")
     changed: anyio.Event = field(default_factory=anyio.Event)
+    read_on: anyio.Event = field(default_factory=anyio.Event)
+    readers_changed: anyio.Event = field(default_factory=anyio.Event)
 
     def begin(self, status: int, headers: Headers) -> None:
         """Set the head; later ones, of resumed attempts, change nothing."""
@@ -78,19 +84,25 @@
         while not self.finished:
             await self.changed.wait()
 
-    async def wait_changed(self) -> None:
-        """Wait until anything changes."""
-        await self.changed.wait()
+    async def wait_read(self, total_bytes: int) -> None:
+        """Wait until a reader has come this far."""
+        self.read_mark = total_bytes
+        while self.read_bytes < total_bytes:
+            await self.read_on.wait()
+
+    async def wait_readers(self, present: bool) -> None:
+        """Wait until some caller reads, or until none does."""
+        while bool(self.readers) is not present:
+            await self.readers_changed.wait()
 
     @contextmanager
     def reading(self) -> Iterator[None]:
         """Count a caller that waits for the answer or reads it."""
-        self.readers += 1
+        self._count_readers(+1)
         try:
             yield
         finally:
-            self.readers -= 1
-            self._notify()
+            self._count_readers(-1)
 
     async def read(self, skip_events: int = 0) -> AsyncIterator[bytes]:
         """Yield the body to its end, or to where it broke off.
@@ -120,9 +132,15 @@
         return len(self.chunks), 0
 
     def _on_read(self, position: int) -> None:
-        if position > self.read_bytes:
-            self.read_bytes = position
-            self._notify()
+        self.read_bytes = max(self.read_bytes, position)
+        if self.read_bytes >= self.read_mark:
+            self.read_on.set()
+            self.read_on = anyio.Event()
+
+    def _count_readers(self, number: int) -> None:
+        self.readers += number
+        self.readers_changed.set()
+        self.readers_changed = anyio.Event()
 
     def _notify(self) -> None:
         self.changed.set()
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/caller_api.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/caller_api.py
@@ -186,8 +186,7 @@
         """Keep an answer for its caller to reconnect, then drop it."""
         if exchange.request.stream:
             await anyio.sleep(RECONNECT_S)
-        while exchange.answer.readers:
-            await exchange.answer.wait_changed()
+        await exchange.answer.wait_readers(False)
         self.exchanges.pop(exchange.request.request_id, None)
 
     async def _observe_first_byte(self, exchange: Exchange, received_at: float) -> None:
@@ -201,13 +200,11 @@
         grace_s = RECONNECT_S if exchange.request.stream else LEAVE_S
         while True:
             with anyio.move_on_after(grace_s) as patience:
-                while not answer.readers:
-                    await answer.wait_changed()
+                await answer.wait_readers(True)
             if patience.cancelled_caught:
                 scope.cancel()
                 return
-            while answer.readers:
-                await answer.wait_changed()
+            await answer.wait_readers(False)
 
     async def _send_answer(
         self, exchange: Exchange, receive: Receive, send: Send, offset: int
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/endpoint_connector.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/endpoint_connector.py
@@ -9,7 +9,7 @@
 from typing import TypeAlias
 
 import anyio
-from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+from anyio.streams.memory import MemoryObjectSendStream
 
 from bergamotchute_daemon.backoff import Backoff
 from bergamotchute_daemon.event_log import EventLog
@@ -38,12 +38,7 @@
 OnLink: TypeAlias = Callable[[bool], None]
 """Told whether attempts can be sent now."""
 
-QUEUED_MESSAGES = 100_000
-"""More than credit allows one attempt to have under way."""
-
-
-class LinkLost(Exception):
-    """The link broke while an attempt was under way; it may have run."""
+OnAnswer: TypeAlias = Callable[[AnswerMessage], bool]
 
 
 class NotSent(Exception):
@@ -52,23 +47,17 @@
 
 @dataclass
 class AttemptChannel:
-    """The answer messages of one attempt in flight."""
+    """Where the answer messages of one attempt in flight go.
+
+    :param on_message: takes each message in order; returns whether the attempt is over.
+    :param over: set when the attempt is over, or its link broke.
+    """
 
     attempt: AttemptId
-    sender: MemoryObjectSendStream[AnswerMessage]
-    receiver: MemoryObjectReceiveStream[AnswerMessage]
+    on_message: OnAnswer
+    over: anyio.Event = field(default_factory=anyio.Event)
     next_sequence: int = 0
 
-    async def receive(self) -> AnswerMessage:
-        """Return the next message.
-
-        :raises LinkLost: when the link broke.
-        """
-        try:
-            return await self.receiver.receive()
-        except anyio.EndOfStream as error:
-            raise LinkLost(str(self.attempt)) from error
-
 
 @dataclass
 class EndpointConnector:
@@ -111,28 +100,26 @@
             self.gone = True
             self._set_link(None)
 
-    async def start(self, message: StartAttempt) -> AttemptChannel:
-        """Send an attempt; its answer comes on the channel, which must be closed by :meth:`end`.
+    async def start(self, message: StartAttempt, on_message: OnAnswer) -> AttemptChannel:
+        """Send an attempt; the returned channel must be closed by :meth:`end`.
 
+        :param on_message: takes its answer messages.
         :raises NotSent: when there is no link; the attempt was not run.
         """
         link = self.link
         if link is None:
             raise NotSent(self.endpoint)
-        sender, receiver = anyio.create_memory_object_stream[AnswerMessage](QUEUED_MESSAGES)
-        channel = AttemptChannel(message.attempt, sender, receiver)
+        channel = AttemptChannel(message.attempt, on_message)
         self.channels[message.attempt] = channel
         with suppress(LinkClosed):
             await link.send(message)
         if self.link is not link:
-            sender.close()
+            channel.over.set()
         return channel
 
     def end(self, channel: AttemptChannel) -> None:
         """Forget an attempt; what still comes for it is dropped."""
         self.channels.pop(channel.attempt, None)
-        channel.sender.close()
-        channel.receiver.close()
 
     async def cancel(self, attempt: AttemptId) -> None:
         """Ask the agent to stop an attempt."""
@@ -230,14 +217,15 @@
                 message=message.kind,
             )
             return
-        with suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
-            channel.sender.send_nowait(message)
+        if channel.on_message(message):
+            self.channels.pop(message.attempt, None)
+            channel.over.set()
 
     def _set_link(self, link: Link[AttemptMessage] | None) -> None:
         """Take a new link into use, or none; attempts of the old one are lost."""
         if self.link is not None:
             for channel in self.channels.values():
-                channel.sender.close()
+                channel.over.set()
             for sender in self.queries.values():
                 sender.close()
         if (link is None) != (self.link is None):
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/request_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/request_runner.py
@@ -11,9 +11,9 @@
 from bergamotchute_daemon._stream_resume import stream_position
 from bergamotchute_daemon.answer_buffer import AnswerBuffer
 from bergamotchute_daemon.endpoint_connector import (
+    AnswerMessage,
     AttemptChannel,
     EndpointConnector,
-    LinkLost,
     NotSent,
 )
 from bergamotchute_daemon.event_log import EventLog
@@ -150,23 +150,38 @@
             attempt=attempt.number,
             resumed_at=message.resume_offset,
         )
+        carrier = _Carrier(exchange)
         try:
-            channel = await connector.start(message)
+            channel = await connector.start(message, carrier.on_message)
         except NotSent:
             return AttemptResult(Verdict.NOT_RUN, "no_link")
-        over = False
         try:
-            with anyio.move_on_after(left):
-                result = await _carry(exchange, connector, channel)
-                over = result.code != "link_lost"
-                return result
-            return AttemptResult(Verdict.MAY_HAVE_RUN, "deadline")
+            return await self._wait_end(exchange, connector, channel, carrier)
         finally:
             connector.end(channel)
-            if not over and exchange.request.idempotent:
+            if carrier.result is None and exchange.request.idempotent:
                 with anyio.CancelScope(shield=True):
                     await connector.cancel(attempt)
 
+    async def _wait_end(
+        self,
+        exchange: Exchange,
+        connector: EndpointConnector,
+        channel: AttemptChannel,
+        carrier: _Carrier,
+    ) -> AttemptResult:
+        """Wait for the attempt's end, or for the deadline, and give credit meanwhile."""
+        left = exchange.request.deadline - anyio.current_time()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_grant_credit, exchange.answer, connector, channel.attempt)
+            with anyio.move_on_after(left):
+                await channel.over.wait()
+            tasks.cancel_scope.cancel()
+        if carrier.result is not None:
+            return carrier.result
+        code = "link_lost" if channel.over.is_set() else "deadline"
+        return AttemptResult(Verdict.MAY_HAVE_RUN, code)
+
     async def _try_again(self, exchange: Exchange, result: AttemptResult) -> bool:
         """Decide on another attempt and wait until it is due."""
         if exchange.answer.total_bytes and not exchange.request.stream:
@@ -217,55 +232,15 @@
     )
 
 
-async def _carry(
-    exchange: Exchange, connector: EndpointConnector, channel: AttemptChannel
-) -> AttemptResult:
-    """Move answer messages into the answer until the attempt ends."""
-    carrier = _Carrier(exchange)
-    try:
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_grant_credit, exchange.answer, connector, channel.attempt)
-            result = await _receive_all(carrier, channel)
-            tasks.cancel_scope.cancel()
-    except BaseExceptionGroup as group:
-        if len(group.exceptions) > 1:
-            raise
-        raise group.exceptions[0] from None
-    return result
-
-
-async def _receive_all(carrier: _Carrier, channel: AttemptChannel) -> AttemptResult:
-    """Receive until the attempt ends."""
-    while True:
-        try:
-            message = await channel.receive()
-        except LinkLost:
-            return AttemptResult(Verdict.MAY_HAVE_RUN, "link_lost")
-        match message:
-            case AnswerHead():
-                refused = carrier.on_head(message)
-                if refused is not None:
-                    return refused
-            case AnswerChunk():
-                carrier.on_chunk(message)
-            case AnswerEnd():
-                carrier.on_end()
-                return AttemptResult(Verdict.COMPLETED, "completed")
-            case AttemptFailed():
-                failed = message.verdict is not Verdict.NOT_RUN
-                return AttemptResult(message.verdict, message.code, failed)
-
-
 async def _grant_credit(
     answer: AnswerBuffer, connector: EndpointConnector, attempt: AttemptId
 ) -> None:
     """Give credit back as callers read, so that a slow caller holds up only its own answer."""
     granted = answer.read_bytes
     while True:
-        await answer.wait_changed()
-        if answer.read_bytes - granted >= CREDIT_BYTES // 2:
-            await connector.grant_credit(attempt, answer.read_bytes - granted)
-            granted = answer.read_bytes
+        await answer.wait_read(granted + CREDIT_BYTES // 2)
+        await connector.grant_credit(attempt, answer.read_bytes - granted)
+        granted = answer.read_bytes
 
 
 class _Carrier:
@@ -275,6 +250,7 @@
     :data:`HELD_BYTES`, until it is whole, so that another attempt can still replace it.
 
     :param exchange: when earlier attempts have given the answer's beginning, this one resumes it.
+    :param result: how the attempt ended, by its own messages; ``None`` before that.
     """
 
     def __init__(self, exchange: Exchange) -> None:
@@ -284,6 +260,21 @@
         self.head: tuple[int, Headers] | None = None
         self.held: list[bytes] = []
         self.held_bytes = 0
+        self.result: AttemptResult | None = None
+
+    def on_message(self, message: AnswerMessage) -> bool:
+        """Take one message; return whether the attempt is over."""
+        match message:
+            case AnswerChunk():
+                self.on_chunk(message)
+            case AnswerHead():
+                self.result = self.on_head(message)
+            case AnswerEnd():
+                self.on_end()
+                self.result = AttemptResult(Verdict.COMPLETED, "completed")
+            case AttemptFailed(verdict=verdict, code=code):
+                self.result = AttemptResult(verdict, code, verdict is not Verdict.NOT_RUN)
+        return self.result is not None
 
     def on_head(self, message: AnswerHead) -> AttemptResult | None:
         """Take the head; return how the attempt failed if the head says so."""
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/link.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/link.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from contextlib import AbstractAsyncContextManager
 from typing import Protocol, TypeAlias, TypeVar
 
@@ -41,6 +41,12 @@
         :raises LinkClosed: when the link is gone; the message may or may not arrive.
         """
 
+    async def send_all(self, messages: Sequence[Message]) -> None:
+        """Send messages together; returns once they are handed to the transport.
+
+        :raises LinkClosed: when the link is gone; they may or may not arrive.
+        """
+
     async def receive(self) -> Message:
         """Return the next message.
 
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/outbox.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/outbox.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from typing import Generic, TypeVar
 
 import anyio
@@ -14,14 +15,21 @@
 """A peer that lets more than this wait has stopped reading; its link is closed."""
 
 
+TOGETHER_MESSAGES = 64
+
+
 class Outbox(Generic[Message]):
     """Sends posted messages in the order they were posted.
 
+    Messages that wait together leave together.
+
     :param link: where they go; :meth:`run` must run as long as the link is served.
+    :param gather_s: how long a first message waits for others to join it, in seconds.
     """
 
-    def __init__(self, link: Link[Message]) -> None:
+    def __init__(self, link: Link[Message], gather_s: float = 0.0) -> None:
         self.link = link
+        self.gather_s = gather_s
         self._sender, self._receiver = anyio.create_memory_object_stream[Message](OUTBOX_MESSAGES)
 
     def post(self, message: Message) -> None:
@@ -33,11 +41,21 @@
         except (anyio.ClosedResourceError, anyio.BrokenResourceError):
             return
 
+    def _waiting(self) -> Iterator[Message]:
+        """Yield what waits now, up to :data:`TOGETHER_MESSAGES`."""
+        for _ in range(TOGETHER_MESSAGES - 1):
+            try:
+                yield self._receiver.receive_nowait()
+            except (anyio.WouldBlock, anyio.EndOfStream):
+                return
+
     async def run(self) -> None:
         """Send until the link closes or too much waits; then close the link."""
         try:
             async for message in self._receiver:
-                await self.link.send(message)
+                if self.gather_s:
+                    await anyio.sleep(self.gather_s)
+                await self.link.send_all([message, *self._waiting()])
         except LinkClosed:
             pass
         finally:
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/web_socket_link.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/web_socket_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Sequence
 from typing import Generic, TypeVar
 
 import anyio
@@ -48,6 +49,7 @@
         self._protocol = protocol
         self._codec = codec
         self._received: deque[Frame] = deque()
+        self._messages: deque[Message] = deque()
         self._outgoing: list[bytes] = []
         self._write_lock = anyio.Lock()
         # The peer's first messages may have come together with its handshake.
@@ -58,9 +60,16 @@
 
         :raises LinkClosed: when the link is gone; the message may or may not arrive.
         """
+        await self.send_all((message,))
+
+    async def send_all(self, messages: Sequence[Message]) -> None:
+        """Send messages in one frame; returns once the transport took them.
+
+        :raises LinkClosed: when the link is gone; they may or may not arrive.
+        """
         if self.closed_reason or self._protocol.state is not State.OPEN:
             raise LinkClosed(self.closed_reason or "closing")
-        self._protocol.send_binary(self._codec.encode(message))
+        self._protocol.send_binary(self._codec.encode_all(messages))
         await self._flush()
 
     async def receive(self) -> Message:
@@ -68,12 +77,14 @@
 
         :raises LinkClosed: when no more will come, or the peer sent what is no message.
         """
-        while True:
+        while not self._messages:
             while self._received:
                 frame = self._received.popleft()
                 if frame.opcode is Opcode.BINARY:
-                    return await self._decode(bytes(frame.data))
-            await self._read_more()
+                    self._messages.extend(await self._decode(bytes(frame.data)))
+            if not self._messages:
+                await self._read_more()
+        return self._messages.popleft()
 
     async def aclose(self) -> None:
         """Say goodbye if the transport still takes it, then close; safe to call again."""
@@ -94,10 +105,10 @@
                 self._protocol.send_ping(b"")
                 await self._flush_quietly()
 
-    async def _decode(self, data: bytes) -> Message:
-        """Decode one message; a malformed one closes the link."""
+    async def _decode(self, data: bytes) -> list[Message]:
+        """Decode the messages of one frame; a malformed one closes the link."""
         try:
-            return self._codec.decode(data)
+            return self._codec.decode_all(data)
         except MalformedMessageError as error:
             await self._abort(f"malformed message: {error}")
             raise LinkClosed(self.closed_reason) from error
--- a/tests/support/memory_links.py
+++ b/tests/support/memory_links.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any
@@ -35,6 +35,11 @@
         assert self.other is not None
         self.network.carry(self, self.other, message)
 
+    async def send_all(self, messages: Sequence[Any]) -> None:
+        """Hand messages to the network one after the other."""
+        for message in messages:
+            await self.send(message)
+
     async def receive(self) -> Any:
         """Return the next message."""
         try:
--- a/tools/bench_relay.py
+++ b/tools/bench_relay.py
@@ -12,14 +12,14 @@
 import json
 import os
 import tempfile
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, replace
 from pathlib import Path
 
 import anyio
 import httpx
 
 from tools.bench_files import TEAM_TOKEN, put_files
-from tools.deployment import Deployment
+from tools.deployment import Deployment, EndpointPlan
 from tools.fleet import LOOPBACK, ROOT, Fleet, free_ports
 
 OUTPUT = ROOT / "docs" / "data" / "bench_relay.json"
@@ -122,10 +122,10 @@
 def plan(fleet: Fleet, folder: Path, slots: int) -> Deployment:
     """Lay out one entry with a voter and a few engines."""
     deployment = Deployment(fleet, folder)
-    deployment.plan(("zone-a",), 1, 0, {"drafts": ENGINES})
+    deployment.plan(("zone-a",), 1, 0, [EndpointPlan("drafts", ("drafts",), ENGINES)])
     for index, endpoint in enumerate(deployment.endpoints):
-        wide = {"slots": slots, "tokens_per_s": TOKENS_PER_S}
-        deployment.endpoints[index] = type(endpoint)(**{**asdict(endpoint), **wide})
+        wide = replace(endpoint, slots=slots, tokens_per_s=TOKENS_PER_S)
+        deployment.endpoints[index] = wide
     return deployment
 
 
--- a/tools/proof/network.py
+++ b/tools/proof/network.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterator, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator, Mapping, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from random import Random
@@ -101,6 +101,14 @@
             raise LinkClosed(self.closed_reason)
         self.network.carry(self, message)
 
+    async def send_all(self, messages: Sequence[Any]) -> None:
+        """Send messages one after the other.
+
+        :raises LinkClosed: when the link is gone.
+        """
+        for message in messages:
+            await self.send(message)
+
     async def receive(self) -> Any:
         """Return the next message.
 
