--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 VENV := .venv
 BIN := $(VENV)/bin
 export PIP_DISABLE_PIP_VERSION_CHECK = 1
+# The order of sets of texts is the same in each run.
+export PYTHONHASHSEED = 0
 PACKAGES := model state policy consensus wire daemon cli
 SOURCES := packages tests tools scenarios
 READY := $(VENV)/.ready
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/agent.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/agent.py
@@ -117,7 +117,7 @@
         self.log = log
         self.tasks = tasks
         self.executions: dict[AttemptId, Execution] = {}
-        self.outboxes: set[EntryOutbox] = set()
+        self.outboxes: list[EntryOutbox] = []
         self.load_sequence = 0
         self.idle = anyio.Event()
 
@@ -126,14 +126,14 @@
         outbox: EntryOutbox = Outbox(link, GATHER_S)
         outbox.post(Hello(self.table.endpoint, Role.AGENT, self.table.incarnation))
         outbox.post(self.load(outbox))
-        self.outboxes.add(outbox)
+        self.outboxes.append(outbox)
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(outbox.run)
                 await self._read(link, outbox)
                 tasks.cancel_scope.cancel()
         finally:
-            self.outboxes.discard(outbox)
+            self.outboxes.remove(outbox)
             self._on_link_closed(outbox)
 
     async def _read(self, link: Link[AttemptMessage], outbox: EntryOutbox) -> None:
