Leave an entry with a backlog its share of full endpoints

Cause: an entry whose teams queue got no room beyond the slots, and its even share of an endpoint counted as such room. An entry that refills each freed slot at once then kept the other one out: at a crest of 110 requests a second, 2.2 times the capacity, short work waited 30 s (p99) where the queue that knows sizes gives 4.4 s.

--- a/packages/bergamotchute-policy/src/bergamotchute_policy/endpoint_book.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/endpoint_book.py
@@ -125,16 +125,18 @@
 
         Those with a free slot; when there are none, those that may hold more than their slots.
 
-        :param spare: whether a short request may take such room beyond the slots.
+        :param spare: whether a short request may take such room; the entry's even share of each
+            endpoint is its own in any case.
         """
         usable = self.usable(now)
         if size is Size.LONG:
             self._set_long_share(usable, now)
             return [record for record in usable if self._has_long_room(record, now)]
         free = [record for record in usable if self._has_free_slot(record, now)]
-        if free or not spare:
+        if free:
             return free
-        return [record for record in usable if self._has_spare_room(record, now)]
+        overcommit = self.settings.overcommit if spare else 0
+        return [record for record in usable if self._has_spare_room(record, overcommit, now)]
 
     def usable(self, now: float) -> list[EndpointRecord]:
         """Return the endpoints that are neither draining nor ejected."""
@@ -198,10 +200,10 @@
         """Whether an attempt would begin at once, as far as this entry can tell."""
         return record.busy() < record.limit(now, self.settings.slow_start_s)
 
-    def _has_spare_room(self, record: EndpointRecord, now: float) -> bool:
+    def _has_spare_room(self, record: EndpointRecord, overcommit: int, now: float) -> bool:
         """Whether a short request may wait there, in the whole or in this entry's share."""
         limit = record.limit(now, self.settings.slow_start_s)
-        if record.busy() < limit + self.settings.overcommit:
+        if record.busy() < limit + overcommit:
             return True
         return len(record.in_flight) < min(limit, record.share())
 
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/scheduling_settings.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/scheduling_settings.py
@@ -32,7 +32,7 @@
     long_share_min: float = 0.25
     short_headroom: float = 1.3
     demand_horizon_s: float = 2.0
-    long_floor: float = 0.2
+    long_floor: float = 0.05
     overcommit: int = 1
     other_zone_factor: float = 1.25
     cached_factor: float = 0.8
--- a/tests/policy/test_scheduler.py
+++ b/tests/policy/test_scheduler.py
@@ -147,6 +147,18 @@
     assert len(dispatched(decisions)) == 2
 
 
+def test_a_backlog_leaves_an_entry_its_share_of_endpoints_that_others_fill() -> None:
+    scheduler = scheduler_of("a", slots=4, overcommit=0)
+    first = [d for n in range(9) for d in scheduler.offer(work(n), 0.0)]
+    running = [d for d in first if isinstance(d, Dispatch)]
+    assert len(running) == 4
+    for sequence in range(1, 5):
+        load = EndpointLoad("a", "a", sequence, 4, 0, 90, 4, yours=4 - sequence, entries=2)
+        scheduler.on_load_report(load, 0.1 * sequence)
+    more = [d for ended in running for d in scheduler.on_finish(ended, Finish.COMPLETED, 0.5, 30)]
+    assert len(dispatched(more)) == 2
+
+
 def test_a_new_incarnation_starts_empty_and_an_end_of_the_old_one_is_ignored() -> None:
     scheduler = scheduler_of("a", slots=1, overcommit=0)
     (old,) = scheduler.offer(work(1), 0.0)
--- a/tools/measure_service.py
+++ b/tools/measure_service.py
@@ -45,7 +45,7 @@
 
 SEEDS = 5
 PROCESSES = 2
-CREST_RATES = (55.0, 65.0, 80.0)
+CREST_RATES = (55.0, 65.0, 80.0, 110.0)
 ABLATION_RATE = 65.0
 TEAM_RATE = 25.0
 LARGE_FACTOR = 10.0
