Report a voter as whole only by what it answered this leader

Cause: for an election timeout after an election, status took the dead leader for reachable and caught up, and said that a further VM could be lost; seen with real processes. Change: only answers in the leader's own term count, and holding the term's first entry. A test asks the new leader at once; it fails without the change.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/_voter_planner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/_voter_planner.py
@@ -55,11 +55,13 @@
         )
 
     def health(self, state: ReplicaState, now: float) -> dict[str, MemberHealth]:
-        """Return what this leader knows of every member."""
+        """Return what this leader knows of every member, by answers in its own term alone."""
         timeout = state.settings.election_timeout_s
+        settled = max(self.settled_commit, state.term_start_index)
         health = {
             replica: MemberHealth(
-                now - peer.heard_at < timeout, peer.match_index >= self.settled_commit
+                peer.acked_round > 0 and now - peer.heard_at < timeout,
+                peer.match_index >= settled,
             )
             for replica, peer in state.progress.items()
         }
--- a/tests/consensus/test_voters.py
+++ b/tests/consensus/test_voters.py
@@ -203,3 +203,24 @@
         assert await group.commit(leader, fence(9)) == FenceGranted("runner-0", 6)
 
     run_voters(body)
+
+
+def test_a_new_leader_does_not_take_a_dead_voter_for_whole() -> None:
+    async def body(group: VoterGroup) -> None:
+        leader = await founded(group)
+        dead = group.identity(leader)
+        group.kill(leader, power=True)
+        del group.voters[leader]
+        answers = 0
+        for _ in range(600):
+            await anyio.sleep(0.01)
+            status = await group.status(group.leader) if group.leader is not None else None
+            if status is None:
+                continue
+            answers += 1
+            assert status.can_lose == 0
+            lost = next(one for one in status.voters if one.replica == dead)
+            assert not lost.reachable
+        assert answers > 100
+
+    run_voters(body)
