--- a/tools/proof/run.py
+++ b/tools/proof/run.py
@@ -118,16 +118,22 @@
                 self.numbers[name] = max(self.numbers.get(name, 0), number)
 
     async def drain(self, endpoint: str, leave: bool) -> None:
-        """Put the drain of an endpoint in force, or end it."""
+        """Put the drain of an endpoint in force, or end it.
+
+        A drain binds from when the operator is told of it; its end may be in force from when it
+        is sent.
+        """
         async with self.applying:
+            if not leave:
+                self.world.history.add(EndpointReturned(anyio.current_time(), endpoint))
             wanted = self.drained | {endpoint} if leave else self.drained - {endpoint}
             number = self.numbers.get(OPERATIONS, 0) + 1
             found = await self.operators.apply(OPERATIONS, operations_file(number, wanted))
             if found.get("outcome") not in ("accepted", "repeated"):
                 return
             self.numbers[OPERATIONS], self.drained = number, wanted
-        kind = EndpointLeaving if leave else EndpointReturned
-        self.world.history.add(kind(anyio.current_time(), endpoint))
+        if leave:
+            self.world.history.add(EndpointLeaving(anyio.current_time(), endpoint))
 
     async def change(self, name: str) -> None:
         """Apply the next number of a file."""
