--- a/packages/bergamotchute-cli/src/bergamotchute_cli/show.py
+++ b/packages/bergamotchute-cli/src/bergamotchute_cli/show.py
@@ -70,7 +70,12 @@
 
 
 def _write(files: list[ShownFile], folder: Path) -> None:
-    """Write files into a folder, byte for byte."""
+    """Write files into a folder, byte for byte.
+
+    :raises CommandError: when a name leads out of the folder.
+    """
+    if any(Path(file.name).name != file.name for file in files):
+        raise CommandError(ExitCode.REFUSED, "the entry names a file that is no plain name")
     folder.mkdir(parents=True, exist_ok=True)
     for file in files:
         path = folder / f"{file.name}.yaml"
--- a/tests/operator/test_operator_commands.py
+++ b/tests/operator/test_operator_commands.py
@@ -126,6 +126,13 @@
     assert run(folder, entries, "apply", str(folder / "services.yaml")) == 1
 
 
+def test_a_name_that_leads_out_of_the_folder_is_refused(folder: Path) -> None:
+    file = {"file": "../token", "number": 1, "revision": 1, "digest": "", "text": "x"}
+    entries = ScriptedEntries({FIRST: [httpx.Response(200, json={"files": [file]})]})
+    assert run(folder, entries, "show", "--folder", str(folder / "out")) == 1
+    assert not (folder / "token.yaml").exists()
+
+
 def test_diff_tells_whether_something_would_change(
     folder: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
