Answer soon when an agent is lost, and leave no order in doubt by a kept connection

Found by: real processes stopped and killed by signal in the middle of orders and streams. Cause: (1) after a stop of 5 s an agent reused a kept connection that the service was closing, so an order that had not run was left unknown; (2) an order whose agent was killed waited out its whole 30 s deadline, and was followed twice over; (3) a peer gone during its handshake raised. Change: calls that may not repeat get a connection of their own; an agent without a word for 6 s is given up and the caller told to come back with the same key, while the entry follows on; control links give up a silent peer after 2 s, dials after 1.5 s; claims wait 8 s; leases last 6 s, so that a stopped leader's successor is there before they lapse.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/agent.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/agent.py
@@ -268,7 +268,12 @@
         """Call the endpoint and pass its answer on; return the closing message."""
         message = execution.message
         request = EndpointRequest(
-            message.method, message.path, self._headers(message), _body(message), ANSWER_S
+            method=message.method,
+            path=message.path,
+            headers=self._headers(message),
+            body=_body(message),
+            silence_s=ANSWER_S,
+            may_repeat=message.idempotent,
         )
         try:
             async with self.call_endpoint(request) as answer:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/claim_keeper.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/claim_keeper.py
@@ -26,7 +26,7 @@
 )
 from bergamotchute_model.identifiers import AttemptId, ClaimKey
 
-CLAIM_BOUND_S = 4.0
+CLAIM_BOUND_S = 8.0
 """How long a claim may take before its request is given up."""
 
 SETTLE_BOUND_S = 30.0
@@ -36,6 +36,10 @@
 """How long a resend waits before it asks the agent, so that a claim just taken can be used."""
 
 JOIN_POLL_S = 0.25
+
+UNREACHED_S = 6.0
+"""How long an agent that can't be asked is waited for before its caller is told."""
+
 QUERY_BOUND_S = 2.0
 
 ProposeCommand: TypeAlias = Callable[[Command, float], Awaitable[CommandResult]]
@@ -98,19 +102,31 @@
         self._emit(events.CLAIM_SETTLED, attempt, known=outcome is not None)
         return result
 
-    async def follow(self, record: ClaimRecord, digest: str, until: float) -> ClaimRecord:
+    async def follow(
+        self,
+        record: ClaimRecord,
+        digest: str,
+        until: float,
+        unreached_s: float = UNREACHED_S,
+    ) -> ClaimRecord:
         """Follow the attempt of an assigned claim until the claim is no longer assigned.
 
         The attempt may be another entry's, alive or dead: its agent is asked, and what the agent
         proves is recorded.
 
         :param until: when to give up, on the runtime's clock.
+        :param unreached_s: how long to go on without a word of the agent, in seconds.
         :returns: the claim as it stands at last.
         :raises ControlUnavailable: when an outcome couldn't be recorded.
         """
         await anyio.sleep(JOIN_GRACE_S)
+        heard_at = anyio.current_time()
         while record.state is ClaimState.ASSIGNED and anyio.current_time() < until:
             report = await self.query_agent(record.attempt, QUERY_BOUND_S)
+            if report is not None:
+                heard_at = anyio.current_time()
+            elif anyio.current_time() - heard_at > unreached_s:
+                return record
             if report is None or report.state is AttemptState.RUNNING:
                 await anyio.sleep(JOIN_POLL_S)
                 result = await self.look_up(record.key, digest)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/claimed_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/claimed_runner.py
@@ -108,7 +108,7 @@
                 assigned = ClaimRecord(key, exchange.request.digest(), ClaimState.ASSIGNED, attempt)
                 record = await self._follow(exchange, assigned)
         if record is None or record.state is not ClaimState.RELEASED:
-            return await self._on_record(exchange, record)
+            return self._answer_by(exchange, record)
         if not await self._may_replace(exchange):
             exchange.verdict = Verdict.NOT_RUN
             exchange.answer.fail(interrupted(exchange, ended))
@@ -133,9 +133,13 @@
         return await self._on_record(exchange, result.record)
 
     async def _on_record(self, exchange: Exchange, record: ClaimRecord | None) -> AttemptId | None:
-        """Answer by the claim as it stands; return a released attempt that may be replaced."""
+        """Follow a claim that is assigned, and answer by how it stands then."""
         if record is not None and record.state is ClaimState.ASSIGNED:
             record = await self._follow(exchange, record)
+        return self._answer_by(exchange, record)
+
+    def _answer_by(self, exchange: Exchange, record: ClaimRecord | None) -> AttemptId | None:
+        """Answer by the claim as it stands; return a released attempt that may be replaced."""
         match record:
             case ClaimRecord(state=ClaimState.RELEASED, attempt=attempt):
                 return attempt
@@ -193,7 +197,8 @@
     async def _follow_on(self, record: ClaimRecord, digest: str) -> None:
         """Have the outcome recorded though nobody waits for it any more."""
         with suppress(ControlUnavailable):
-            await self.keeper.follow(record, digest, anyio.current_time() + FOLLOW_ON_S)
+            until = anyio.current_time() + FOLLOW_ON_S
+            await self.keeper.follow(record, digest, until, unreached_s=FOLLOW_ON_S)
 
     async def _settle_quietly(self, exchange: Exchange, attempt: AttemptId) -> None:
         """Record the outcome; should that fail, a resend learns it from the agent."""
@@ -235,11 +240,11 @@
 
 
 def still_running() -> Problem:
-    """Return the problem of a request that runs on past its caller's deadline."""
+    """Return the problem of a request that runs on, or whose agent can't be asked now."""
     return Problem(
         504,
         ProblemCode.INTERRUPTED,
-        "the request is still running; send it again with the same key for its answer",
+        "the request may still be running; send it again with the same key for its answer",
         Verdict.MAY_HAVE_RUN,
         retry=True,
         retry_after_s=RETRY_AFTER_S,
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_client.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_client.py
@@ -41,7 +41,7 @@
 
 LEASE_CHECK_S = 0.25
 
-UNCONFIRMED_LIMIT_S = 3.0
+UNCONFIRMED_LIMIT_S = 2.0
 """How long to stay with a peer that confirms nothing."""
 
 PROPOSAL_RETRY_S = 0.1
@@ -51,7 +51,7 @@
 
 ADDRESSES_BOUND_S = 0.5
 
-PROPOSAL_PATIENCE_S = 1.5
+PROPOSAL_PATIENCE_S = 1.2
 """How long to wait for the answer to one sending of a proposal."""
 
 OnMembership: TypeAlias = Callable[[MembershipDelta], None]
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/process_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/process_runner.py
@@ -42,6 +42,8 @@
 ATTEMPT_CODEC: MessageCodec[AttemptMessage] = MessageCodec(AttemptMessage)
 CONTROL_CODEC: MessageCodec[ControlMessage] = MessageCodec(ControlMessage)
 
+SINGLE_USE = httpx.Limits(max_connections=None, max_keepalive_connections=0)
+
 EXIT_ENDED = 0
 EXIT_OVERRUN = 3
 """Work outlasted the drain bound and was cut off."""
@@ -117,9 +119,10 @@
     limits = httpx.Limits(max_connections=None, max_keepalive_connections=settings.slots * 2)
     async with (
         httpx.AsyncClient(limits=limits, trust_env=False) as client,
+        httpx.AsyncClient(limits=SINGLE_USE, trust_env=False) as single_use,
         anyio.create_task_group() as tasks,
     ):
-        call_endpoint = http_endpoint(client, settings.endpoint_url)
+        call_endpoint = http_endpoint(client, single_use, settings.endpoint_url)
         process = compose_agent(settings, environment, call_endpoint, tasks)
         process.log.emit(events.PROCESS_STARTED, endpoint=settings.name)
         routes = {ATTEMPTS_PATH: LinkRoute(ATTEMPT_CODEC, process.agent.serve_link)}
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
@@ -76,7 +76,7 @@
 CONSENSUS_CODEC: MessageCodec[ConsensusMessage] = MessageCodec(ConsensusMessage)
 STATUS_CODEC: MessageCodec[ControlStatus] = MessageCodec(ControlStatus)
 
-LEASE_S = 5.0
+LEASE_S = 6.0
 """How long a confirmed view may be used."""
 
 INTRODUCE_S = 0.5
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/endpoint_client.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/endpoint_client.py
@@ -34,6 +34,8 @@
     """One call to an endpoint.
 
     :param silence_s: how long the endpoint may send nothing before the call counts as broken.
+    :param may_repeat: the call may run twice. Any other gets a connection of its own, since a kept
+        one that the endpoint closes at that moment leaves open whether the call arrived.
     """
 
     method: str
@@ -41,6 +43,7 @@
     headers: Headers
     body: bytes
     silence_s: float
+    may_repeat: bool = True
 
 
 @dataclass(frozen=True)
@@ -68,17 +71,21 @@
     return tuple((k.lower(), v) for k, v in items if k.lower() not in HOP_HEADERS)
 
 
-def http_endpoint(client: httpx.AsyncClient, base_url: str) -> CallEndpoint:
+def http_endpoint(
+    client: httpx.AsyncClient, single_use: httpx.AsyncClient, base_url: str
+) -> CallEndpoint:
     """Return a function that calls one endpoint.
 
-    :param client: shared; its pool must be at least as large as the endpoint's slots.
+    :param client: keeps connections; its pool must be at least as large as the endpoint's slots.
+    :param single_use: keeps none.
     :param base_url: such as ``http://127.0.0.1:9001``.
     """
 
     @asynccontextmanager
     async def call(request: EndpointRequest) -> AsyncIterator[EndpointAnswer]:
         timeout = httpx.Timeout(request.silence_s, connect=CONNECT_S, pool=CONNECT_S)
-        outgoing = client.build_request(
+        chosen = client if request.may_repeat else single_use
+        outgoing = chosen.build_request(
             request.method,
             base_url + request.path,
             headers=list(request.headers),
@@ -86,7 +93,7 @@
             timeout=timeout,
         )
         try:
-            response = await client.send(outgoing, stream=True)
+            response = await chosen.send(outgoing, stream=True)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
             raise EndpointUnreached(str(error) or type(error).__name__) from error
         except httpx.HTTPError as error:
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/web_socket_transport.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/web_socket_transport.py
@@ -27,7 +27,7 @@
 
 _logger = logging.getLogger(__name__)
 
-HANDSHAKE_S = 3.0
+HANDSHAKE_S = 1.5
 """Bound on opening a link."""
 
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
@@ -160,7 +160,8 @@
     if request is None or protocol.state is not State.OPEN:
         return
     route = routes[request.path]
-    peer = str(stream.extra(SocketAttribute.remote_address))
+    # A peer that is gone already has no address any more.
+    peer = str(stream.extra(SocketAttribute.remote_address, "gone"))
     link = WebSocketLink(stream, protocol, route.codec, peer)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(link.keep_alive)
--- a/tests/daemon/test_at_most_once.py
+++ b/tests/daemon/test_at_most_once.py
@@ -211,3 +211,23 @@
         assert body_of(resend) == body_of(first)
 
     run_path(body)
+
+
+def test_a_lost_agent_is_told_soon_and_its_order_never_runs_again() -> None:
+    async def body(path: RequestPath) -> None:
+        await path.add_agent("desk-1", ScriptedEndpoint(order_s=5.0))
+        await path.add_agent("desk-2", ScriptedEndpoint())
+        path.scheduling.on_lapse("desk-2")
+        order = path.order("r1", "key", deadline_s=60.0)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(path.claimed.run, order)
+            await anyio.sleep(0.5)
+            path.network.stop_serving("desk-1")
+            with anyio.fail_after(12.0):
+                await order.answer.wait_finished()
+        assert order.answer.problem is not None
+        assert order.answer.problem.verdict is Verdict.MAY_HAVE_RUN
+        assert order.answer.problem.retry
+        assert path.endpoints["desk-2"].executions == []
+
+    run_path(body)
