End an attempt whose answer has a gap or no head

Found by: the fault matrix; an answer's end without its head let the entry fail on an assertion. Change: a chunk or an end before the head, and a missing chunk, end the attempt as lost, so that a draft goes on from where it came to and an order's outcome is asked of its agent.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/endpoint_connector.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/endpoint_connector.py
@@ -206,8 +206,14 @@
             sender.send_nowait(message)
 
     def on_answer(self, message: AnswerMessage) -> None:
-        """Give an answer message to its attempt; drop what belongs to none, or is out of order."""
+        """Give an answer message to its attempt; drop what belongs to none, or came before.
+
+        After a gap the rest of the answer is of no use, so the attempt counts as lost.
+        """
         channel = self.channels.get(message.attempt)
+        if channel is not None and _leaves_gap(channel, message):
+            self.channels.pop(message.attempt)
+            channel.over.set()
         if channel is None or not _in_order(channel, message):
             self.dropped_answers += 1
             self.log.emit(
@@ -241,6 +247,17 @@
                 await self.link.send(message)
 
 
+def _leaves_gap(channel: AttemptChannel, message: AnswerMessage) -> bool:
+    """Return whether chunks before this message are missing."""
+    match message:
+        case AnswerChunk(sequence=sequence):
+            return sequence > channel.next_sequence
+        case AnswerEnd(chunks=chunks):
+            return chunks > channel.next_sequence
+        case _:
+            return False
+
+
 def _in_order(channel: AttemptChannel, message: AnswerMessage) -> bool:
     """Return whether a chunk is the next one, and an end comes after all chunks."""
     match message:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/request_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/request_runner.py
@@ -260,14 +260,19 @@
         self.head: tuple[int, Headers] | None = None
         self.held: list[bytes] = []
         self.held_bytes = 0
+        self.begun = False
         self.result: AttemptResult | None = None
 
     def on_message(self, message: AnswerMessage) -> bool:
         """Take one message; return whether the attempt is over."""
+        if isinstance(message, AnswerChunk | AnswerEnd) and not self.begun:
+            self.result = AttemptResult(Verdict.MAY_HAVE_RUN, "headless", True)
+            return True
         match message:
             case AnswerChunk():
                 self.on_chunk(message)
             case AnswerHead():
+                self.begun = True
                 self.result = self.on_head(message)
             case AnswerEnd():
                 self.on_end()
