Let an entry link to a bounded part of many endpoints

Change: services of up to 64 endpoints are watched whole; of larger ones an entry watches 16 to 64 by demand, from its place among the entries of its zone, which the relay tells with addresses. An endpoint that isn't watched is linked to for a question about a claim, then let go of.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/address_book.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/address_book.py
@@ -13,6 +13,7 @@
 from bergamotchute_model.control_messages import AddressReport
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.membership import EntryAnnouncement
+from bergamotchute_policy.subset import Place
 
 ANSWER_ADDRESSES = 4
 """How many addresses an answer gives."""
@@ -37,6 +38,7 @@
 
     entries: tuple[EntryAnnouncement, ...]
     entry_count: int
+    place: Place
     asked_at: float
 
 
@@ -46,11 +48,13 @@
 
     :param own: this entry's announcement, which counts even before the relay knows it.
     :param ask_relay: asks for the entries of a zone.
+    :param on_place: told again and again where this entry stands in its zone.
     :param known: the newest report for each zone.
     """
 
     own: Callable[[], EntryAnnouncement]
     ask_relay: AskRelay
+    on_place: Callable[[Place], None] = lambda _: None
     known: dict[str, KnownEntries] = field(default_factory=dict)
 
     async def answer(
@@ -74,7 +78,8 @@
         if report is None:
             return
         self.known.pop(zone, None)
-        self.known[zone] = KnownEntries(report.entries, report.entry_count, asked_at)
+        place = Place(self.own().availability_zone, report.zone_rank, report.zone_entries)
+        self.known[zone] = KnownEntries(report.entries, report.entry_count, place, asked_at)
         if len(self.known) > KNOWN_ZONES:
             del self.known[next(iter(self.known))]
 
@@ -82,6 +87,7 @@
         """Keep the report for this entry's own zone fresh until cancelled."""
         while True:
             await self.refresh(self.own().availability_zone)
+            self.on_place(self.place())
             await anyio.sleep(FRESH_S)
 
     def others(self, configuration: Configuration) -> tuple[str, ...]:
@@ -90,6 +96,12 @@
         usable = self._usable(own.availability_zone, configuration)
         return tuple(str(one) for one in usable if one != own.address)
 
+    def place(self) -> Place:
+        """Return where this entry stands among those of its zone, as far as known."""
+        zone = self.own().availability_zone
+        known = self.known.get(zone)
+        return known.place if known else Place(zone, 0, 1)
+
     def entry_count(self) -> int:
         """Return how many entries there are, as far as known."""
         known = self.known.get(self.own().availability_zone)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/composition_root.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/composition_root.py
@@ -26,6 +26,7 @@
 from bergamotchute_daemon.configuration_holder import ConfigurationHolder
 from bergamotchute_daemon.control_client import ControlClient
 from bergamotchute_daemon.endpoint_directory import EndpointDirectory
+from bergamotchute_daemon.endpoint_watch import EndpointWatch
 from bergamotchute_daemon.entry_app import EntryApp
 from bergamotchute_daemon.entry_process import EntryProcess
 from bergamotchute_daemon.environment import Environment
@@ -65,7 +66,15 @@
     view = ViewHolder()
     holder = ConfigurationHolder(log)
     scheduling = SchedulingController(settings.availability_zone, random)
-    directory = EndpointDirectory(scheduling, environment.dial_attempts, hello, log, random, tasks)
+    directory = EndpointDirectory(
+        scheduling=scheduling,
+        dial=environment.dial_attempts,
+        hello=hello,
+        log=log,
+        random=random,
+        tasks=tasks,
+        watch=EndpointWatch(scheduling.busy_part),
+    )
     client = ControlClient(
         targets=settings.relays,
         dial=environment.dial_control,
@@ -80,7 +89,9 @@
     claimed = ClaimedRunner(scheduling, runner, keeper, tasks.start_soon, log)
     limiter = TeamLimiter(lambda: addresses.entry_count())
     process: EntryProcess
-    addresses = AddressBook(lambda: process.announcement(), client.ask_addresses)
+    addresses = AddressBook(
+        lambda: process.announcement(), client.ask_addresses, directory.on_place
+    )
     filters: tuple[Filter, ...] = (
         require_view(view, holder, lambda: addresses.others(holder.configuration)),
         identify_team,
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/endpoint_directory.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/endpoint_directory.py
@@ -10,6 +10,7 @@
 from anyio.abc import TaskGroup
 
 from bergamotchute_daemon.endpoint_connector import EndpointConnector
+from bergamotchute_daemon.endpoint_watch import EndpointWatch
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.scheduling_controller import SchedulingController
 from bergamotchute_model.attempt_messages import AttemptMessage, AttemptReport, AttemptState
@@ -17,6 +18,7 @@
 from bergamotchute_model.hello import Hello
 from bergamotchute_model.identifiers import AttemptId
 from bergamotchute_model.membership import EndpointAnnouncement
+from bergamotchute_policy.subset import Place
 from bergamotchute_wire.link import Dial
 
 REAP_S = 5.0
@@ -46,6 +48,8 @@
     it, since losing a relay says nothing about an endpoint.
 
     :param tasks: where connectors run.
+    :param watch: chooses the endpoints that get a link.
+    :param watched: those that have one, or are to have one.
     """
 
     scheduling: SchedulingController
@@ -54,6 +58,8 @@
     log: EventLog
     random: Random
     tasks: TaskGroup
+    watch: EndpointWatch
+    watched: frozenset[str] = frozenset()
     announcements: dict[str, EndpointAnnouncement] = field(default_factory=dict)
     connections: dict[tuple[str, str], Connection] = field(default_factory=dict)
 
@@ -66,6 +72,25 @@
             self._on_lapse(endpoint)
         for announcement in delta.endpoints:
             self._on_announcement(announcement)
+        self.watch_again()
+
+    def on_place(self, place: Place) -> None:
+        """Take this entry's place in its zone, by which the watched endpoints are chosen."""
+        if place != self.watch.place:
+            self.watch.place = place
+            self.watch_again()
+
+    def watch_again(self) -> None:
+        """Choose the endpoints to watch; link to new ones, and let go of the others."""
+        chosen = self.watch.choose(self.announcements.values())
+        for endpoint in sorted(self.watched - chosen):
+            known = self.announcements.get(endpoint)
+            if known is not None:
+                self.scheduling.on_lapse(endpoint)
+                self._mark_lapsed(endpoint, known.incarnation)
+        self.watched = chosen
+        for endpoint in sorted(chosen):
+            self._ensure_link(self.announcements[endpoint])
 
     def connector(self, endpoint: str, incarnation: str) -> EndpointConnector | None:
         """Return the connector of one life of an endpoint."""
@@ -88,13 +113,18 @@
             known = self.announcements.get(attempt.endpoint)
             if known is not None and known.incarnation != attempt.incarnation:
                 return AttemptReport("", attempt, AttemptState.FORGOTTEN)
+            if known is not None and connector is None:
+                # Not watched: linked to for the question, and let go of when it is answered.
+                self._ensure_link(known).lapsed = known.endpoint not in self.watched
             await anyio.sleep(min(UNKNOWN_ENDPOINT_POLL_S, max(0.0, left)))
         return None
 
     async def reap(self) -> None:
-        """Close links to lapsed endpoints once nothing uses them."""
+        """Follow the demand, and close links that are let go of once nothing uses them."""
         while True:
             await anyio.sleep(REAP_S)
+            self.watch.adapt()
+            self.watch_again()
             for key, connection in list(self.connections.items()):
                 connector = connection.connector
                 if connector.gone or (connection.lapsed and not connector.channels):
@@ -113,19 +143,27 @@
         if known is not None and known.incarnation != incarnation:
             self._mark_lapsed(endpoint, known.incarnation)
         self.announcements[endpoint] = announcement
-        connection = self.connections.get((endpoint, incarnation))
+        if endpoint in self.watched:
+            self._ensure_link(announcement)
+
+    def _ensure_link(self, announcement: EndpointAnnouncement) -> Connection:
+        """Link to an endpoint's life, and tell the scheduler of it once that is open."""
+        key = (announcement.endpoint, announcement.incarnation)
+        connection = self.connections.get(key)
         if connection is None or connection.connector.gone:
-            self._connect(announcement)
-        else:
-            connection.lapsed = False
-            if connection.connector.link is not None:
-                self.scheduling.on_announcement(announcement)
+            return self._connect(announcement)
+        connection.lapsed = False
+        if connection.connector.link is not None and announcement.endpoint in self.watched:
+            self.scheduling.on_announcement(announcement)
+        return connection
 
     def _on_link(self, endpoint: str, incarnation: str, linked: bool) -> None:
         """Let the scheduler use the present life of an endpoint while it can be reached."""
         announcement = self.announcements.get(endpoint)
         if announcement is None or announcement.incarnation != incarnation:
             return
+        if endpoint not in self.watched:
+            return
         if linked:
             self.scheduling.on_announcement(announcement)
         else:
@@ -136,7 +174,7 @@
         if connection is not None:
             connection.lapsed = True
 
-    def _connect(self, announcement: EndpointAnnouncement) -> None:
+    def _connect(self, announcement: EndpointAnnouncement) -> Connection:
         connector = EndpointConnector(
             endpoint=announcement.endpoint,
             incarnation=announcement.incarnation,
@@ -151,6 +189,7 @@
         connection = Connection(connector)
         self.connections[announcement.endpoint, announcement.incarnation] = connection
         self.tasks.start_soon(_run, connection)
+        return connection
 
 
 async def _run(connection: Connection) -> None:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/relay.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/relay.py
@@ -33,7 +33,7 @@
 )
 from bergamotchute_model.hello import Hello
 from bergamotchute_model.identifiers import Address
-from bergamotchute_model.membership import Role
+from bergamotchute_model.membership import EntryAnnouncement, Role
 from bergamotchute_model.status_messages import (
     BEHIND_NAMED,
     AskStatus,
@@ -41,6 +41,7 @@
     StatusReport,
     join_reach,
 )
+from bergamotchute_policy.subset import Member, Place, place_of
 from bergamotchute_wire.link import Dial, DialFailed, Link, LinkClosed
 from bergamotchute_wire.outbox import Outbox
 
@@ -172,7 +173,9 @@
         """Name entries for callers of a zone."""
         entries = self.table.entries()
         chosen = preferred_entries(entries, message.availability_zone, self.random)
-        child.outbox.post(AddressReport(message.query_id, chosen, len(entries)))
+        place = _place_of(child.hello.process, entries)
+        report = AddressReport(message.query_id, chosen, len(entries), place.rank, place.entries)
+        child.outbox.post(report)
 
     async def on_ask_status(self, child: Child, message: AskStatus) -> None:
         """Report how far a revision has reached, here or everywhere, and on the voters."""
@@ -273,3 +276,10 @@
             self.log.emit(kind, endpoint=endpoint.endpoint)
         for name in delta.lapsed_endpoints + delta.lapsed_entries:
             self.log.emit(events.MEMBER_LAPSED, member=name)
+
+
+def _place_of(name: str, entries: list[EntryAnnouncement]) -> Place:
+    """Return where an entry stands in its zone; alone while its announcement isn't here yet."""
+    members = {one.entry: Member(one.entry, one.availability_zone) for one in entries}
+    asking = members.get(name)
+    return Place("", 0, 1) if asking is None else place_of(asking, members.values())
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/scheduling_controller.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/scheduling_controller.py
@@ -94,6 +94,12 @@
             self.schedulers[service] = scheduler
         return scheduler
 
+    def busy_part(self, service: str) -> float:
+        """Return the part of the slots of a service's known endpoints that is in use."""
+        records = self.scheduler(service).book.records.values()
+        slots = sum(record.slots for record in records)
+        return sum(record.busy() for record in records) / slots if slots else 0.0
+
     def on_announcement(self, announcement: EndpointAnnouncement) -> None:
         """Take an endpoint in, at each service that it can serve."""
         now = anyio.current_time()
--- a/packages/bergamotchute-model/src/bergamotchute_model/control_messages.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/control_messages.py
@@ -167,11 +167,16 @@
 
     :param entries: candidates in order of preference, more than one answer needs.
     :param entry_count: how many entries there are in all.
+    :param zone_rank: where the asking entry stands among those of its own zone, from 0, in the
+        order of a hash of their names.
+    :param zone_entries: how many these are.
     """
 
     query_id: str
     entries: tuple[EntryAnnouncement, ...]
     entry_count: int
+    zone_rank: int = 0
+    zone_entries: int = 1
     kind: Literal["address_report"] = "address_report"
 
 
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/subset.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/subset.py
@@ -22,9 +22,30 @@
     availability_zone: str
 
 
-def watched_endpoints(
-    entry: Member, entries: Iterable[Member], runners: Iterable[Member], size: int
-) -> list[str]:
+@dataclass(frozen=True)
+class Place:
+    """Where an entry stands among the entries of its zone, in the order of a hash of their names.
+
+    :param rank: from 0.
+    :param entries: how many they are, at least 1.
+    """
+
+    availability_zone: str
+    rank: int
+    entries: int
+
+
+def place_of(entry: Member, entries: Iterable[Member]) -> Place:
+    """Return where an entry stands.
+
+    :param entries: all entries, with this one or without.
+    """
+    zone = entry.availability_zone
+    names = {other.name for other in entries if other.availability_zone == zone} | {entry.name}
+    return Place(zone, _by_hash(names).index(entry.name), len(names))
+
+
+def watched_endpoints(place: Place, runners: Iterable[Member], size: int) -> list[str]:
     """Return the names of the ``size`` runners that an entry watches, sorted.
 
     Three of four are of its own zone, where there are as many. Each part is a window on a ring of
@@ -32,19 +53,15 @@
     ring, so that the numbers of their watchers differ by at most one from runner to runner. A
     runner that comes or goes moves a window by at most one place, an entry by less than the
     distance between two entries.
-
-    :param entries: all entries of the service, with this one or without.
     """
-    zone = entry.availability_zone
-    rivals = {other.name for other in entries if other.availability_zone == zone} | {entry.name}
     near: list[str] = []
     far: list[str] = []
     for runner in runners:
-        (near if runner.availability_zone == zone else far).append(runner.name)
+        is_near = runner.availability_zone == place.availability_zone
+        (near if is_near else far).append(runner.name)
     near_size = min(len(near), max(round(size * NEAR_PART), size - len(far)))
     far_size = min(len(far), size - near_size)
-    chosen = _window(entry.name, rivals, near, near_size)
-    return sorted(chosen + _window(entry.name, rivals, far, far_size))
+    return sorted(_window(place, near, near_size) + _window(place, far, far_size))
 
 
 def watched_size(size: int, busy_part: float) -> int:
@@ -63,13 +80,12 @@
     return size
 
 
-def _window(entry: str, entries: set[str], runners: list[str], size: int) -> list[str]:
+def _window(place: Place, runners: list[str], size: int) -> list[str]:
     """Return the runners in the entry's window on the ring."""
     if size >= len(runners):
         return list(runners)
     ring = _by_hash(runners)
-    ranked = _by_hash(entries)
-    start = ranked.index(entry) * len(ring) // len(ranked)
+    start = place.rank * len(ring) // place.entries
     return [ring[(start + step) % len(ring)] for step in range(size)]
 
 
--- a/tests/policy/test_subsets.py
+++ b/tests/policy/test_subsets.py
@@ -8,6 +8,7 @@
     MAX_WATCHED,
     MIN_WATCHED,
     Member,
+    place_of,
     watched_endpoints,
     watched_size,
 )
@@ -18,11 +19,11 @@
 
 
 def watched(entry: Member, entries: list[Member], runners: list[Member]) -> set[str]:
-    return set(watched_endpoints(entry, entries, runners, 16))
+    return set(watched_endpoints(place_of(entry, entries), runners, 16))
 
 
 def test_all_are_watched_where_there_are_few() -> None:
-    assert len(watched_endpoints(ENTRIES[0], ENTRIES, RUNNERS[:16], 16)) == 16
+    assert len(watched(ENTRIES[0], ENTRIES, RUNNERS[:16])) == 16
 
 
 def test_watchers_are_even_and_most_are_near() -> None:
--- a/tests/support/request_path.py
+++ b/tests/support/request_path.py
@@ -19,6 +19,7 @@
 from bergamotchute_daemon.claimed_runner import ClaimedRunner
 from bergamotchute_daemon.control_client import ControlUnavailable
 from bergamotchute_daemon.endpoint_directory import EndpointDirectory
+from bergamotchute_daemon.endpoint_watch import EndpointWatch
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.exchange import CallerRequest, Exchange
 from bergamotchute_daemon.request_runner import RequestRunner
@@ -134,7 +135,13 @@
         dial = self.network.dial(self.name, "/attempts")
         hello = Hello(self.name, Role.ENTRY, "e1")
         self.directory = EndpointDirectory(
-            self.scheduling, dial, hello, self.log, random, self.tasks
+            scheduling=self.scheduling,
+            dial=dial,
+            hello=hello,
+            log=self.log,
+            random=random,
+            tasks=self.tasks,
+            watch=EndpointWatch(self.scheduling.busy_part),
         )
         budget = RetryBudget()
         self.runner = RequestRunner(
