Send load reports on change and heartbeats only to quiet peers

Cause: the capacity page: load reports are the widest gap of entries, heartbeats most of a relay's processor time. Change: an agent repeats an unchanged load once a second in place of four times; a side of a link that hears anything sends no ping. Conclusion: at the peak, where loads change all the time, reports stay over budget.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/agent.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/agent.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, TypeAlias
 
 import anyio
@@ -45,7 +45,10 @@
 from bergamotchute_wire.outbox import Outbox
 
 LOAD_REPORT_S = 0.25
-"""How often an agent tells its entries how busy it is."""
+"""How often an agent tells its entries that its load changed."""
+
+SAME_LOAD_REPORT_S = 1.0
+"""How often it tells them that nothing changed; well within the time a report is believed."""
 
 GATHER_S = 0.002
 """How long a message to an entry waits for others to join it; runners give many tokens at once."""
@@ -118,6 +121,7 @@
         self.tasks = tasks
         self.executions: dict[AttemptId, Execution] = {}
         self.outboxes: list[EntryOutbox] = []
+        self.reported: dict[EntryOutbox, tuple[EndpointLoad, float]] = {}
         self.load_sequence = 0
         self.idle = anyio.Event()
 
@@ -134,6 +138,7 @@
                 tasks.cancel_scope.cancel()
         finally:
             self.outboxes.remove(outbox)
+            self.reported.pop(outbox, None)
             self._on_link_closed(outbox)
 
     async def _read(self, link: Link[AttemptMessage], outbox: EntryOutbox) -> None:
@@ -359,9 +364,21 @@
             execution.outbox.post(message)
 
     def _send_load(self) -> None:
-        """Report to every entry, without waiting for a slow one."""
+        """Report to every entry, without waiting for a slow one; what didn't change, less often."""
+        now = anyio.current_time()
         for outbox in self.outboxes:
-            outbox.post(self.load(outbox))
+            load = self.load(outbox)
+            told, told_at = self.reported.get(outbox, (None, 0.0))
+            if (
+                told is None
+                or replace(told, sequence=load.sequence) != load
+                or now - told_at >= SAME_LOAD_REPORT_S
+            ):
+                self._report(outbox, load, now)
+
+    def _report(self, outbox: EntryOutbox, load: EndpointLoad, now: float) -> None:
+        outbox.post(load)
+        self.reported[outbox] = (load, now)
 
     def load(self, outbox: EntryOutbox) -> EndpointLoad:
         """Return the present load as the entry behind an outbox is to see it."""
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/web_socket_link.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/web_socket_link.py
@@ -17,7 +17,10 @@
 Message = TypeVar("Message")
 
 HEARTBEAT_S = 1.0
-"""How often a link pings its peer."""
+"""How often a link looks at whether its peer is quiet."""
+
+QUIET_S = 0.75
+"""Silence after which a heartbeat asks whether the peer is there."""
 
 MUTE_S = 3.5
 """Silence after which a link counts as gone."""
@@ -96,12 +99,16 @@
         await self._abort("closed here")
 
     async def keep_alive(self) -> None:
-        """Ping the peer until it goes silent or the link closes; close the link, then return."""
+        """Ping a quiet peer until it goes silent or the link closes; close the link, then return.
+
+        A peer that sends anything needs no ping, so that mostly one side of a link pings.
+        """
         while not self.closed_reason and self._protocol.state is State.OPEN:
             await anyio.sleep(HEARTBEAT_S)
-            if anyio.current_time() - self.last_received_at > MUTE_S:
+            silent_s = anyio.current_time() - self.last_received_at
+            if silent_s > MUTE_S:
                 await self._abort("mute")
-            elif not self.closed_reason and not self._write_lock.locked():
+            elif silent_s >= QUIET_S and not self.closed_reason and not self._write_lock.locked():
                 self._protocol.send_ping(b"")
                 await self._flush_quietly()
 
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -167,7 +167,7 @@
 
 def _ping_bytes_per_s(links: float) -> float:
     """Return heartbeat bytes of links: a ping and a pong each way."""
-    return links * 4 * FRAME_BYTES / HEARTBEAT_S
+    return links * 2 * FRAME_BYTES / HEARTBEAT_S
 
 
 def _lease_bytes_per_s(s: Slopes, announce: str) -> float:
@@ -183,14 +183,6 @@
     entry_bytes = s.each("membership_entries", "bytes")
     return [
         Line("entry", "links to agents", lambda z: z.watched, "", None, "bounded subset a service"),
-        Line(
-            "entry",
-            "processor as built, with a link to every runner",
-            lambda z: z.runners * link_us,
-            "us/s",
-            NODE_US_PER_S,
-            "one link a runner",
-        ),
         Line(
             "entry",
             "lease, announcement, heartbeat to its relay",
