--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -166,7 +166,7 @@
 
 
 def _ping_bytes_per_s(links: float) -> float:
-    """Return heartbeat bytes of links: a ping and a pong each way."""
+    """Return heartbeat bytes of links: a ping of one side and the pong of the other."""
     return links * 2 * FRAME_BYTES / HEARTBEAT_S
 
 
