Refuse soon where a service has no endpoint, and fill the gauges

Cause: a request for a service without endpoints was held until its deadline and then refused, and two gauges were declared and never set. Change: after 3 s without any endpoint a new request is refused as not run, with when to come back; a stream that has begun still waits. Gauges are set when they are read. Conclusion: what is given up is answered at once.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/agent_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/agent_process.py
@@ -11,6 +11,7 @@
 from bergamotchute_daemon.control_client import ControlClient
 from bergamotchute_daemon.entry_app import answer_lifespan
 from bergamotchute_daemon.event_log import EventLog
+from bergamotchute_daemon.metrics import Metrics
 from bergamotchute_daemon.process_app import PATHS, ProcessApp
 from bergamotchute_daemon.settings import AgentSettings
 from bergamotchute_daemon.view_holder import ViewHolder
@@ -75,6 +76,11 @@
         )
         return Announce(endpoints=(announcement,))
 
+    def refresh_metrics(self, metrics: Metrics) -> None:
+        """Set the gauges as things stand."""
+        metrics.in_flight.set({}, len(self.agent.executions))
+        metrics.revision.set({}, self.view.revision)
+
     def why_not_ready(self) -> str:
         """Return why entries can't use this endpoint now; empty when they can."""
         if self.agent.table.draining:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/composition_root.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/composition_root.py
@@ -117,7 +117,13 @@
         settings.name, client, holder, directory, scheduling, limiter, addresses, log
     )
     admin = AdminApi(settings.admin_token, view, client.propose, _report_paths(reports), log)
-    shared = ProcessApp(log, metrics, lambda: process.why_not_ready(), settings.admin_token)
+    shared = ProcessApp(
+        log=log,
+        metrics=metrics,
+        refresh=lambda one: process.refresh_metrics(one),
+        why_not_ready=lambda: process.why_not_ready(),
+        admin_token=settings.admin_token,
+    )
     process = EntryProcess(
         settings=settings,
         epoch=environment.incarnation,
@@ -207,7 +213,13 @@
         random=environment.random,
     )
     process: AgentProcess
-    shared = ProcessApp(log, metrics, lambda: process.why_not_ready(), settings.cluster_token)
+    shared = ProcessApp(
+        log=log,
+        metrics=metrics,
+        refresh=lambda one: process.refresh_metrics(one),
+        why_not_ready=lambda: process.why_not_ready(),
+        admin_token=settings.cluster_token,
+    )
     process = AgentProcess(settings, log, view, agent, client, shared)
     client.announce = process.announce
     return process
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/entry_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/entry_process.py
@@ -11,6 +11,7 @@
 from bergamotchute_daemon.endpoint_directory import EndpointDirectory
 from bergamotchute_daemon.entry_app import EntryApp
 from bergamotchute_daemon.event_log import EventLog
+from bergamotchute_daemon.metrics import Metrics
 from bergamotchute_daemon.planned_change_controller import PlannedChangeController
 from bergamotchute_daemon.relay import Relay
 from bergamotchute_daemon.scheduling_controller import SchedulingController
@@ -128,6 +129,15 @@
                 ProblemCode.VIEW_EXPIRED, "this entry can't confirm its configuration now"
             )
 
+    def refresh_metrics(self, metrics: Metrics) -> None:
+        """Set the gauges as things stand."""
+        connections = self.directory.connections.values()
+        dropped = sum(connection.connector.dropped_answers for connection in connections)
+        metrics.in_flight.set({}, self.app.callers.running)
+        metrics.waiting.set({}, len(self.scheduling.waiters))
+        metrics.dropped_answers.set({}, dropped)
+        metrics.revision.set({}, self.view.revision)
+
     def why_not_ready(self) -> str:
         """Return why callers shouldn't come here; empty when they may."""
         if self.app.callers.leaving:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/metrics.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/metrics.py
@@ -32,6 +32,14 @@
         self.in_flight = Gauge(
             "bergamotchute_in_flight", "Requests or attempts in flight.", registry=self.registry
         )
+        self.waiting = Gauge(
+            "bergamotchute_waiting", "Requests that wait for a place.", registry=self.registry
+        )
+        self.dropped_answers = Gauge(
+            "bergamotchute_dropped_answers",
+            "Answer messages that matched no attempt, over the links open now.",
+            registry=self.registry,
+        )
         self.revision = Gauge(
             "bergamotchute_view_revision", "Newest view revision in use.", registry=self.registry
         )
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/process_app.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/process_app.py
@@ -19,12 +19,14 @@
 class ProcessApp:
     """Answers the paths that all processes have.
 
+    :param refresh: sets the gauges before they are read.
     :param why_not_ready: says why the process can't serve now; empty when it can.
     :param admin_token: opens the recent events.
     """
 
     log: EventLog
     metrics: Metrics
+    refresh: Callable[[Metrics], None]
     why_not_ready: Callable[[], str]
     admin_token: str
 
@@ -37,6 +39,7 @@
                 reason = self.why_not_ready()
                 await send_json(send, 503 if reason else 200, {"ready": not reason, "why": reason})
             case "/metrics":
+                self.refresh(self.metrics)
                 body, headers = self.metrics.render(head.header("accept"))
                 await send_whole(send, 200, body, headers)
             case _:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/request_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/request_runner.py
@@ -18,7 +18,7 @@
 )
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.exchange import Exchange
-from bergamotchute_daemon.scheduling_controller import SchedulingController
+from bergamotchute_daemon.scheduling_controller import NO_ENDPOINT_S, SchedulingController
 from bergamotchute_model import events
 from bergamotchute_model.attempt_messages import (
     AnswerChunk,
@@ -127,8 +127,10 @@
     async def _admit(self, exchange: Exchange) -> Dispatch | None:
         """Wait for a place; a refusal becomes the exchange's problem."""
         work = replace(exchange.work, avoid=frozenset(exchange.failed_endpoints))
+        # A stream that has begun waits for its runner to come back as long as its caller does.
+        patience_s = float("inf") if exchange.answer.chunks else NO_ENDPOINT_S
         try:
-            return await self.scheduling.admit(work)
+            return await self.scheduling.admit(work, patience_s)
         except ProblemError as error:
             exchange.answer.fail(_after_attempts(exchange, error.problem))
             return None
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/scheduling_controller.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/scheduling_controller.py
@@ -12,11 +12,14 @@
 from bergamotchute_model.attempt_messages import EndpointLoad
 from bergamotchute_model.membership import EndpointAnnouncement
 from bergamotchute_model.operator_file import Service
-from bergamotchute_model.problem import ProblemCode, ProblemError
+from bergamotchute_model.problem import Problem, ProblemCode, ProblemError
 from bergamotchute_policy.endpoint_book import Finish
 from bergamotchute_policy.scheduler import ServiceScheduler
 from bergamotchute_policy.work import Decision, Dispatch, Shed, Work
 
+NO_ENDPOINT_S = 3.0
+"""How long a request waits for the first endpoint of its service."""
+
 
 @dataclass
 class Waiter:
@@ -41,9 +44,10 @@
         self.weights: dict[str, float] = {}
         self.wake = anyio.Event()
 
-    async def admit(self, work: Work) -> Dispatch:
+    async def admit(self, work: Work, no_endpoint_s: float = NO_ENDPOINT_S) -> Dispatch:
         """Wait for the request's turn.
 
+        :param no_endpoint_s: how long to wait while the service has no endpoint, in seconds.
         :returns: where to run it; report its end by :meth:`finish`.
         :raises ProblemError: when it is refused; it did not run.
         """
@@ -53,7 +57,7 @@
         try:
             self._carry_out(scheduler.offer(work, anyio.current_time()))
             self.wake.set()
-            await waiter.decided.wait()
+            await self._wait_decided(waiter, scheduler, no_endpoint_s)
         except anyio.get_cancelled_exc_class():
             scheduler.cancel(work.request_id)
             if isinstance(waiter.decision, Dispatch):
@@ -69,6 +73,22 @@
             case _:
                 raise AssertionError("woken without a decision")
 
+    async def _wait_decided(
+        self, waiter: Waiter, scheduler: ServiceScheduler, no_endpoint_s: float
+    ) -> None:
+        """Wait for the decision, but not long while the service has no endpoint at all.
+
+        :raises ProblemError: when none came in time; the request did not run.
+        """
+        while True:
+            with anyio.move_on_after(no_endpoint_s):
+                await waiter.decided.wait()
+            if waiter.decision is not None:
+                return
+            if not scheduler.book.records:
+                scheduler.cancel(waiter.work.request_id)
+                raise ProblemError(_no_endpoint(waiter.work.service))
+
     def finish(self, dispatch: Dispatch, finish: Finish, tokens: float = 0.0) -> None:
         """Report the end of an attempt."""
         scheduler = self.scheduler(dispatch.work.service)
@@ -164,3 +184,14 @@
         now = anyio.current_time()
         times = (scheduler.next_deadline(now) for scheduler in self.schedulers.values())
         return min((time for time in times if time is not None), default=float("inf"))
+
+
+def _no_endpoint(service: str) -> Problem:
+    """Return the refusal of a request whose service has no endpoint."""
+    return Problem(
+        503,
+        ProblemCode.NO_ENDPOINT,
+        f"no endpoint of service {service} can be reached now",
+        retry=True,
+        retry_after_s=NO_ENDPOINT_S,
+    )
--- a/tests/daemon/test_streams_resume.py
+++ b/tests/daemon/test_streams_resume.py
@@ -67,10 +67,25 @@
 
 def test_no_runner_is_there() -> None:
     async def body(path: RequestPath) -> None:
-        exchange = path.draft("r1", deadline_s=2.0)
-        await path.runner.run_idempotent(exchange)
+        exchange = path.draft("r1", deadline_s=30.0)
+        with anyio.fail_after(5.0):
+            await path.runner.run_idempotent(exchange)
         assert exchange.answer.problem is not None
+        assert exchange.answer.problem.code is ProblemCode.NO_ENDPOINT
         assert exchange.answer.problem.verdict is Verdict.NOT_RUN
+        assert not path.scheduling.waiters
+
+    run_path(body)
+
+
+def test_a_runner_that_comes_soon_is_waited_for() -> None:
+    async def body(path: RequestPath) -> None:
+        exchange = path.draft("r1")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(path.runner.run_idempotent, exchange)
+            await anyio.sleep(2.0)
+            await path.add_agent("runner-1", ScriptedEndpoint())
+        assert words(exchange) == WHOLE
 
     run_path(body)
 
--- a/tests/daemon/test_whole_path.py
+++ b/tests/daemon/test_whole_path.py
@@ -141,6 +141,20 @@
     run_system(body)
 
 
+def test_metrics_tell_what_was_answered() -> None:
+    async def body(system: System) -> None:
+        await system.start()
+        await system.caller(0).draft()
+        await anyio.sleep(0.1)
+        text = (await system.caller(0).request("GET", "/metrics")).body.decode()
+        assert 'bergamotchute_requests_total{result="completed",service="drafting"} 1' in text
+        assert "bergamotchute_in_flight 0" in text
+        revision = system.entries["entry-0"].view.revision
+        assert f"bergamotchute_view_revision {revision}" in text
+
+    run_system(body)
+
+
 def test_explain_gives_reasons() -> None:
     async def body(system: System) -> None:
         await system.start()
