Answer orders by their deadline, and keep a begun draft through a lapsed view

Change: a request with a key is answered at most 0.5 s after its deadline, as may have run; a lapsed view refuses new work only.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/claimed_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/claimed_runner.py
@@ -28,6 +28,9 @@
 
 RETRY_AFTER_S = 2.0
 
+LATE_S = 0.5
+"""How long after its deadline a request is answered at the latest."""
+
 FOLLOW_ON_S = 600.0
 """How long an entry follows an attempt that outlasts its caller."""
 
@@ -57,9 +60,13 @@
         The answer, or the problem, is in ``exchange.answer`` when this returns.
         """
         try:
-            await self._run(exchange)
+            with anyio.move_on_at(exchange.request.deadline + LATE_S) as bound:
+                await self._run(exchange)
         except ControlUnavailable:
             exchange.answer.fail(control_unavailable())
+        if bound.cancelled_caught:
+            # Wherever this was cut off, the next sending finds out by the claim and the agent.
+            exchange.answer.fail(still_running())
 
     async def _run(self, exchange: Exchange) -> None:
         replaces: AttemptId | None = None
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/request_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/request_runner.py
@@ -129,11 +129,15 @@
         work = replace(exchange.work, avoid=frozenset(exchange.failed_endpoints))
         # A stream that has begun waits for its runner to come back as long as its caller does.
         patience_s = float("inf") if exchange.answer.chunks else NO_ENDPOINT_S
-        try:
-            return await self.scheduling.admit(work, patience_s)
-        except ProblemError as error:
-            exchange.answer.fail(_after_attempts(exchange, error.problem))
-            return None
+        while True:
+            try:
+                return await self.scheduling.admit(work, patience_s)
+            except ProblemError as error:
+                # A lapsed view refuses new work; a stream that has begun is in flight and goes on.
+                lapsed = error.problem.code is ProblemCode.VIEW_EXPIRED
+                if not (lapsed and exchange.answer.chunks):
+                    exchange.answer.fail(_after_attempts(exchange, error.problem))
+                    return None
 
     async def _send_attempt(
         self, exchange: Exchange, dispatch: Dispatch, attempt: AttemptId
--- a/tests/daemon/test_at_most_once.py
+++ b/tests/daemon/test_at_most_once.py
@@ -231,3 +231,17 @@
         assert path.endpoints["desk-2"].executions == []
 
     run_path(body)
+
+
+def test_a_quorum_lost_near_the_deadline_makes_no_answer_late() -> None:
+    async def body(path: RequestPath) -> None:
+        await path.add_agent("desk-1", ScriptedEndpoint())
+        path.control_cut = True
+        order = path.order("r1", "key", deadline_s=1.0)
+        with anyio.fail_after(2.0):
+            await path.claimed.run(order)
+        assert order.answer.problem is not None
+        assert order.answer.problem.verdict is Verdict.MAY_HAVE_RUN
+        assert path.endpoints["desk-1"].executions == []
+
+    run_path(body)
--- a/tests/daemon/test_streams_resume.py
+++ b/tests/daemon/test_streams_resume.py
@@ -156,3 +156,25 @@
         assert path.endpoints["runner-1"].executions == ["r1"]
 
     run_path(body)
+
+
+def test_a_begun_draft_outlives_a_lapsed_view_and_a_new_one_is_refused() -> None:
+    async def body(path: RequestPath) -> None:
+        agent = await path.add_agent("runner-1", ScriptedEndpoint())
+        begun, new = path.draft("r1"), path.draft("r2")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(path.runner.run_idempotent, begun)
+            await anyio.sleep(0.1)
+            path.network.cut("entry-1", "runner-1")
+            await anyio.sleep(5.0)
+            tasks.start_soon(path.runner.run_idempotent, new)
+            await anyio.sleep(0.1)
+            path.scheduling.refuse_waiting(ProblemCode.VIEW_EXPIRED, "lapsed")
+            await anyio.sleep(0.1)
+            assert new.answer.problem is not None
+            path.network.heal("entry-1", "runner-1")
+        assert begun.answer.ended
+        assert words(begun) == WHOLE
+        assert not agent.executions
+
+    run_path(body)
