Choose entries for callers in one place

Cause: the order in which callers should try entries stood twice, in the relay and unused in policy. Change: the relay and the entry use the policy's; an answer now names another zone where it can, so that a caller that keeps it over the loss of its zone has where to go.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/address_book.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/address_book.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-import math
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from random import Random
 
 import anyio
 
@@ -13,22 +11,18 @@
 from bergamotchute_model.control_messages import AddressReport
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.membership import EntryAnnouncement
+from bergamotchute_policy.address_answer import with_other_zone
 from bergamotchute_policy.subset import Place
 
 ANSWER_ADDRESSES = 4
 """How many addresses an answer gives."""
 
-CANDIDATES = 12
-"""How many entries a relay names, of which some may drain by a file."""
-
 FRESH_S = 1.0
 """How long a relay's report is used without asking again."""
 
 KNOWN_ZONES = 64
 """Zones whose reports are kept."""
 
-LOWEST_SPARE = 0.01
-
 AskRelay = Callable[[str], Awaitable[AddressReport | None]]
 
 
@@ -117,7 +111,7 @@
             place = _place_of(own, known)
             reported.insert(place, own)
         usable = [one for one in reported if not _is_draining(one, configuration)]
-        return tuple(one.address for one in usable[:ANSWER_ADDRESSES])
+        return tuple(one.address for one in with_other_zone(usable, ANSWER_ADDRESSES))
 
 
 def _place_of(own: EntryAnnouncement, known: KnownEntries | None) -> int:
@@ -129,21 +123,6 @@
     return sum(one.availability_zone == own.availability_zone for one in entries)
 
 
-def preferred_entries(
-    entries: Iterable[EntryAnnouncement], zone: str, random: Random
-) -> tuple[EntryAnnouncement, ...]:
-    """Return entries for callers of a zone: near ones first, then by a draw on spare capacity."""
-    usable = [one for one in entries if not one.draining]
-    usable.sort(key=lambda one: (one.availability_zone != zone, _draw(one, random)))
-    return tuple(usable[:CANDIDATES])
-
-
-def _draw(entry: EntryAnnouncement, random: Random) -> float:
-    """Return a draw by which entries with more spare capacity tend to come first."""
-    exponent = 1.0 / max(entry.spare, LOWEST_SPARE)
-    return -math.pow(random.random(), exponent)
-
-
 def _is_draining(entry: EntryAnnouncement, configuration: Configuration) -> bool:
     """Return whether an entry drains, by its own word or by the files in force."""
     return entry.draining or configuration.is_draining(
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/relay.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/relay.py
@@ -10,7 +10,6 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from bergamotchute_daemon.address_book import preferred_entries
 from bergamotchute_daemon.backoff import Backoff
 from bergamotchute_daemon.control_client import ControlClient, ControlUnavailable
 from bergamotchute_daemon.event_log import EventLog
@@ -41,12 +40,16 @@
     StatusReport,
     join_reach,
 )
+from bergamotchute_policy.address_answer import preferred_entries, with_other_zone
 from bergamotchute_policy.subset import Member, Place, place_of
 from bergamotchute_wire.link import Dial, DialFailed, Link, LinkClosed
 from bergamotchute_wire.outbox import Outbox
 
 EXPIRY_CHECK_S = 0.5
 
+CANDIDATES = 12
+"""How many entries an address report names, of which some may drain by a file."""
+
 STATUS_BOUND_S = 1.0
 """How long other relays and the voters get to report."""
 
@@ -172,7 +175,8 @@
     def on_ask_addresses(self, child: Child, message: AskAddresses) -> None:
         """Name entries for callers of a zone."""
         entries = self.table.entries()
-        chosen = preferred_entries(entries, message.availability_zone, self.random)
+        ordered = preferred_entries(entries, message.availability_zone, self.random)
+        chosen = tuple(with_other_zone(ordered, CANDIDATES))
         place = _place_of(child.hello.process, entries)
         report = AddressReport(message.query_id, chosen, len(entries), place.rank, place.entries)
         child.outbox.post(report)
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/address_answer.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/address_answer.py
@@ -44,15 +44,22 @@
     :param availability_zone: the caller's, or the answering entry's where that is not known.
     """
     ready = [entry for entry in entries if not entry.draining]
-    near = [entry for entry in ready if _usable(entry, availability_zone)]
-    far = [entry for entry in ready if entry not in near]
-    ordered = _draw(near, random) + sorted(_draw(far, random), key=lambda e: e.spare < FULL_SPARE)
-    chosen = _with_other_zone(ordered, count)
+    chosen = with_other_zone(preferred_entries(ready, availability_zone, random), count)
     spare = sum(entry.spare for entry in ready) / len(ready) if ready else 0.0
     lifetime_s = LIFETIME_S if spare >= FULL_SPARE else SHORT_LIFETIME_S
     return AddressAnswer(tuple(entry.address for entry in chosen), lifetime_s)
 
 
+def preferred_entries(
+    entries: list[EntryAnnouncement], availability_zone: str, random: Random
+) -> list[EntryAnnouncement]:
+    """Return the entries that don't drain, in the order in which a caller should try them."""
+    ready = [entry for entry in entries if not entry.draining]
+    near = [entry for entry in ready if _usable(entry, availability_zone)]
+    far = [entry for entry in ready if entry not in near]
+    return _draw(near, random) + sorted(_draw(far, random), key=lambda e: e.spare < FULL_SPARE)
+
+
 def _usable(entry: EntryAnnouncement, availability_zone: str) -> bool:
     """Return whether an entry is of the zone and has room."""
     return entry.availability_zone == availability_zone and entry.spare >= FULL_SPARE
@@ -67,7 +74,7 @@
     return sorted(entries, key=lambda entry: keys[entry.entry])
 
 
-def _with_other_zone(ordered: list[EntryAnnouncement], count: int) -> list[EntryAnnouncement]:
+def with_other_zone(ordered: list[EntryAnnouncement], count: int) -> list[EntryAnnouncement]:
     """Return the first ``count`` entries, the last of them of another zone if need be."""
     chosen = ordered[:count]
     zones = {entry.availability_zone for entry in chosen}
--- a/tools/bench_messages.py
+++ b/tools/bench_messages.py
@@ -15,7 +15,6 @@
 from random import Random
 from typing import Any
 
-from bergamotchute_daemon.address_book import preferred_entries
 from bergamotchute_model.attempt_messages import (
     AnswerChunk,
     AttemptMessage,
@@ -36,6 +35,7 @@
 from bergamotchute_model.identifiers import Address, AttemptId, ClaimKey
 from bergamotchute_model.membership import EndpointAnnouncement, EntryAnnouncement
 from bergamotchute_model.view import FileInForce
+from bergamotchute_policy.address_answer import preferred_entries
 from bergamotchute_wire.message_codec import MessageCodec
 
 DATA = Path(__file__).resolve().parent.parent / "docs" / "data" / "bench_messages.json"
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -14,9 +14,10 @@
 from dataclasses import dataclass, replace
 from pathlib import Path
 
-from bergamotchute_daemon.address_book import CANDIDATES, FRESH_S
+from bergamotchute_daemon.address_book import FRESH_S
 from bergamotchute_daemon.agent import LOAD_REPORT_S
 from bergamotchute_daemon.control_client import RENEW_S
+from bergamotchute_daemon.relay import CANDIDATES
 from bergamotchute_state.claims import ENDED_CLAIMS
 from bergamotchute_state.files import KEPT_CHANGES
 from bergamotchute_wire.web_socket_link import HEARTBEAT_S
