Say in one place what the next attempt of a request avoids

Cause: the same replacement stood in the runners of idempotent and of claimed requests. Change: Exchange.next_work serves both. Conclusion: no behaviour changes.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/claimed_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/claimed_runner.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Any
 
 import anyio
@@ -22,7 +22,7 @@
 from bergamotchute_model.verdict import Verdict
 from bergamotchute_policy.endpoint_book import Finish
 from bergamotchute_policy.retry import FailedAttempt, retry_delay
-from bergamotchute_policy.work import Dispatch, Work
+from bergamotchute_policy.work import Dispatch
 
 REPLAYED_HEADER = ("idempotency-replayed", "true")
 
@@ -72,15 +72,12 @@
         replaces: AttemptId | None = None
         while not exchange.answer.finished:
             try:
-                dispatch = await self.scheduling.admit(self._work(exchange))
+                dispatch = await self.scheduling.admit(exchange.next_work())
             except ProblemError as error:
                 await self._on_refused(exchange, error.problem)
                 return
             replaces = await self._on_dispatch(exchange, dispatch, replaces)
 
-    def _work(self, exchange: Exchange) -> Work:
-        return replace(exchange.work, avoid=frozenset(exchange.failed_endpoints))
-
     async def _on_dispatch(
         self, exchange: Exchange, dispatch: Dispatch, replaces: AttemptId | None
     ) -> AttemptId | None:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/exchange.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from bergamotchute_daemon.answer_buffer import AnswerBuffer
 from bergamotchute_model.attempt_messages import Headers
@@ -67,3 +67,7 @@
     attempts: int = 0
     failed_endpoints: set[str] = field(default_factory=set)
     verdict: Verdict = Verdict.NOT_RUN
+
+    def next_work(self) -> Work:
+        """Return the work of the next attempt, which avoids where it failed before."""
+        return replace(self.work, avoid=frozenset(self.failed_endpoints))
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/request_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/request_runner.py
@@ -126,7 +126,7 @@
 
     async def _admit(self, exchange: Exchange) -> Dispatch | None:
         """Wait for a place; a refusal becomes the exchange's problem."""
-        work = replace(exchange.work, avoid=frozenset(exchange.failed_endpoints))
+        work = exchange.next_work()
         # A stream that has begun waits for its runner to come back as long as its caller does.
         patience_s = float("inf") if exchange.answer.chunks else NO_ENDPOINT_S
         while True:
