--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # The order of sets of texts is the same in each run.
 export PYTHONHASHSEED = 0
 PACKAGES := model state policy consensus wire daemon cli
-SOURCES := packages tests tools scenarios
+SOURCES := packages platform tests tools scenarios
 READY := $(VENV)/.ready
 
 .PHONY: env
@@ -30,11 +30,11 @@
 
 .PHONY: types
 types: env
-	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/bergamotchute-$(p)/src)
+	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/bergamotchute-$(p)/src) platform/bergamotchute_platform
 
 .PHONY: imports
 imports: env
-	$(BIN)/lint-imports --no-cache
+	PYTHONPATH=platform $(BIN)/lint-imports --no-cache
 
 .PHONY: events
 events: env
@@ -95,6 +95,7 @@
 .PHONY: lock
 lock:
 	uv pip compile --generate-hashes --no-header --universal --python-version 3.11 requirements.in -o requirements.lock
+	uv pip compile --generate-hashes --no-header --universal --python-version 3.11 requirements-run.in -c requirements.lock -o requirements-run.lock
 
 .PHONY: clean
 clean:
--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,14 @@
+#!/bin/sh
+# Puts the locked libraries and the packages of this workspace into target/deps.
+set -eu
+cd "$(dirname "$0")/.."
+if [ ! -e target/deps/.ready ] || [ requirements-run.lock -nt target/deps/.ready ]; then
+    rm -rf target/deps
+    python3 -m pip install --quiet --disable-pip-version-check --require-hashes \
+        --target target/deps -r requirements-run.lock
+    touch target/deps/.ready
+fi
+rm -rf target/deps/bergamotchute_*
+cp -R packages/*/src/bergamotchute_* platform/bergamotchute_platform target/deps/
+rm -rf target/deps/*.egg-info
+python3 -m compileall -q target/deps
--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/membership_plan.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/membership_plan.py
@@ -12,6 +12,7 @@
     PromoteLearner,
     RemoveMember,
 )
+from bergamotchute_model.identifiers import Address
 
 
 @dataclass(frozen=True)
@@ -56,6 +57,38 @@
     return None
 
 
+VOTERS_MAX = 9
+"""Voters beyond these only slow down each commit; four may be lost."""
+
+
+def next_automatic_change(
+    membership: Membership,
+    health: Mapping[str, MemberHealth],
+    gone: Collection[str],
+    newcomers: Mapping[Address, str],
+    fewest_voters: int,
+) -> MembershipChange | None:
+    """Return the next change where no operator names the voters, or ``None``.
+
+    Each learner that holds the log becomes a voter. A voter is dropped when its folder was
+    emptied, or when it is gone for long, as far as enough others stay.
+
+    :param gone: identities that were silent for long.
+    :param newcomers: replicas that ask to join, by their address.
+    :param fewest_voters: how many voters stay at least.
+    """
+    for voter in membership.voters:
+        emptied = newcomers.get(voter.address, voter.replica) != voter.replica
+        given_up = voter.replica in gone and len(membership.voters) > fewest_voters
+        if (emptied or given_up) and _survives_without(membership, voter, health):
+            return RemoveMember(voter.replica)
+    if len(membership.voters) < VOTERS_MAX:
+        for learner in membership.learners:
+            if _is_whole(health, learner):
+                return PromoteLearner(learner.replica)
+    return None
+
+
 def can_lose(membership: Membership, health: Mapping[str, MemberHealth]) -> int:
     """Return how many further voters may be lost such that a quorum holding everything is left."""
     whole = sum(_is_whole(health, voter) for voter in membership.voters)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/_voter_planner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/_voter_planner.py
@@ -12,13 +12,21 @@
     MembershipChange,
     RemoveMember,
 )
-from bergamotchute_consensus.membership_plan import MemberHealth, can_lose, next_change
+from bergamotchute_consensus.membership_plan import (
+    MemberHealth,
+    can_lose,
+    next_automatic_change,
+    next_change,
+)
 from bergamotchute_consensus.replica_state import ReplicaState
 from bergamotchute_model.configuration import ConfigurationReader
 from bergamotchute_model.status_messages import ControlStatus, VoterStatus
 from bergamotchute_state.control_state import ControlState
 
 LEARNERS_MAX = 3
+VOTER_GONE_S = 10.0
+"""Silence after which a voter is dropped; longer than restarts and usual partitions take."""
+
 LEARNER_GONE_S = 60.0
 """A learner that no file names and that was silent for so long is dropped."""
 
@@ -29,6 +37,7 @@
 
     :param newcomers: replicas that asked to join, by identity.
     :param settled_commit: the commit index a moment ago, which members should hold by now.
+    :param fewest_voters: see :class:`~bergamotchute_daemon.voter.VoterSettings`.
     """
 
     newcomers: dict[str, Member] = field(default_factory=dict)
@@ -37,6 +46,7 @@
     wanted: frozenset[str] = frozenset()
     wanted_revision: int = -1
     reader: ConfigurationReader = field(default_factory=ConfigurationReader)
+    fewest_voters: int = 0
 
     def note_commit(self, state: ReplicaState) -> None:
         """Take the commit index of the last call as settled."""
@@ -47,6 +57,12 @@
         self, state: ReplicaState, control: ControlState, now: float
     ) -> MembershipChange | None:
         """Return the change to ask for, if any."""
+        if self.fewest_voters:
+            return (
+                self._next_automatic_change(state, now)
+                or self._drop_learner(state, now)
+                or self._add_newcomer(state)
+            )
         self._read_wanted(control)
         return (
             next_change(state.membership, self.wanted, self.health(state, now))
@@ -54,6 +70,17 @@
             or self._add_newcomer(state)
         )
 
+    def _next_automatic_change(self, state: ReplicaState, now: float) -> MembershipChange | None:
+        newcomers = {member.address: member.replica for member in self.newcomers.values()}
+        gone = {
+            replica
+            for replica, peer in state.progress.items()
+            if now - peer.heard_at > VOTER_GONE_S
+        }
+        return next_automatic_change(
+            state.membership, self.health(state, now), gone, newcomers, self.fewest_voters
+        )
+
     def health(self, state: ReplicaState, now: float) -> dict[str, MemberHealth]:
         """Return what this leader knows of every member, by answers in its own term alone."""
         timeout = state.settings.election_timeout_s
--- /dev/null
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
@@ -0,0 +1,136 @@
+"""A control VM: a voter, the heartbeats that it hears, and the links of its followers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+
+from bergamotchute_daemon.control_log import ControlLog, ControlUnavailable
+from bergamotchute_daemon.event_log import EventLog
+from bergamotchute_daemon.node_hub import NodeHub
+from bergamotchute_daemon.voter import Voter
+from bergamotchute_model import events
+from bergamotchute_model.commands import ConfigurationPut, PutConfiguration, RecordDeparture
+from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat, EndpointPhase
+from bergamotchute_model.identifiers import Address
+from bergamotchute_model.node_messages import ControlGroup
+from bergamotchute_policy.endpoint_table import EndpointTable
+from bergamotchute_state.configuration_store import ConfigurationStore
+
+ANSWER_S = 0.9
+"""Wait for the log behind one call; callers move on to another control VM after a second."""
+
+LOOK_S = 0.2
+"""How often silent endpoints and changes of the control group are looked for."""
+
+HAND_ON_S = 1.0
+"""How long a stopping control VM goes on answering while another one begins to lead."""
+
+
+@dataclass
+class ControlProcess:
+    """What a control VM does for operators, endpoints and callers.
+
+    :param address: where the links of this control VM arrive.
+    :param on_leading: told the term while this control VM leads and its state is current, else 0.
+    """
+
+    address: Address
+    voter: Voter
+    control: ControlLog
+    table: EndpointTable
+    hub: NodeHub
+    log: EventLog
+    on_leading: Callable[[int], None]
+
+    async def run(self) -> None:
+        """Take part until cancelled."""
+        self.voter.listeners.append(self.hub.on_applied)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.voter.run)
+            tasks.start_soon(self._look)
+
+    async def drain(self) -> None:
+        """Hand leadership on and answer what is in hand."""
+        self.voter.resign()
+        await anyio.sleep(HAND_ON_S)
+
+    async def _look(self) -> None:
+        while True:
+            await anyio.sleep(LOOK_S)
+            silent = self.table.silence(anyio.current_time())
+            for heartbeat in silent:
+                self.log.emit(
+                    events.ENDPOINT_QUIET, endpoint=heartbeat.endpoint, born_ms=heartbeat.born_ms
+                )
+            self.hub.push_heartbeats(tuple(silent))
+            term = self.leading_term()
+            self.on_leading(term)
+            self.hub.tell_group(ControlGroup(self.control_addresses(), term))
+
+    def leading_term(self) -> int:
+        """Return the term that this control VM leads with a current state, or 0."""
+        replica = self.voter.replica
+        if replica is None or not replica.state.leading:
+            return 0
+        state = replica.state
+        return state.term if state.commit_index >= state.term_start_index else 0
+
+    def control_addresses(self) -> tuple[Address, ...]:
+        """Return the link addresses of the control group's members, as far as known here."""
+        replica = self.voter.replica
+        members = replica.state.membership.members if replica is not None else ()
+        return tuple(sorted({member.address for member in members}))
+
+    async def put_configuration(self, version: int, text: bytes) -> bool:
+        """Put a valid configuration in force unless a newer one is; return whether that is sure."""
+        try:
+            result = await self.control.commit(PutConfiguration(version, text), ANSWER_S)
+        except ControlUnavailable as error:
+            self.log.emit(events.CONFIGURATION_UNSURE, version=version, detail=str(error))
+            return False
+        changed = isinstance(result, ConfigurationPut) and result.changed
+        self.log.emit(events.CONFIGURATION_PUT, version=version, changed=changed)
+        return True
+
+    async def read_configuration(self) -> ConfigurationStore | None:
+        """Return the newest configuration, or ``None`` when that can't be told now."""
+        try:
+            await self.control.confirm(ANSWER_S)
+        except ControlUnavailable:
+            return None
+        return self.voter.state.state.configuration
+
+    async def on_heartbeat(self, heartbeat: EndpointHeartbeat) -> bool:
+        """Take an endpoint's heartbeat; return whether it may be acknowledged.
+
+        That an endpoint leaves is acknowledged only once the log holds it.
+        """
+        leaving = heartbeat.phase is EndpointPhase.LEAVING
+        if leaving and not await self.on_leave(heartbeat.endpoint, heartbeat.born_ms):
+            return False
+        if self.table.on_heartbeat(heartbeat, anyio.current_time()):
+            self.log.emit(
+                events.ENDPOINT_HEARD,
+                endpoint=heartbeat.endpoint,
+                phase=heartbeat.phase,
+                born_ms=heartbeat.born_ms,
+                heartbeat=heartbeat.sequence,
+            )
+            self.hub.push_heartbeats((heartbeat,))
+        return True
+
+    async def on_leave(self, endpoint: str, born_ms: int) -> bool:
+        """Record that one life of an endpoint takes no new work; return whether that is sure."""
+        if self.table.has_departed(endpoint, born_ms):
+            return True
+        try:
+            await self.control.commit(RecordDeparture(endpoint, born_ms), ANSWER_S)
+        except ControlUnavailable as error:
+            self.log.emit(events.DEPARTURE_UNSURE, endpoint=endpoint, detail=str(error))
+            return False
+        # The state of a follower of the log may lag behind the commit; entries must not.
+        self.hub.tell_departure(endpoint, born_ms)
+        return True
--- /dev/null
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/__init__.py
@@ -0,0 +1,1 @@
+"""An entry that calls endpoints itself: filters, placement, attempts, answers."""
--- /dev/null
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -0,0 +1,194 @@
+"""An entry that calls endpoints itself."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from random import Random
+
+import anyio
+
+from bergamotchute_daemon.control_links import ControlLinks
+from bergamotchute_daemon.direct.dialect import Dialect
+from bergamotchute_daemon.direct.direct_request import Refusal
+from bergamotchute_daemon.direct.direct_runner import DirectRunner
+from bergamotchute_daemon.direct.filters import admit
+from bergamotchute_daemon.direct.routing_table import RoutingTable
+from bergamotchute_daemon.event_log import EventLog
+from bergamotchute_model import events
+from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
+from bergamotchute_model.identifiers import Address
+from bergamotchute_model.node_messages import (
+    AskConfiguration,
+    ConfigurationText,
+    ConfigurationVersion,
+    DeparturesRecorded,
+    EntryState,
+    HeartbeatsHeard,
+    NodeMessage,
+)
+from bergamotchute_policy.endpoint_table import EndpointTable
+from bergamotchute_wire.http1_server import AnswerWriter, CallerRequest, Http1Server, ServerLimits
+
+ASK_AGAIN_S = 0.4
+"""Wait for a configuration's text before another control VM is asked for it."""
+
+TIDY_S = 1.0
+
+DRAIN_QUIET_S = 4.2
+"""How long a stopping entry serves callers that still know its address: two lifetimes of it."""
+
+
+@dataclass
+class DirectEntry:
+    """What an entry knows and serves.
+
+    :param drain_bound_s: the longest that a stop may take, in seconds.
+    """
+
+    name: str
+    address: Address
+    availability_zone: str
+    dialect: Dialect
+    table: EndpointTable
+    runner: DirectRunner
+    links: ControlLinks
+    server: Http1Server
+    random: Random
+    log: EventLog
+    drain_bound_s: float
+    routing: RoutingTable | None = None
+    stopping: bool = False
+    wanted_version: int = 0
+    asked_at: float = float("-inf")
+    by_service: dict[str, list[EndpointHeartbeat]] = field(default_factory=dict)
+    now: Callable[[], float] = anyio.current_time
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.links.run)
+            tasks.start_soon(self.server.serve, self.address)
+            tasks.start_soon(self._tidy)
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return self.routing is not None and not self.stopping
+
+    def greeting(self) -> Iterable[NodeMessage]:
+        """Say what this entry is, at the beginning of a link."""
+        return (EntryState(self.name, self.address, self.availability_zone, self.ready),)
+
+    async def drain(self) -> None:
+        """Take no new callers, answer those that still come, and return once none is served."""
+        self.stopping = True
+        self.server.stopping = True
+        self.links.post_all(next(iter(self.greeting())))
+        with anyio.move_on_after(self.drain_bound_s):
+            await anyio.sleep(DRAIN_QUIET_S)
+            await self.server.wait_idle()
+        self.server.close_idle()
+
+    def on_message(self, address: Address, message: NodeMessage) -> None:
+        """Take what a control VM says."""
+        match message:
+            case ConfigurationVersion(version):
+                self._on_version(address, version)
+            case ConfigurationText():
+                self._on_configuration(message)
+            case HeartbeatsHeard(heartbeats):
+                for heartbeat in heartbeats:
+                    self._on_heartbeat(heartbeat)
+                self._arrange()
+            case DeparturesRecorded(departures):
+                for endpoint, born_ms in departures:
+                    if self.table.on_departure(endpoint, born_ms):
+                        self.log.emit(events.MEMBER_DRAINING, endpoint=endpoint, born_ms=born_ms)
+                self._arrange()
+            case _:
+                pass
+
+    def _on_heartbeat(self, heartbeat: EndpointHeartbeat) -> None:
+        if self.table.on_heartbeat(heartbeat, self.now()):
+            self.log.emit(
+                events.ENDPOINT_HEARD,
+                endpoint=heartbeat.endpoint,
+                phase=heartbeat.phase,
+                born_ms=heartbeat.born_ms,
+                heartbeat=heartbeat.sequence,
+            )
+
+    def _arrange(self) -> None:
+        """Sort the endpoints by service; at one address, only the newest life counts."""
+        newest: dict[Address, EndpointHeartbeat] = {}
+        for heartbeat in self.table.heartbeats():
+            known = newest.get(heartbeat.address)
+            if known is None or heartbeat.born_ms > known.born_ms:
+                newest[heartbeat.address] = heartbeat
+        self.by_service = {}
+        for heartbeat in newest.values():
+            self.by_service.setdefault(heartbeat.service, []).append(heartbeat)
+
+    def endpoints(self, service: str) -> list[EndpointHeartbeat]:
+        """Return the endpoints of a service."""
+        return self.by_service.get(service, [])
+
+    @property
+    def version(self) -> int:
+        """The configuration version in force here, 0 for none."""
+        return self.routing.configuration.version if self.routing is not None else 0
+
+    def _on_version(self, address: Address, version: int) -> None:
+        """Ask for a newer configuration, of one control VM at a time."""
+        if version <= self.version:
+            return
+        recently = self.now() - self.asked_at < ASK_AGAIN_S
+        if version <= self.wanted_version and recently:
+            return
+        self.wanted_version = version
+        self.asked_at = self.now()
+        self.links.post(address, AskConfiguration())
+
+    def _on_configuration(self, message: ConfigurationText) -> None:
+        """Take a newer configuration into force; an older one never comes back."""
+        if message.version <= self.version:
+            return
+        try:
+            configuration = self.dialect.read_configuration(message.text)
+        except ValueError as error:
+            self.log.emit(events.VIEW_UNREADABLE, revision=message.version, detail=str(error))
+            return
+        first = self.routing is None
+        self.routing = RoutingTable(configuration)
+        limits = configuration.limits
+        self.server.limits = ServerLimits(
+            limits.head_bytes, limits.body_bytes, limits.head_timeout_s, limits.idle_timeout_s
+        )
+        self.log.emit(events.VIEW_ADVANCED, revision=message.version)
+        if first:
+            self.links.post_all(next(iter(self.greeting())))
+
+    async def _tidy(self) -> None:
+        while True:
+            await anyio.sleep(TIDY_S)
+            self.runner.placement.forget(self.table.endpoints.keys())
+            if self.wanted_version > self.version and self.now() - self.asked_at > ASK_AGAIN_S:
+                self.asked_at = self.now()
+                self.links.post_all(AskConfiguration())
+
+    async def handle(self, request: CallerRequest, writer: AnswerWriter) -> None:
+        """Answer one request of a caller."""
+        wishes = self.dialect.read_request(request.head)
+        try:
+            admitted = admit(self.routing, request, wishes, self.random)
+            await self.runner.run(admitted, writer)
+        except Refusal as refusal:
+            self.log.emit(
+                events.REQUEST_REFUSED,
+                request_id=wishes.request_id,
+                status=refusal.status,
+                reason=refusal.reason,
+                revision=self.version,
+            )
+            await writer.respond(refusal.status, refusal.headers, refusal.reason.encode())
--- /dev/null
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_runner.py
@@ -0,0 +1,363 @@
+"""Carries one request to endpoints until it has its final answer."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from random import Random
+
+import anyio
+
+from bergamotchute_daemon.direct.dialect import Dialect, EndpointWord, SendFacts
+from bergamotchute_daemon.direct.direct_request import DirectRequest, Refusal
+from bergamotchute_daemon.direct.event_stream import EventStream, StreamMismatch
+from bergamotchute_daemon.event_log import EventLog
+from bergamotchute_model import events
+from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
+from bergamotchute_model.verdict import Verdict
+from bergamotchute_policy.direct_placement import DirectPlacement
+from bergamotchute_policy.retry import RetryBudget
+from bergamotchute_wire.http1_client import EndpointExchange, open_exchange
+from bergamotchute_wire.http1_messages import AnswerHead, EndpointFailure, without_hop_headers
+from bergamotchute_wire.http1_server import AnswerWriter
+
+CONNECT_TIMEOUT_S = 0.3
+"""Bound on connecting to an endpoint; zones are a millisecond apart, a lost packet costs more."""
+
+HEAD_TIMEOUT_OBJECTIVES = 2.5
+"""An idempotent request without an answer for so many objectives is tried elsewhere."""
+
+HEAD_TIMEOUT_LEAST_S = 0.9
+"""An endpoint gets at least this long for the head of an answer to an idempotent request."""
+
+STREAM_SILENCE_S = 1.3
+"""A stream without an event for so long goes on elsewhere; callers give up after two seconds."""
+
+CONNECT_TRIES = 3
+"""Endpoints that may refuse the connection or the request before the caller is refused."""
+
+RETRY_AFTER_LEAST_S = 0.1
+RETRY_AFTER_SPREAD_S = 0.5
+"""Callers that are refused together come back spread over this time."""
+
+ANSWER_BYTES_MAX = 16_777_216
+"""An answer that is no stream is held whole up to this size; a larger one is a failure."""
+
+
+@dataclass(frozen=True)
+class AttemptResult:
+    """How an attempt ended that did not give the caller its final answer.
+
+    :param head: the endpoint's own failure, which the caller gets when nothing better comes.
+    """
+
+    verdict: Verdict
+    reason: str
+    head: AnswerHead | None = None
+    body: bytes = b""
+
+
+@dataclass
+class _Progress:
+    """What one request has been through.
+
+    :param avoided: endpoints that failed it.
+    :param sent: endpoints that it was sent to.
+    :param may_have_run: whether any of them may have run it.
+    """
+
+    stream: EventStream
+    avoided: set[str] = field(default_factory=set)
+    sent: int = 0
+    tries: int = 0
+    may_have_run: bool = False
+    last: AttemptResult | None = None
+
+
+@dataclass
+class DirectRunner:
+    """Sends requests to endpoints.
+
+    :param endpoints: the endpoints of a service, from the newest heartbeats.
+    :param retry_ratio: second sends allowed for each request of a service, in the long run.
+    :param retry_capacity: second sends of a service that this entry may make at once.
+    """
+
+    dialect: Dialect
+    placement: DirectPlacement
+    endpoints: Callable[[str], Iterable[EndpointHeartbeat]]
+    random: Random
+    log: EventLog
+    retry_ratio: float
+    retry_capacity: float
+    budgets: dict[str, RetryBudget] = field(default_factory=lambda: defaultdict(RetryBudget))
+
+    async def run(self, request: DirectRequest, writer: AnswerWriter) -> None:
+        """Answer a request.
+
+        :raises Refusal: when it gets no answer of an endpoint.
+        """
+        self._budget(request).on_first_attempt()
+        progress = _Progress(EventStream(request.wishes.resume_after))
+        with anyio.CancelScope(deadline=request.deadline) as scope:
+            await self._attempts(request, writer, progress)
+        if scope.cancelled_caught:
+            self._give_up(request, writer, progress, "the time for an answer is over")
+
+    async def _attempts(
+        self, request: DirectRequest, writer: AnswerWriter, progress: _Progress
+    ) -> None:
+        while True:
+            now = anyio.current_time()
+            candidate = self.placement.choose(
+                self.endpoints(request.service.name), progress.avoided, now
+            )
+            if candidate is None:
+                self._give_up(request, writer, progress, "no endpoint can be used")
+                return
+            result = await self._attempt(request, writer, progress, candidate.heartbeat)
+            if result is None:
+                return
+            self._note(request, progress, candidate.heartbeat, result)
+            if not self._may_go_on(request, progress, result):
+                await self._end(request, writer, progress, result)
+                return
+
+    async def _attempt(
+        self,
+        request: DirectRequest,
+        writer: AnswerWriter,
+        progress: _Progress,
+        endpoint: EndpointHeartbeat,
+    ) -> AttemptResult | None:
+        """Send a request to one endpoint; ``None`` once the caller has the whole answer."""
+        progress.tries += 1
+        progress.stream.begin_attempt()
+        self.log.emit(
+            events.REQUEST_DISPATCHED,
+            request_id=request.wishes.request_id,
+            endpoint=endpoint.endpoint,
+            attempt=progress.tries,
+            born_ms=endpoint.born_ms,
+            in_flight=self.placement.load(endpoint).in_flight,
+        )
+        self.placement.on_sent(endpoint)
+        try:
+            async with open_exchange(endpoint.address, CONNECT_TIMEOUT_S) as exchange:
+                progress.sent += 1
+                return await self._exchange(request, writer, progress, endpoint, exchange)
+        except EndpointFailure as failure:
+            self.placement.on_failure(endpoint, anyio.current_time())
+            verdict = Verdict.MAY_HAVE_RUN if failure.sent else Verdict.NOT_RUN
+            return AttemptResult(verdict, failure.reason)
+        finally:
+            self.placement.on_ended(endpoint)
+
+    async def _exchange(
+        self,
+        request: DirectRequest,
+        writer: AnswerWriter,
+        progress: _Progress,
+        endpoint: EndpointHeartbeat,
+        exchange: EndpointExchange,
+    ) -> AttemptResult | None:
+        facts = SendFacts(
+            endpoint=endpoint,
+            time_left_s=request.deadline - anyio.current_time(),
+            team=request.team,
+            resume_after=progress.stream.last_id,
+            urgency=min(9, request.priority),
+            body_bytes=len(request.body),
+        )
+        await exchange.send(self.dialect.write_request(request.head, facts), request.body)
+        head = await self._read_head(request, exchange)
+        word = self.dialect.read_answer(head)
+        if word.requests is not None:
+            self.placement.on_told(endpoint, word.requests, anyio.current_time())
+        fault = self._fault(request, head, word)
+        if fault is not None:
+            if word.not_run:
+                self.placement.on_full(endpoint, anyio.current_time())
+            return fault
+        if request.is_stream and 200 <= head.status < 300:
+            await self._pass_stream(request, writer, progress, exchange, head)
+        else:
+            body = await self._whole_body(exchange)
+            if head.status >= 500:
+                return AttemptResult(Verdict.MAY_HAVE_RUN, f"status {head.status}", head, body)
+            await self._pass_answer(writer, head, body)
+        self.placement.on_good_answer(endpoint)
+        self._log_completed(request, progress, endpoint, head.status)
+        return None
+
+    def _fault(
+        self, request: DirectRequest, head: AnswerHead, word: EndpointWord
+    ) -> AttemptResult | None:
+        """Return what makes an answer useless to the caller, if anything."""
+        if word.not_run or word.wrong_endpoint:
+            return AttemptResult(Verdict.NOT_RUN, f"status {head.status}, not run")
+        if word.request_id != request.wishes.request_id:
+            return AttemptResult(Verdict.MAY_HAVE_RUN, "the answer belongs to another request")
+        if 200 <= head.status < 300 and not word.sealed:
+            return AttemptResult(Verdict.MAY_HAVE_RUN, "the answer is not signed")
+        if head.status in (408, 421, 429, 503):
+            # These would promise that the request has not run, which the endpoint does not say.
+            return AttemptResult(Verdict.MAY_HAVE_RUN, f"status {head.status} without a promise")
+        return None
+
+    async def _read_head(self, request: DirectRequest, exchange: EndpointExchange) -> AnswerHead:
+        if not request.route.idempotent:
+            return await exchange.read_head()
+        objectives_s = HEAD_TIMEOUT_OBJECTIVES * request.route.objective_s
+        with anyio.move_on_after(max(HEAD_TIMEOUT_LEAST_S, objectives_s)):
+            return await exchange.read_head()
+        raise EndpointFailure("no answer began in time", True)
+
+    async def _whole_body(self, exchange: EndpointExchange) -> bytes:
+        body = bytearray()
+        async for data in exchange.read_body():
+            body += data
+            if len(body) > ANSWER_BYTES_MAX:
+                raise EndpointFailure("the answer is too large", True)
+        return bytes(body)
+
+    async def _pass_answer(self, writer: AnswerWriter, head: AnswerHead, body: bytes) -> None:
+        headers = without_hop_headers(head.headers)
+        kept = tuple((name, value) for name, value in headers if name != "content-length")
+        await writer.respond(head.status, kept, body)
+
+    async def _pass_stream(
+        self,
+        request: DirectRequest,
+        writer: AnswerWriter,
+        progress: _Progress,
+        exchange: EndpointExchange,
+        head: AnswerHead,
+    ) -> None:
+        """Pass on whole events as they come.
+
+        :raises EndpointFailure: when the stream breaks off, falls silent or does not fit.
+        """
+        stream = progress.stream
+        body = aiter(exchange.read_body())
+        while True:
+            data = await self._next_data(request, body)
+            if data is None:
+                break
+            try:
+                whole = stream.take(data)
+            except StreamMismatch as error:
+                raise EndpointFailure(str(error), True) from error
+            if whole:
+                if not writer.started:
+                    await writer.start(head.status, without_hop_headers(head.headers))
+                await writer.write(whole)
+        if stream.unfinished or not writer.started:
+            raise EndpointFailure("the stream ended within an event", True)
+        await writer.finish()
+
+    async def _next_data(self, request: DirectRequest, body: object) -> bytes | None:
+        """Return the stream's next bytes, or ``None`` at its end."""
+        if not request.route.idempotent:
+            return await anext(body, None)  # type: ignore[call-overload,no-any-return]
+        with anyio.move_on_after(STREAM_SILENCE_S):
+            return await anext(body, None)  # type: ignore[call-overload,no-any-return]
+        raise EndpointFailure("the stream fell silent", True)
+
+    def _note(
+        self,
+        request: DirectRequest,
+        progress: _Progress,
+        endpoint: EndpointHeartbeat,
+        result: AttemptResult,
+    ) -> None:
+        progress.avoided.add(endpoint.endpoint)
+        progress.last = result
+        if result.verdict is Verdict.MAY_HAVE_RUN:
+            progress.may_have_run = True
+        self.log.emit(
+            events.ATTEMPT_FAILED,
+            request_id=request.wishes.request_id,
+            endpoint=endpoint.endpoint,
+            attempt=progress.tries,
+            verdict=result.verdict,
+            reason=result.reason,
+            events_passed=progress.stream.events,
+        )
+
+    def _may_go_on(
+        self, request: DirectRequest, progress: _Progress, result: AttemptResult
+    ) -> bool:
+        """Return whether another endpoint may be tried, and take that from the budget."""
+        if result.verdict is Verdict.MAY_HAVE_RUN and not request.route.idempotent:
+            return False
+        if progress.sent >= max(1, request.route.max_endpoints) or progress.tries > CONNECT_TRIES:
+            return False
+        if progress.sent and not self._budget(request).take():
+            return False
+        self.log.emit(
+            events.REQUEST_RETRIED,
+            request_id=request.wishes.request_id,
+            attempt=progress.tries + 1,
+            resume_after=progress.stream.last_id,
+        )
+        return True
+
+    async def _end(
+        self,
+        request: DirectRequest,
+        writer: AnswerWriter,
+        progress: _Progress,
+        result: AttemptResult,
+    ) -> None:
+        """Give the caller an endpoint's own failure, or ours."""
+        if result.head is not None and not writer.started:
+            await self._pass_answer(writer, result.head, result.body)
+            return
+        self._give_up(request, writer, progress, result.reason)
+
+    def _give_up(
+        self, request: DirectRequest, writer: AnswerWriter, progress: _Progress, reason: str
+    ) -> None:
+        """Refuse a request, or leave its begun answer broken off.
+
+        :raises Refusal: where nothing of an answer was written.
+        """
+        if writer.started:
+            self.log.emit(
+                events.REQUEST_FAILED,
+                request_id=request.wishes.request_id,
+                reason=reason,
+                events_passed=progress.stream.events,
+            )
+            return
+        if progress.sent and anyio.current_time() >= request.deadline:
+            raise Refusal(504, reason)
+        if progress.may_have_run:
+            raise Refusal(502, reason)
+        spread_s = RETRY_AFTER_SPREAD_S * self.random.random()
+        raise Refusal(503, reason, RETRY_AFTER_LEAST_S + spread_s)
+
+    def _budget(self, request: DirectRequest) -> RetryBudget:
+        name = request.service.name
+        if name not in self.budgets:
+            self.budgets[name] = RetryBudget(self.retry_ratio, self.retry_capacity)
+        return self.budgets[name]
+
+    def _log_completed(
+        self,
+        request: DirectRequest,
+        progress: _Progress,
+        endpoint: EndpointHeartbeat,
+        status: int,
+    ) -> None:
+        self.log.emit(
+            events.REQUEST_COMPLETED,
+            request_id=request.wishes.request_id,
+            endpoint=endpoint.endpoint,
+            status=status,
+            attempts=progress.tries,
+            events_passed=progress.stream.events,
+            took_ms=round((anyio.current_time() - request.arrived_at) * 1000),
+        )
--- /dev/null
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
@@ -0,0 +1,129 @@
+"""Wires the parts of the processes that find each other from seeds: entries, control VMs, agents."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+
+from bergamotchute_consensus.disk import Disk
+from bergamotchute_consensus.messages import ConsensusMessage
+from bergamotchute_consensus.replica_settings import ReplicaSettings
+from bergamotchute_daemon.control_links import ControlLinks
+from bergamotchute_daemon.control_log import ControlLog
+from bergamotchute_daemon.control_process import ControlProcess
+from bergamotchute_daemon.direct.dialect import Dialect
+from bergamotchute_daemon.direct.direct_entry import DirectEntry
+from bergamotchute_daemon.direct.direct_runner import DirectRunner
+from bergamotchute_daemon.event_log import EventLog
+from bergamotchute_daemon.node_hub import NodeHub
+from bergamotchute_daemon.node_settings import NodeSettings
+from bergamotchute_daemon.voter import Voter, VoterSettings
+from bergamotchute_model.identifiers import Address
+from bergamotchute_model.node_messages import NodeMessage
+from bergamotchute_policy.direct_placement import DirectPlacement
+from bergamotchute_policy.endpoint_table import EndpointTable
+from bergamotchute_wire.http1_server import Http1Server
+from bergamotchute_wire.link import Dial
+
+QUIET_HEARTBEATS = 3.0
+"""Heartbeats that may be missing before an endpoint counts as quiet."""
+
+RETRY_MARGIN = 0.7
+"""Part of the shared retry budget that entries spend, as they count requests apart."""
+
+ENTRIES_SHARING = 10.0
+"""Entries among which the fixed part of the retry budget is split; both users have fewer."""
+
+STOP_MARGIN_S = 1.0
+"""What a stop leaves of the time until SIGKILL."""
+
+FAST_ELECTION = ReplicaSettings(heartbeat_s=0.15, election_timeout_s=0.9)
+"""Elections end within 2 s: callers of a control VM wait 4 s for an acknowledgement."""
+
+
+@dataclass(frozen=True)
+class NodeEnvironment:
+    """What a process gets from outside."""
+
+    random: Random
+    log: EventLog
+    dial_control: Dial[NodeMessage]
+    dial_consensus: Dial[ConsensusMessage]
+
+
+def compose_direct_entry(
+    settings: NodeSettings, dialect: Dialect, environment: NodeEnvironment
+) -> DirectEntry:
+    """Return an entry that calls endpoints itself; nothing runs yet."""
+    table = EndpointTable(QUIET_HEARTBEATS * settings.heartbeat_ms / 1000)
+    process: DirectEntry
+    runner = DirectRunner(
+        dialect=dialect,
+        placement=DirectPlacement(settings.availability_zone, environment.random),
+        endpoints=lambda service: process.endpoints(service),
+        random=environment.random,
+        log=environment.log,
+        retry_ratio=RETRY_MARGIN * settings.retry_ratio,
+        retry_capacity=RETRY_MARGIN * settings.retry_slack / ENTRIES_SHARING,
+    )
+    links = ControlLinks(
+        seeds=settings.seed_links,
+        dial=environment.dial_control,
+        random=environment.random,
+        log=environment.log,
+        greeting=lambda: process.greeting(),
+        on_message=lambda address, message: process.on_message(address, message),
+    )
+    server = Http1Server(lambda request, writer: process.handle(request, writer))
+    process = DirectEntry(
+        name=settings.name,
+        address=Address.parse(settings.listen.callers),
+        availability_zone=settings.availability_zone,
+        dialect=dialect,
+        table=table,
+        runner=runner,
+        links=links,
+        server=server,
+        random=environment.random,
+        log=environment.log,
+        drain_bound_s=settings.stop_s - STOP_MARGIN_S,
+    )
+    return process
+
+
+def compose_control(
+    settings: NodeSettings, disk: Disk, environment: NodeEnvironment
+) -> ControlProcess:
+    """Return a control VM's process; nothing runs yet."""
+    voter = Voter(
+        VoterSettings(
+            settings.link_address,
+            settings.seed_links,
+            settings.found,
+            fewest_voters=2 * settings.disks_to_lose + 1,
+        ),
+        disk,
+        environment.dial_consensus,
+        log=environment.log,
+        random=environment.random,
+        replica_settings=FAST_ELECTION,
+    )
+    control = ControlLog(voter)
+    table = EndpointTable(QUIET_HEARTBEATS * settings.heartbeat_ms / 1000)
+    hub = NodeHub(
+        voter=voter,
+        control=control,
+        table=table,
+        log=environment.log,
+        on_rank_message=lambda *_: None,
+        on_agent_gone=lambda _: None,
+    )
+    return ControlProcess(
+        address=settings.link_address,
+        voter=voter,
+        control=control,
+        table=table,
+        hub=hub,
+        log=environment.log,
+        on_leading=lambda _: None,
+    )
--- /dev/null
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -0,0 +1,172 @@
+"""Links from entries and agents to a control VM, and what is pushed over them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+import anyio
+
+from bergamotchute_daemon.control_log import ControlLog, ControlUnavailable
+from bergamotchute_daemon.event_log import EventLog
+from bergamotchute_daemon.voter import Voter
+from bergamotchute_model import events
+from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
+from bergamotchute_model.identifiers import Address
+from bergamotchute_model.node_messages import (
+    AgentState,
+    AskConfiguration,
+    ConfigurationText,
+    ConfigurationVersion,
+    ControlGroup,
+    DeparturesRecorded,
+    EntryState,
+    HeartbeatsHeard,
+    NodeMessage,
+    RankCounts,
+    RankStatus,
+)
+from bergamotchute_policy.endpoint_table import EndpointTable
+from bergamotchute_wire.link import Link, LinkClosed
+from bergamotchute_wire.outbox import Outbox
+
+CONFIRM_S = 2.0
+"""Wait for a quorum before a new follower is told what is in force; then another try."""
+
+
+@dataclass(eq=False)
+class Follower:
+    """An entry or agent on a link.
+
+    :param confirmed: whether a quorum confirmed the state here since the link opened.
+    :param version: the newest configuration version sent to it.
+    """
+
+    outbox: Outbox[NodeMessage]
+    confirmed: bool = False
+    version: int = 0
+    entry: EntryState | None = None
+    agent: AgentState | None = None
+
+
+@dataclass
+class NodeHub:
+    """Serves the links of entries and agents.
+
+    :param on_rank_message: takes what agents say of their ranks.
+    :param on_agent_gone: told when the link of an agent closed.
+    """
+
+    voter: Voter
+    control: ControlLog
+    table: EndpointTable
+    log: EventLog
+    on_rank_message: Callable[[Follower, RankCounts | RankStatus], None]
+    on_agent_gone: Callable[[Follower], None]
+    followers: list[Follower] = field(default_factory=list)
+    group: ControlGroup = field(default_factory=lambda: ControlGroup((), 0))
+    departures_told: int = -1
+
+    async def serve(self, link: Link[NodeMessage]) -> None:
+        """Serve one link until it closes."""
+        follower = Follower(Outbox(link))
+        self.followers.append(follower)
+        follower.outbox.post(self.group)
+        follower.outbox.post(HeartbeatsHeard(self.table.heartbeats()))
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(follower.outbox.run)
+                tasks.start_soon(self._confirm, follower)
+                with suppress(LinkClosed):
+                    while True:
+                        self._on_message(follower, await link.receive())
+                tasks.cancel_scope.cancel()
+        finally:
+            self._forget(follower, link.peer)
+
+    def _forget(self, follower: Follower, peer: str) -> None:
+        self.followers.remove(follower)
+        name = follower.entry.name if follower.entry else peer
+        if follower.agent is not None:
+            name = follower.agent.name
+            self.on_agent_gone(follower)
+        self.log.emit(events.LINK_CLOSED, peer=name)
+
+    async def _confirm(self, follower: Follower) -> None:
+        """Tell a follower what is in force, once a quorum confirmed that it is the newest."""
+        while not follower.confirmed:
+            try:
+                await self.control.confirm(CONFIRM_S)
+            except ControlUnavailable:
+                continue
+            follower.confirmed = True
+            departures = self.voter.state.state.departures.recorded
+            follower.outbox.post(DeparturesRecorded(tuple(departures.items())))
+            self._tell_version(follower)
+
+    def _on_message(self, follower: Follower, message: NodeMessage) -> None:
+        match message:
+            case EntryState():
+                follower.entry = message
+            case AgentState():
+                follower.agent = message
+                self.log.emit(events.LINK_OPENED, peer=message.name)
+            case AskConfiguration():
+                held = self.voter.state.state.configuration
+                follower.outbox.post(ConfigurationText(held.version, held.text))
+            case RankCounts() | RankStatus():
+                self.on_rank_message(follower, message)
+            case _:
+                self.log.emit(events.LINK_MUTE, peer="unexpected", message=message.kind)
+
+    def push_heartbeats(self, heartbeats: tuple[EndpointHeartbeat, ...]) -> None:
+        """Tell every follower what changed."""
+        if not heartbeats:
+            return
+        for follower in self.followers:
+            follower.outbox.post(HeartbeatsHeard(heartbeats))
+
+    def on_applied(self) -> None:
+        """Tell the followers what the log changed since they were told last."""
+        state = self.voter.state.state
+        for follower in self.followers:
+            if follower.confirmed:
+                self._tell_version(follower)
+        if state.departures.changes != self.departures_told:
+            self.departures_told = state.departures.changes
+            for endpoint, born_ms in state.departures.recorded.items():
+                self.tell_departure(endpoint, born_ms)
+
+    def tell_departure(self, endpoint: str, born_ms: int) -> None:
+        """Tell the followers that one life of an endpoint takes no new work, if that is news."""
+        if self.table.on_departure(endpoint, born_ms):
+            for follower in self.followers:
+                follower.outbox.post(DeparturesRecorded(((endpoint, born_ms),)))
+
+    def _tell_version(self, follower: Follower) -> None:
+        version = self.voter.state.state.configuration.version
+        if version > follower.version:
+            follower.version = version
+            follower.outbox.post(ConfigurationVersion(version))
+
+    def tell_group(self, group: ControlGroup) -> None:
+        """Tell the followers which control VMs there are, and whether this one leads."""
+        if group == self.group:
+            return
+        self.group = group
+        for follower in self.followers:
+            follower.outbox.post(group)
+
+    def open_entries(self) -> tuple[EntryState, ...]:
+        """Return the linked entries that take callers."""
+        linked = {each.entry.address: each.entry for each in self.followers if each.entry}
+        return tuple(entry for entry in linked.values() if entry.open)
+
+    def entry_addresses(self, availability_zone: str) -> tuple[Address, ...]:
+        """Return where callers of an availability zone may connect, their own zone first."""
+        entries = sorted(
+            self.open_entries(),
+            key=lambda entry: (entry.availability_zone != availability_zone, entry.address),
+        )
+        return tuple(entry.address for entry in entries)
--- /dev/null
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_runner.py
@@ -0,0 +1,186 @@
+"""Runs the processes that find each other from seeds: sockets, signals, settings, logs."""
+
+from __future__ import annotations
+
+import logging
+import signal
+import sys
+import time
+import uuid
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from random import Random
+
+import anyio
+from anyio.abc import TaskGroup
+
+from bergamotchute_consensus.file_disk import FileDisk
+from bergamotchute_daemon.control_process import ControlProcess
+from bergamotchute_daemon.direct.dialect import Dialect
+from bergamotchute_daemon.direct.direct_entry import DirectEntry
+from bergamotchute_daemon.environment import CONSENSUS_PATH
+from bergamotchute_daemon.event_log import LOGGER_NAME, EventLog, JsonLines, wall_clock
+from bergamotchute_daemon.node_composition_root import (
+    NodeEnvironment,
+    compose_control,
+    compose_direct_entry,
+)
+from bergamotchute_daemon.node_settings import NodeSettings, NodeSettingsError, SettingsFile
+from bergamotchute_daemon.voter import CONSENSUS_CODEC
+from bergamotchute_model import events
+from bergamotchute_model.identifiers import Address
+from bergamotchute_model.node_messages import NodeMessage
+from bergamotchute_wire.http1_server import Handler, Http1Server
+from bergamotchute_wire.message_codec import MessageCodec
+from bergamotchute_wire.web_socket_transport import (
+    LinkRoute,
+    serve_web_socket_links,
+    web_socket_dial,
+)
+
+NODE_CODEC: MessageCodec[NodeMessage] = MessageCodec(NodeMessage)
+NODES_PATH = "/nodes"
+"""Links of entries and agents to control VMs."""
+
+EXIT_ENDED = 0
+EXIT_SETTINGS = 2
+
+SETTINGS_LOOK_S = 1.0
+"""How often the settings file is compared; it may change without a signal."""
+
+STOP_S = 0.2
+"""How long closing connections get."""
+
+
+def log_to_stdout() -> None:
+    """Send the events and warnings of this process to standard output as JSON lines."""
+    handler = logging.StreamHandler(sys.stdout)
+    handler.setFormatter(JsonLines())
+    logging.getLogger().addHandler(handler)
+    logging.getLogger(LOGGER_NAME).setLevel(logging.INFO)
+
+
+def run_node(path: Path, main: Callable[[SettingsFile, NodeSettings], Awaitable[None]]) -> int:
+    """Run a process with the settings of a file until it is told to stop."""
+    log_to_stdout()
+    file = SettingsFile(path)
+    try:
+        settings = file.read()
+    except NodeSettingsError as error:
+        logging.getLogger(LOGGER_NAME).error("%s", error)
+        return EXIT_SETTINGS
+    anyio.run(main, file, settings)
+    return EXIT_ENDED
+
+
+def node_environment(settings: NodeSettings, role: str) -> NodeEnvironment:
+    """Return the real outside of a process."""
+    wall_us = wall_clock(time.time_ns() // 1_000, anyio.current_time(), anyio.current_time)
+    log = EventLog(settings.name, role, uuid.uuid4().hex[:12], wall_us)
+    return NodeEnvironment(
+        random=Random(),
+        log=log,
+        dial_control=web_socket_dial(NODES_PATH, NODE_CODEC),
+        dial_consensus=web_socket_dial(CONSENSUS_PATH, CONSENSUS_CODEC),
+    )
+
+
+async def run_entry(
+    file: SettingsFile,
+    settings: NodeSettings,
+    dialect: Dialect,
+    ready_handler: Callable[[DirectEntry], Handler],
+) -> None:
+    """Run an entry until SIGTERM.
+
+    :param ready_handler: answers the platform's question whether the entry is ready.
+    """
+    environment = node_environment(settings, "entry")
+    process = compose_direct_entry(settings, dialect, environment)
+    environment.log.emit(events.PROCESS_STARTED, listen=settings.listen.callers)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(process.run)
+        ready = Http1Server(ready_handler(process))
+        tasks.start_soon(ready.serve, Address.parse(settings.listen.ready))
+
+        def reload(changed: NodeSettings) -> None:
+            process.links.use_seeds(changed.seed_links)
+
+        tasks.start_soon(_follow_settings, file, reload, environment.log)
+        await _wait_for_stop(file, reload, environment.log)
+        await process.drain()
+        await _finish(tasks, environment.log)
+
+
+async def run_control(
+    file: SettingsFile,
+    settings: NodeSettings,
+    control_handler: Callable[[ControlProcess], Handler],
+    directory_handler: Callable[[ControlProcess], Handler],
+) -> None:
+    """Run a control VM's process until SIGTERM.
+
+    :param control_handler: answers operators and endpoints.
+    :param directory_handler: answers callers that ask for entries.
+    """
+    environment = node_environment(settings, "control")
+    folder = Path(settings.data_folder)
+    folder.mkdir(parents=True, exist_ok=True)
+    process = compose_control(settings, FileDisk(folder), environment)
+    environment.log.emit(events.PROCESS_STARTED, listen=settings.listen.control)
+    routes = {
+        NODES_PATH: LinkRoute(NODE_CODEC, process.hub.serve),
+        CONSENSUS_PATH: LinkRoute(CONSENSUS_CODEC, process.voter.serve_peer),
+    }
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(serve_web_socket_links, settings.link_address, routes)
+        tasks.start_soon(process.run)
+        control = Http1Server(control_handler(process))
+        tasks.start_soon(control.serve, Address.parse(settings.listen.control))
+        directory = Http1Server(directory_handler(process))
+        tasks.start_soon(directory.serve, Address.parse(settings.listen.directory))
+
+        def reload(changed: NodeSettings) -> None:
+            process.voter.use_seeds(changed.seed_links)
+
+        tasks.start_soon(_follow_settings, file, reload, environment.log)
+        await _wait_for_stop(file, reload, environment.log)
+        await process.drain()
+        await _finish(tasks, environment.log)
+
+
+Reload = Callable[[NodeSettings], None]
+
+
+async def _follow_settings(file: SettingsFile, reload: Reload, log: EventLog) -> None:
+    """Read the settings again when the file changes without a signal."""
+    while True:
+        await anyio.sleep(SETTINGS_LOOK_S)
+        if file.changed():
+            _read_again(file, reload, log)
+
+
+def _read_again(file: SettingsFile, reload: Reload, log: EventLog) -> None:
+    try:
+        settings = file.read()
+    except NodeSettingsError as error:
+        log.emit(events.SETTINGS_RELOADED, used=False, detail=str(error))
+        return
+    reload(settings)
+    log.emit(events.SETTINGS_RELOADED, used=True, seeds=",".join(settings.seeds))
+
+
+async def _wait_for_stop(file: SettingsFile, reload: Reload, log: EventLog) -> None:
+    """Wait for SIGTERM or SIGINT; SIGHUP reads the settings again."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async for received in signals:
+            if received is not signal.SIGHUP:
+                log.emit(events.PROCESS_DRAINING, signal=received.name)
+                return
+            _read_again(file, reload, log)
+
+
+async def _finish(tasks: TaskGroup, log: EventLog) -> None:
+    await anyio.sleep(STOP_S)
+    log.emit(events.PROCESS_STOPPED)
+    tasks.cancel_scope.cancel()
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
@@ -82,6 +82,9 @@
 INTRODUCE_S = 0.5
 PLAN_S = 1.0
 INTRODUCTION_KEPT_S = 3.0
+UNLED_S = 4.0
+"""Time without a leader after which a member makes itself known again; several elections."""
+
 REOPEN_S = 5.0
 """Wait before a folder whose disk failed is opened again."""
 
@@ -93,11 +96,14 @@
     :param address: where it listens for links.
     :param voters: addresses of the first voters, this one's too.
     :param bootstrap: found a new control group with these voters.
+    :param fewest_voters: where no file names the voters, replicas join and leave by themselves,
+        and dead ones are dropped down to so many; 0 to follow the files.
     """
 
     address: Address
     voters: tuple[Address, ...]
     bootstrap: bool
+    fewest_voters: int = 0
 
 
 async def run_in_thread(function: Callable[[], None]) -> None:
@@ -134,7 +140,7 @@
         self.replica_settings = replica_settings or ReplicaSettings()
         self.state = VoterState()
         self.requests = VoterRequests()
-        self.planner = VoterPlanner()
+        self.planner = self._new_planner()
         self.replica: Replica | None = None
         self.writer: DiskWriter | None = None
         self.peers: PeerLinks | None = None
@@ -144,6 +150,16 @@
         self.held: deque[Send] = deque()
         self.wake = anyio.Event()
         self.introductions: dict[Address, tuple[float, Introduction]] = {}
+        self.listeners: list[Callable[[], None]] = []
+        self.leader_known_at = float("-inf")
+
+    def use_seeds(self, voters: tuple[Address, ...]) -> None:
+        """Make this replica known at other addresses from now on."""
+        self.settings = replace(self.settings, voters=voters)
+
+    def resign(self) -> None:
+        """Let another voter lead, if this one does."""
+        self._post(Resign())
 
     async def run(self) -> None:
         """Take part until cancelled; after a disk failure, once the folder opens again."""
@@ -180,9 +196,12 @@
             me, self.replica_settings, self.random, recovered, anyio.current_time()
         )
         self.state.reset(recovered.snapshot)
-        self.planner = VoterPlanner()
+        self.planner = self._new_planner()
         self.writer = DiskWriter(storage, self._post, self.run_blocking)
 
+    def _new_planner(self) -> VoterPlanner:
+        return VoterPlanner(fewest_voters=self.settings.fewest_voters)
+
     async def _run_tasks(self) -> None:
         assert self.writer is not None
         async with anyio.create_task_group() as tasks:
@@ -234,6 +253,8 @@
             if isinstance(event, Persisted):
                 self._release(event.sequence)
         self.state.tell_followers()
+        for listener in self.listeners:
+            listener()
         self._take_snapshot(replica)
 
     def _take_snapshot(self, replica: Replica) -> None:
@@ -341,7 +362,7 @@
             self.state.tell_followers()
             outbox.post(LeaseGrant(message.number, LEASE_S, self.state.state.view_revision))
 
-        self._ask(RequestPurpose.READ, b"", grant, lambda *_: None)
+        self.ask(RequestPurpose.READ, b"", grant, lambda *_: None)
 
     def on_propose(self, outbox: Outbox[ControlMessage], message: Propose) -> None:
         """Commit a command, here or at the leader, and answer with its result."""
@@ -357,7 +378,7 @@
             )
             outbox.post(failed)
 
-        self._ask(RequestPurpose.COMMAND, COMMAND_CODEC.encode(message.command), answer, refuse)
+        self.ask(RequestPurpose.COMMAND, COMMAND_CODEC.encode(message.command), answer, refuse)
 
     def on_ask_status(self, outbox: Outbox[ControlMessage], message: AskStatus) -> None:
         """Report how the leader sees the group."""
@@ -368,9 +389,9 @@
         def refuse(_: bool, __: Member | None) -> None:
             outbox.post(StatusReport(message.query_id))
 
-        self._ask(RequestPurpose.STATUS, b"", answer, refuse)
+        self.ask(RequestPurpose.STATUS, b"", answer, refuse)
 
-    def _ask(
+    def ask(
         self, purpose: RequestPurpose, command: bytes, success: OnSuccess, failure: OnFailure
     ) -> None:
         """Do what is asked if this voter leads, or pass it on to the leader."""
@@ -439,16 +460,27 @@
             self.requests.allow_read(message.token, message.index, self.state.applied_index)
 
     async def _introduce(self) -> None:
-        """Make this replica known while it is no member; found a cluster when told to."""
+        """Make this replica known while it is no member; found a cluster when told to.
+
+        A member that no leader has served for long may have been removed meanwhile.
+        """
         while True:
             replica = self.replica
-            if replica is not None and replica.state.membership.find(self._me(replica)) is None:
+            if replica is not None and self._is_outside(replica):
                 mine = self._introduction(replica)
                 for address in self.settings.voters:
                     self._send_to(address, mine)
                 self._found(mine)
             await anyio.sleep(INTRODUCE_S)
 
+    def _is_outside(self, replica: Replica) -> bool:
+        now = anyio.current_time()
+        if replica.state.leader is not None:
+            self.leader_known_at = now
+        if replica.state.membership.find(self._me(replica)) is None:
+            return True
+        return now - self.leader_known_at > UNLED_S
+
     def _me(self, replica: Replica) -> str:
         return replica.state.me.replica
 
@@ -481,6 +513,9 @@
             return
         if replica.state.leading:
             self.planner.newcomers[message.sender.replica] = message.sender
+        elif replica.state.leader is not None and message.sender != replica.state.leader:
+            # Only the leader adds members, and a newcomer may know none but followers.
+            self._send_to(replica.state.leader.address, message)
         if not message.cluster:
             self._send_to(message.sender.address, self._introduction(replica))
 
--- a/packages/bergamotchute-model/src/bergamotchute_model/commands.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/commands.py
@@ -211,10 +211,69 @@
     kind: Literal["decision_result"] = "decision_result"
 
 
+@dataclass(frozen=True)
+class PutConfiguration:
+    """Put a whole configuration in force unless an equal or higher version already is.
+
+    :param text: the configuration as the operator wrote it, validated before it is proposed.
+    """
+
+    version: int
+    text: bytes
+    kind: Literal["put_configuration"] = "put_configuration"
+
+
+@dataclass(frozen=True)
+class ConfigurationPut:
+    """The result of a :class:`PutConfiguration`.
+
+    :param changed: the command put its version in force; ``False`` when it changed nothing.
+    :param version: the version in force afterwards.
+    """
+
+    changed: bool
+    version: int
+    kind: Literal["configuration_put"] = "configuration_put"
+
+
+@dataclass(frozen=True)
+class RecordDeparture:
+    """Remember that one life of an endpoint takes no new work.
+
+    :param endpoint: the endpoint's identifier.
+    :param born_ms: start of that life, in Unix milliseconds.
+    """
+
+    endpoint: str
+    born_ms: int
+    kind: Literal["record_departure"] = "record_departure"
+
+
+@dataclass(frozen=True)
+class DepartureRecorded:
+    """The result of a :class:`RecordDeparture`; a repeat gives the same."""
+
+    kind: Literal["departure_recorded"] = "departure_recorded"
+
+
 Command = Annotated[
-    ApplyFile | TakeClaim | ReleaseClaim | SettleClaim | LookUpClaim | NextFence | RecordDecision,
+    ApplyFile
+    | TakeClaim
+    | ReleaseClaim
+    | SettleClaim
+    | LookUpClaim
+    | NextFence
+    | RecordDecision
+    | PutConfiguration
+    | RecordDeparture,
     Discriminator("kind"),
 ]
 CommandResult = Annotated[
-    FileApplied | ClaimResult | FenceGranted | DecisionResult, Discriminator("kind")
+    FileApplied
+    | ClaimResult
+    | FenceGranted
+    | DecisionResult
+    | ConfigurationPut
+    | DepartureRecorded,
+    Discriminator("kind"),
 ]
--- a/packages/bergamotchute-model/src/bergamotchute_model/events.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/events.py
@@ -114,3 +114,32 @@
 MEMBER_JOINED = _define(1410, "member_joined", "An endpoint or entry announced itself.")
 MEMBER_LAPSED = _define(1411, "member_lapsed", "A member's lease lapsed.", logging.WARNING)
 MEMBER_DRAINING = _define(1412, "member_draining", "A member takes no new work.")
+ENDPOINT_HEARD = _define(
+    1420, "endpoint_heard", "An endpoint's heartbeat changed what is believed of it."
+)
+ENDPOINT_QUIET = _define(
+    1421, "endpoint_quiet", "No heartbeat of an endpoint came for some time.", logging.WARNING
+)
+DEPARTURE_UNSURE = _define(
+    1422,
+    "departure_unsure",
+    "The log could not record in time that an endpoint leaves.",
+    logging.WARNING,
+)
+CONFIGURATION_PUT = _define(1430, "configuration_put", "An operator's configuration was committed.")
+CONFIGURATION_UNSURE = _define(
+    1431,
+    "configuration_unsure",
+    "The log could not confirm an operator's configuration in time.",
+    logging.WARNING,
+)
+CONFIGURATION_REFUSED = _define(
+    1432, "configuration_refused", "An operator's configuration is invalid.", logging.WARNING
+)
+SETTINGS_RELOADED = _define(1005, "settings_reloaded", "A process read its settings again.")
+HEARTBEAT_UNREADABLE = _define(
+    1423,
+    "heartbeat_unreadable",
+    "A heartbeat can't be read; it names no endpoint.",
+    logging.WARNING,
+)
--- /dev/null
+++ b/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
@@ -0,0 +1,213 @@
+"""Messages between control VMs and the processes that follow them: entries and agents."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Annotated, Literal
+
+from pydantic import Discriminator
+
+from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
+from bergamotchute_model.identifiers import Address
+
+
+@dataclass(frozen=True)
+class EntryState:
+    """An entry says where callers reach it, and whether they may be sent there."""
+
+    name: str
+    address: Address
+    availability_zone: str
+    open: bool
+    kind: Literal["entry_state"] = "entry_state"
+
+
+@dataclass(frozen=True)
+class AgentState:
+    """An agent says beside which rank of which group it runs.
+
+    :param address: where its links arrive.
+    :param endpoint: the address of the endpoint beside it.
+    :param size: ranks of the group.
+    """
+
+    name: str
+    address: Address
+    endpoint: Address
+    group: str
+    rank: int
+    size: int
+    kind: Literal["agent_state"] = "agent_state"
+
+
+@dataclass(frozen=True)
+class GroupMember:
+    """A rank of a group and the agent beside it."""
+
+    rank: int
+    agent: Address
+    endpoint: Address
+
+
+@dataclass(frozen=True)
+class CommanderAssigned:
+    """The leader of the control group names the agent that commands a rank group.
+
+    :param fence: grows with each assignment; orders under an older one are refused.
+    """
+
+    group: str
+    fence: int
+    commander: Address
+    members: tuple[GroupMember, ...]
+    kind: Literal["commander_assigned"] = "commander_assigned"
+
+
+@dataclass(frozen=True)
+class ConfigurationVersion:
+    """The version in force at the sender, which a quorum confirmed after the link opened."""
+
+    version: int
+    kind: Literal["configuration_version"] = "configuration_version"
+
+
+@dataclass(frozen=True)
+class AskConfiguration:
+    """An entry wants the text of the configuration in force."""
+
+    kind: Literal["ask_configuration"] = "ask_configuration"
+
+
+@dataclass(frozen=True)
+class ConfigurationText:
+    """The configuration in force at the sender."""
+
+    version: int
+    text: bytes
+    kind: Literal["configuration_text"] = "configuration_text"
+
+
+@dataclass(frozen=True)
+class HeartbeatsHeard:
+    """Heartbeats with news, or the newest of every endpoint that the sender knows."""
+
+    heartbeats: tuple[EndpointHeartbeat, ...]
+    kind: Literal["heartbeats_heard"] = "heartbeats_heard"
+
+
+@dataclass(frozen=True)
+class DeparturesRecorded:
+    """Lives of endpoints that the log holds as leaving: identifier and start of the life."""
+
+    departures: tuple[tuple[str, int], ...]
+    kind: Literal["departures_recorded"] = "departures_recorded"
+
+
+@dataclass(frozen=True)
+class ControlGroup:
+    """The control VMs' link addresses.
+
+    :param leading_term: the term that the sender leads; 0 while it does not lead.
+    """
+
+    addresses: tuple[Address, ...]
+    leading_term: int
+    kind: Literal["control_group"] = "control_group"
+
+
+@dataclass(frozen=True)
+class RankCounts:
+    """How often each expert was chosen by a rank's requests since the last message.
+
+    :param epoch: the life of the rank's group.
+    :param step: the newest pass that the rank began.
+    :param counts: set by set, for each expert.
+    """
+
+    rank: int
+    epoch: int
+    step: int
+    counts: tuple[int, ...]
+    kind: Literal["rank_counts"] = "rank_counts"
+
+
+@dataclass(frozen=True)
+class RankStatus:
+    """The state of a rank, read on its own VM.
+
+    :param size: ranks of the group.
+    :param open: whether the group takes work.
+    :param step: the newest pass that was begun.
+    :param map_version: the expert map in use.
+    :param prepared: the version whose copy is complete; ``None`` without one.
+    :param armed: version and pass of a switch to come; ``None`` without one.
+    :param held: the pass that the group won't begin; ``None`` without one.
+    :param order: number of the order that this answers; 0 for an unasked status.
+    :param accepted: whether that order took effect or had before; ``None`` where the rank gave no
+        answer, so that it may still be carried out.
+    :param detail: the rank's answer, for logs.
+    :param experts: the experts of this rank by set, where they were asked for.
+    """
+
+    group: str
+    rank: int
+    size: int
+    epoch: int
+    open: bool
+    step: int
+    map_version: int
+    prepared: int | None
+    armed: tuple[int, int] | None
+    held: int | None
+    order: int = 0
+    accepted: bool | None = None
+    detail: str = ""
+    experts: tuple[tuple[int, ...], ...] = ()
+    kind: Literal["rank_status"] = "rank_status"
+
+
+class RankAction(StrEnum):
+    """What a rank is ordered to do; ``READ`` changes nothing."""
+
+    PREPARE = "prepare"
+    ARM = "arm"
+    DISARM = "disarm"
+    HOLD = "hold"
+    GO = "go"
+    READ = "read"
+
+
+@dataclass(frozen=True)
+class RankOrder:
+    """The commander of a rank group wants one order given to a rank, and its status back.
+
+    :param order: number of this order, answered in :class:`RankStatus`.
+    :param experts: for ``PREPARE``, the experts of every rank: by set, by rank.
+    """
+
+    order: int
+    fence: int
+    epoch: int
+    action: RankAction
+    version: int = 0
+    step: int = 0
+    experts: tuple[tuple[tuple[int, ...], ...], ...] = ()
+    kind: Literal["rank_order"] = "rank_order"
+
+
+NodeMessage = Annotated[
+    EntryState
+    | AgentState
+    | ConfigurationVersion
+    | AskConfiguration
+    | ConfigurationText
+    | HeartbeatsHeard
+    | DeparturesRecorded
+    | ControlGroup
+    | CommanderAssigned
+    | RankCounts
+    | RankStatus
+    | RankOrder,
+    Discriminator("kind"),
+]
--- /dev/null
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
@@ -0,0 +1,152 @@
+"""Where an entry sends a request when it calls endpoints itself.
+
+Load pattern: several entries share the endpoints of a service without seeing each other. Each
+knows its own requests in flight, and what endpoints told in answers or reports a moment ago.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+from random import Random
+
+from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat, EndpointPhase
+
+REPORT_HALF_LIFE_S = 1.0
+"""A told load counts half after this; a usual draft runs for about a second."""
+
+OTHER_ZONE_FULLNESS = 0.08
+"""How much emptier, as a share of its slots, an endpoint of another zone must be to be preferred."""
+
+BAR_BASE_S = 0.5
+BAR_MAX_S = 4.0
+"""First and longest time for which an endpoint that failed gets no new request."""
+
+FULL_BAR_S = 0.15
+"""How long an endpoint that was full gets no new request; a pass or a few of its engine."""
+
+
+@dataclass
+class EndpointLoad:
+    """What this entry knows of the load of one life of an endpoint.
+
+    :param in_flight: this entry's requests there.
+    :param told_others: requests of others that the endpoint told of.
+    :param told_at: when it told, on the runtime's clock.
+    :param failures: failures since its last good answer.
+    :param barred_until: when it may get a new request, on the runtime's clock.
+    """
+
+    born_ms: int
+    in_flight: int = 0
+    told_others: float = 0.0
+    told_at: float = 0.0
+    failures: int = 0
+    barred_until: float = 0.0
+
+    def others(self, now: float) -> float:
+        """Return the requests of others, discounted by the age of the word."""
+        return float(self.told_others * 0.5 ** ((now - self.told_at) / REPORT_HALF_LIFE_S))
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """An endpoint that may get the request, and how full it seems.
+
+    :param fullness: requests there, as a share of its slots.
+    """
+
+    heartbeat: EndpointHeartbeat
+    fullness: float
+
+
+@dataclass
+class DirectPlacement:
+    """Picks endpoints by what this entry knows of their load.
+
+    :param availability_zone: the entry's own.
+    """
+
+    availability_zone: str
+    random: Random
+    loads: dict[str, EndpointLoad] = field(default_factory=dict)
+
+    def load(self, endpoint: EndpointHeartbeat) -> EndpointLoad:
+        """Return what is known of an endpoint's present life."""
+        known = self.loads.get(endpoint.endpoint)
+        if known is None or known.born_ms != endpoint.born_ms:
+            known = self.loads[endpoint.endpoint] = EndpointLoad(endpoint.born_ms)
+        return known
+
+    def choose(
+        self, endpoints: Iterable[EndpointHeartbeat], avoided: Collection[str], now: float
+    ) -> Candidate | None:
+        """Return the emptiest endpoint that may be used, or ``None`` when there is none.
+
+        Quiet and barred endpoints are used only where no other is left.
+
+        :param avoided: identifiers of endpoints that failed this request.
+        """
+        usable = [
+            each
+            for each in endpoints
+            if each.phase is not EndpointPhase.LEAVING and each.endpoint not in avoided
+        ]
+        sound = [each for each in usable if self._is_sound(each, now)]
+        ranked = [self._rank(each, now) for each in sound or usable]
+        if not ranked:
+            return None
+        _, _, chosen = min(ranked, key=lambda one: one[:2])
+        return chosen
+
+    def _is_sound(self, endpoint: EndpointHeartbeat, now: float) -> bool:
+        barred = self.load(endpoint).barred_until > now
+        return endpoint.phase is EndpointPhase.READY and not barred
+
+    def _rank(self, endpoint: EndpointHeartbeat, now: float) -> tuple[float, float, Candidate]:
+        load = self.load(endpoint)
+        fullness = (load.in_flight + load.others(now)) / max(1, endpoint.slots)
+        away = endpoint.availability_zone != self.availability_zone
+        cost = fullness + (OTHER_ZONE_FULLNESS if away else 0.0)
+        return cost, self.random.random(), Candidate(endpoint, fullness)
+
+    def on_sent(self, endpoint: EndpointHeartbeat) -> None:
+        """Count a request that goes to an endpoint."""
+        self.load(endpoint).in_flight += 1
+
+    def on_ended(self, endpoint: EndpointHeartbeat) -> None:
+        """Count a request that ended there."""
+        load = self.load(endpoint)
+        load.in_flight = max(0, load.in_flight - 1)
+
+    def on_told(self, endpoint: EndpointHeartbeat, requests: int, now: float) -> None:
+        """Take an endpoint's word about all requests that it holds."""
+        load = self.load(endpoint)
+        load.told_others = max(0.0, requests - load.in_flight)
+        load.told_at = now
+
+    def on_good_answer(self, endpoint: EndpointHeartbeat) -> None:
+        """Note that an endpoint works."""
+        load = self.load(endpoint)
+        load.failures = 0
+        load.barred_until = 0.0
+
+    def on_full(self, endpoint: EndpointHeartbeat, now: float) -> None:
+        """Note that an endpoint had no room."""
+        load = self.load(endpoint)
+        load.barred_until = max(load.barred_until, now + FULL_BAR_S)
+        load.told_others = max(load.told_others, float(endpoint.slots))
+        load.told_at = now
+
+    def on_failure(self, endpoint: EndpointHeartbeat, now: float) -> None:
+        """Note that an endpoint failed; each failure in a row bars it for longer."""
+        load = self.load(endpoint)
+        bar_s = min(BAR_MAX_S, BAR_BASE_S * 2.0**load.failures)
+        load.failures += 1
+        load.barred_until = max(load.barred_until, now + bar_s)
+
+    def forget(self, known: Collection[str]) -> None:
+        """Drop endpoints that are no longer known and have nothing in flight."""
+        for endpoint in [each for each in self.loads if each not in known]:
+            if not self.loads[endpoint].in_flight:
+                del self.loads[endpoint]
--- a/packages/bergamotchute-state/src/bergamotchute_state/control_state.py
+++ b/packages/bergamotchute-state/src/bergamotchute_state/control_state.py
@@ -1,4 +1,4 @@
-"""The replicated state machine: files, claims, fences and decisions."""
+"""The replicated state machine: files, claims, fences, decisions, configuration, departures."""
 
 from __future__ import annotations
 
@@ -13,19 +13,23 @@
     FenceGranted,
     LookUpClaim,
     NextFence,
+    PutConfiguration,
     RecordDecision,
+    RecordDeparture,
     ReleaseClaim,
     SettleClaim,
     TakeClaim,
 )
 from bergamotchute_model.view import ViewChange
 from bergamotchute_state.claims import Claims
+from bergamotchute_state.configuration_store import ConfigurationStore
 from bergamotchute_state.decisions import Decisions
+from bergamotchute_state.departures import Departures
 from bergamotchute_state.fences import Fences
 from bergamotchute_state.files import Files
 
 _FORMAT = "bergamotchute-state"
-_FORMAT_VERSION = 1
+_FORMAT_VERSION = 2
 
 
 class SnapshotError(Exception):
@@ -45,6 +49,8 @@
         self.claims = Claims()
         self.fences = Fences()
         self.decisions = Decisions()
+        self.configuration = ConfigurationStore()
+        self.departures = Departures()
 
     def apply(self, command: Command, revision: int) -> CommandResult:
         """Apply the committed command of log index ``revision``.
@@ -64,6 +70,10 @@
             case RecordDecision():
                 newest = self.fences.number(command.name)
                 return self.decisions.on_record_decision(command, newest, revision)
+            case PutConfiguration():
+                return self.configuration.on_put_configuration(command)
+            case RecordDeparture():
+                return self.departures.on_record_departure(command)
         assert_never(command)
 
     @property
@@ -105,6 +115,8 @@
             self.claims.dump(),
             self.fences.dump(),
             self.decisions.dump(),
+            self.configuration.dump(),
+            self.departures.dump(),
         ]
         return cbor2.dumps(parts, canonical=True)
 
@@ -115,18 +127,22 @@
         """
         try:
             parts: Any = cbor2.loads(snapshot)
-            name, version, revision, files, claims, fences, decisions = parts
+            name, version, revision, *sections = parts
             if (name, version) != (_FORMAT, _FORMAT_VERSION):
                 raise SnapshotError(f"unknown snapshot format {name!r}, version {version!r}")
+            files, claims, fences, decisions, configuration, departures = sections
             loaded = (
                 Files.load(files),
                 Claims.load(claims),
                 Fences.load(fences),
                 Decisions.load(decisions),
+                ConfigurationStore.load(configuration),
+                Departures.load(departures),
             )
         except (cbor2.CBORError, ValueError, TypeError, KeyError, AttributeError) as error:
             raise SnapshotError(f"the snapshot can't be read: {error}") from error
-        self.files, self.claims, self.fences, self.decisions = loaded
+        self.files, self.claims, self.fences, self.decisions = loaded[:4]
+        self.configuration, self.departures = loaded[4:]
         self.revision = revision
 
     def _on_next_fence(self, command: NextFence, revision: int) -> FenceGranted:
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/web_socket_transport.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/web_socket_transport.py
@@ -86,7 +86,7 @@
                 parse_uri(f"ws://{address}{path}"), max_size=MAX_MESSAGE_BYTES
             )
             request = protocol.connect()
-            request.headers["Authorization"] = f"Bearer {cluster_token}"
+            request.headers["Authorization"] = _authorization(cluster_token)
             protocol.send_request(request)
             await stream.send(b"".join(protocol.data_to_send()))
             while protocol.state is State.CONNECTING and protocol.handshake_exc is None:
@@ -183,6 +183,11 @@
             return None
 
 
+def _authorization(cluster_token: str) -> str:
+    """Return the header's value; without a token it has no blank that a peer would strip."""
+    return f"Bearer {cluster_token}".strip()
+
+
 def _respond(
     protocol: ServerProtocol,
     request: Request | None,
@@ -193,7 +198,7 @@
     if request is None:
         return protocol.reject(400, "not a WebSocket opening\n")
     presented = request.headers.get("Authorization", "")
-    if not hmac.compare_digest(presented.encode(), f"Bearer {cluster_token}".encode()):
+    if not hmac.compare_digest(presented.encode(), _authorization(cluster_token).encode()):
         return protocol.reject(401, "wrong cluster token\n")
     if request.path not in routes:
         return protocol.reject(404, "no such link\n")
