--- /dev/null
+++ b/tests/daemon/test_control_process.py
@@ -0,0 +1,195 @@
+"""Control VMs that found themselves: configurations, departures, losses, all without an operator."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from bergamotchute_model.endpoint_heartbeat import EndpointPhase
+from bergamotchute_model.node_messages import (
+    ConfigurationVersion,
+    DeparturesRecorded,
+    NodeMessage,
+)
+from support.control_group import ControlGroup, heartbeat, run_control
+
+
+async def text_at(group: ControlGroup, number: int) -> tuple[int, bytes] | None:
+    held = await group.processes[number].read_configuration()
+    return (held.version, held.text) if held is not None else None
+
+
+def test_three_seeds_found_a_group_that_the_others_join() -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(5)
+        assert await group.processes[4].put_configuration(3, b"three")
+        for number in range(5):
+            assert await text_at(group, number) == (3, b"three")
+
+    run_control(body)
+
+
+def test_the_highest_version_wins_and_every_other_is_acknowledged_unchanged() -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(3)
+        assert await group.processes[0].put_configuration(7, b"seven")
+        assert await group.processes[1].put_configuration(7, b"another seven")
+        assert await group.processes[2].put_configuration(5, b"five")
+        assert await text_at(group, 1) == (7, b"seven")
+
+    run_control(body)
+
+
+def test_two_operators_with_one_version_leave_one_content() -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(3)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(group.processes[0].put_configuration, 7, b"one")
+            tasks.start_soon(group.processes[2].put_configuration, 7, b"other")
+        contents = {await text_at(group, number) for number in range(3)}
+        assert len(contents) == 1
+
+    run_control(body)
+
+
+def test_a_process_that_is_cut_off_tells_no_configuration() -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(5)
+        await group.processes[0].put_configuration(3, b"three")
+        cut = group.leader
+        assert cut is not None
+        group.cut_off(cut)
+        others = [number for number in range(5) if number != cut]
+        assert await text_at(group, cut) is None
+        await group.until(lambda: group.leader in others)
+        assert await group.processes[others[0]].put_configuration(4, b"four")
+        assert await text_at(group, cut) is None
+        assert not await group.processes[cut].put_configuration(9, b"nine")
+        assert await text_at(group, others[1]) == (4, b"four")
+
+    run_control(body)
+
+
+@pytest.mark.parametrize("power", [False, True])
+def test_what_was_acknowledged_outlasts_the_death_of_all(power: bool) -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(5)
+        assert await group.processes[2].put_configuration(3, b"three")
+        for number in range(5):
+            group.kill(number, power)
+        await anyio.sleep(0.5)
+        for number in range(5):
+            group.start(number)
+        await group.until(lambda: group.leader is not None)
+        assert await text_at(group, 1) == (3, b"three")
+
+    run_control(body)
+
+
+def test_a_process_that_lost_its_disk_votes_again_and_loses_nothing() -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(5)
+        leader = group.leader
+        assert leader is not None
+        assert await group.processes[leader].put_configuration(3, b"three")
+        group.wipe(leader)
+        await anyio.sleep(0.3)
+        group.start(leader)
+        await group.until(lambda: group.votes(leader) and group.voter_count() == 5)
+        assert await text_at(group, leader) == (3, b"three")
+        other = (leader + 1) % 5
+        group.wipe(other)
+        await group.until(lambda: group.leader is not None)
+        assert await text_at(group, leader) == (3, b"three")
+
+    run_control(body)
+
+
+def test_a_process_that_is_gone_for_good_is_replaced_by_another() -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(5)
+        await group.processes[0].put_configuration(3, b"three")
+        group.kill(1)
+        await anyio.sleep(1)
+        group.start(5)
+        await group.until(lambda: group.voter_count() == 6)
+        await group.until(lambda: group.voter_count() == 5)
+        assert await text_at(group, 5) == (3, b"three")
+
+    run_control(body)
+
+
+def test_a_member_that_was_dropped_while_it_was_away_comes_back() -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(5)
+        away = next(number for number in range(5) if number != group.leader)
+        group.kill(away)
+        await group.until(lambda: group.voter_count() == 4)
+        group.start(away)
+        await group.until(lambda: group.voter_count() == 5)
+
+    run_control(body)
+
+
+def test_a_departure_outlasts_the_process_that_acknowledged_it() -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(5)
+        told = next(number for number in range(5) if number != group.leader)
+        other = next(number for number in range(5) if number not in (told, group.leader))
+        heard: list[NodeMessage] = []
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(group.follow, other, heard)
+            await anyio.sleep(0.5)
+            leaving = heartbeat(2, EndpointPhase.LEAVING)
+            assert await group.processes[told].on_heartbeat(leaving)
+            group.kill(told, power=True)
+            await anyio.sleep(1.5)
+            tasks.cancel_scope.cancel()
+        departures = [each for each in heard if isinstance(each, DeparturesRecorded)]
+        assert (("runner-1", 1000),) in [each.departures for each in departures]
+
+    run_control(body)
+
+
+def test_a_departure_is_not_acknowledged_without_a_quorum() -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(3)
+        group.kill(1)
+        group.kill(2)
+        await anyio.sleep(2)
+        assert not await group.processes[0].on_heartbeat(heartbeat(2, EndpointPhase.LEAVING))
+        assert await group.processes[0].on_heartbeat(heartbeat(3))
+
+    run_control(body)
+
+
+def test_a_follower_hears_a_version_only_once_a_quorum_confirmed_it() -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(5)
+        await group.processes[0].put_configuration(3, b"three")
+        cut = next(number for number in range(5) if number != group.leader)
+        group.cut_off(cut)
+        await anyio.sleep(4)
+        heard: list[NodeMessage] = []
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(group.follow, cut, heard)
+            await anyio.sleep(4)
+            assert not any(isinstance(each, ConfigurationVersion) for each in heard)
+            for other in range(5):
+                group.network.heal(f"control-{cut}", f"control-{other}")
+            await anyio.sleep(6)
+            assert ConfigurationVersion(3) in heard
+            tasks.cancel_scope.cancel()
+
+    run_control(body)
+
+
+def test_a_leader_that_stops_hands_leadership_on() -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(5)
+        leader = group.leader
+        assert leader is not None
+        await group.processes[leader].drain()
+        await group.until(lambda: group.leader not in (None, leader), bound_s=3.0)
+
+    run_control(body)
--- /dev/null
+++ b/tests/support/control_group.py
@@ -0,0 +1,170 @@
+"""Control processes under the paused clock, on disks and links in memory."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from random import Random
+
+import anyio
+import trio
+import trio.testing
+from anyio.abc import TaskGroup
+
+from bergamotchute_daemon.control_process import ControlProcess
+from bergamotchute_daemon.environment import CONSENSUS_PATH
+from bergamotchute_daemon.event_log import EventLog
+from bergamotchute_daemon.node_composition_root import NodeEnvironment, compose_control
+from bergamotchute_daemon.node_runner import NODES_PATH
+from bergamotchute_daemon.node_settings import ListenSettings, NodeSettings
+from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat, EndpointPhase
+from bergamotchute_model.identifiers import Address
+from bergamotchute_model.node_messages import NodeMessage
+from support.memory_disk import MemoryDisk
+from support.memory_links import MemoryNetwork
+from support.voters import run_inline
+
+PORT = 7000
+SEEDS = 3
+
+
+def host(number: int) -> str:
+    return f"10.0.0.{number + 1}"
+
+
+@dataclass
+class ControlGroup:
+    """Control processes by number; the first three are the seeds."""
+
+    tasks: TaskGroup
+    network: MemoryNetwork
+    disks: dict[int, MemoryDisk] = field(default_factory=dict)
+    processes: dict[int, ControlProcess] = field(default_factory=dict)
+    scopes: dict[int, anyio.CancelScope] = field(default_factory=dict)
+    starts: int = 0
+
+    def settings(self, number: int, found: bool) -> NodeSettings:
+        return NodeSettings(
+            name=f"control-{number}",
+            availability_zone="north",
+            host=host(number),
+            link_port=PORT,
+            seeds=tuple(f"{host(seed)}:80" for seed in range(SEEDS)),
+            found=found,
+            disks_to_lose=1,
+            heartbeat_ms=1200,
+            stop_s=8,
+            address_lifetime_s=5,
+            retry_ratio=0.2,
+            retry_slack=90,
+            listen=ListenSettings(),
+        )
+
+    def start(self, number: int, found: bool = False) -> ControlProcess:
+        """Start a process on its disk, which is new at its first start."""
+        self.starts += 1
+        name = f"control-{number}"
+        environment = NodeEnvironment(
+            random=Random(self.starts),
+            log=EventLog(name, "control", f"life{self.starts}", lambda: 0),
+            dial_control=self.network.dial(name, NODES_PATH),
+            dial_consensus=self.network.dial(name, CONSENSUS_PATH),
+            dial_ranks=self.network.dial(name, "/ranks"),
+        )
+        disk = self.disks.setdefault(number, MemoryDisk(Random(number)))
+        process = compose_control(self.settings(number, found), disk, environment)
+        process.voter.run_blocking = run_inline
+        self.processes[number] = process
+        address = Address(host(number), PORT)
+        self.network.serve(name, address, CONSENSUS_PATH, process.voter.serve_peer)
+        self.network.serve(name, address, NODES_PATH, process.hub.serve)
+        scope = self.scopes[number] = anyio.CancelScope()
+
+        async def run() -> None:
+            with scope:
+                await process.run()
+
+        self.tasks.start_soon(run)
+        return process
+
+    async def found(self, size: int = 5) -> None:
+        """Start a new group and wait until all of its processes vote."""
+        for number in range(size):
+            self.start(number, found=True)
+        await self.until(lambda: self.voter_count() == size)
+
+    def kill(self, number: int, power: bool = False) -> None:
+        """End a process at once; with ``power`` lost its unsynced bytes go too."""
+        self.scopes[number].cancel()
+        self.network.stop_serving(f"control-{number}")
+        if power:
+            self.disks[number].lose_power()
+
+    def wipe(self, number: int) -> None:
+        """End a process and empty its folder."""
+        self.kill(number)
+        del self.disks[number]
+
+    def cut_off(self, number: int) -> None:
+        """Cut a process off from all others."""
+        for other in self.processes:
+            if other != number:
+                self.network.cut(f"control-{number}", f"control-{other}")
+
+    @property
+    def leader(self) -> int | None:
+        """The number of the process that leads the newest term."""
+        leading = {
+            process.leading_term(): number
+            for number, process in self.processes.items()
+            if not self.scopes[number].cancel_called
+        }
+        newest = max(leading, default=0)
+        return leading[newest] if newest else None
+
+    def voter_count(self) -> int:
+        """How many voters the leader knows; 0 without a leader."""
+        if self.leader is None:
+            return 0
+        replica = self.processes[self.leader].voter.replica
+        assert replica is not None
+        return len(replica.state.membership.voters)
+
+    def votes(self, number: int) -> bool:
+        """Whether the present identity of a process has a vote, as the leader sees it."""
+        if self.leader is None:
+            return False
+        replica, own = self.processes[self.leader].voter.replica, self.processes[number].voter.replica
+        if replica is None or own is None:
+            return False
+        return replica.state.membership.is_voter(own.state.me.replica)
+
+    async def until(self, reached: Callable[[], bool], bound_s: float = 30.0) -> None:
+        """Wait until something holds."""
+        with anyio.fail_after(bound_s):
+            while not reached():
+                await anyio.sleep(0.05)
+
+    async def follow(self, number: int, heard: list[NodeMessage]) -> None:
+        """Follow a process as an entry does, until cancelled."""
+        async with self.network.dial("entry", NODES_PATH)(Address(host(number), PORT)) as link:
+            while True:
+                heard.append(await link.receive())
+
+
+def heartbeat(sequence: int, phase: EndpointPhase = EndpointPhase.READY) -> EndpointHeartbeat:
+    return EndpointHeartbeat(
+        "runner-1", 1000, sequence, "model", Address("10.1.0.1", 80), "north", 6, phase
+    )
+
+
+def run_control(body: Callable[[ControlGroup], Awaitable[None]]) -> None:
+    """Run a test with control processes."""
+
+    async def main() -> None:
+        async with anyio.create_task_group() as tasks:
+            group = ControlGroup(tasks, MemoryNetwork(tasks))
+            await body(group)
+            tasks.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
