Avoid rank groups that stand still, and explain by logs and metrics

Change: links between nodes are mute after 1.2 s; a rank is called past an agent that gives no answer; entries hear which group an endpoint belongs to and avoid one that is broken or stands still; a fresh entry lets requests wait for its first configuration and endpoints, up to 1.3 s; voters stand sooner after a start; a change of the map must save more in a calm group.

Ruled out: refusing at once at a fresh entry (callers have one retry and lose it).

--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/replica_state.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/replica_state.py
@@ -25,6 +25,9 @@
 from bergamotchute_consensus.replica_settings import ReplicaSettings
 from bergamotchute_consensus.snapshot import Snapshot
 
+FIRST_TIMEOUT_PART = 0.2
+"""Part of the election timeout that a replica waits at least after its start."""
+
 PATIENT_TIMEOUTS = 4
 """Election timeouts that a replica waits beyond the usual while another one should lead."""
 
@@ -219,6 +222,15 @@
             return True
         return now - self.leader_heard_at < self.settings.election_timeout_s
 
+    def set_first_election_deadline(self, now: float) -> None:
+        """Wait less than usual after a start: no leader is missed that others still hear.
+
+        They refuse the pre-vote then; and after the death of all voters every moment counts.
+        """
+        timeout = self.settings.election_timeout_s
+        self.reset_election_deadline(now)
+        self.election_deadline -= (1.0 - FIRST_TIMEOUT_PART) * timeout
+
     def reset_election_deadline(self, now: float) -> None:
         """Wait between one and two election timeouts from now, and longer without a vote."""
         timeout = self.settings.election_timeout_s
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
@@ -81,6 +81,21 @@
         members = replica.state.membership.members if replica is not None else ()
         return tuple(sorted({member.address for member in members}))
 
+    def gauges(self) -> dict[str, float]:
+        """Return the state of this control VM for its metrics."""
+        replica = self.voter.replica
+        state = replica.state if replica is not None else None
+        return {
+            "leading_term": float(self.leading_term()),
+            "term": float(state.term if state else 0),
+            "commit_index": float(state.commit_index if state else 0),
+            "voters": float(len(state.membership.voters) if state else 0),
+            "followers": float(len(self.hub.followers)),
+            "open_entries": float(len(self.hub.open_entries())),
+            "endpoints": float(len(self.table.endpoints)),
+            "configuration_version": float(self.voter.state.state.configuration.version),
+        }
+
     async def put_configuration(self, version: int, text: bytes) -> bool:
         """Put a valid configuration in force unless a newer one is; return whether that is sure."""
         try:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -17,7 +17,7 @@
 from bergamotchute_daemon.direct.routing_table import RoutingTable
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_model import events
-from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
+from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat, EndpointPhase
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.node_messages import (
     ConfigurationText,
@@ -26,11 +26,18 @@
     EntryState,
     HeartbeatsHeard,
     NodeMessage,
+    RankPlaces,
 )
-from bergamotchute_model.whole_configuration import WholeConfiguration
+from bergamotchute_model.whole_configuration import RouteKind, WholeConfiguration
 from bergamotchute_policy.endpoint_table import EndpointTable
 from bergamotchute_wire.http1_server import AnswerWriter, CallerRequest, Http1Server, ServerLimits
 
+CONFIGURATION_WAIT_S = 1.2
+"""How long a request waits at an entry that has just started for its first configuration.
+
+Callers of streams give up after two seconds; a restarted control group needs about as long.
+"""
+
 TIDY_S = 1.0
 
 DRAIN_OPEN_S = 2.6
@@ -60,6 +67,7 @@
     log: EventLog
     drain_bound_s: float
     routing: RoutingTable | None = None
+    routed: anyio.Event = field(default_factory=anyio.Event)
     stopping: bool = False
     by_service: dict[str, list[EndpointHeartbeat]] = field(default_factory=dict)
     now: Callable[[], float] = anyio.current_time
@@ -107,9 +115,16 @@
                     if self.table.on_departure(endpoint, born_ms):
                         self.log.emit(events.MEMBER_DRAINING, endpoint=endpoint, born_ms=born_ms)
                 self._arrange()
+            case RankPlaces(places):
+                for place, group, takes_work in places:
+                    self._on_place(place, group, takes_work)
             case _:
                 pass
 
+    def _on_place(self, endpoint: Address, group: str, takes_work: bool) -> None:
+        if self.runner.placement.groups.on_place(endpoint, group, takes_work):
+            self.log.emit(events.GROUP_CHANGED, group=group, open=takes_work)
+
     def _on_heartbeat(self, heartbeat: EndpointHeartbeat) -> None:
         if self.table.on_heartbeat(heartbeat, self.now()):
             self.log.emit(
@@ -130,6 +145,7 @@
         self.by_service = {}
         for heartbeat in newest.values():
             self.by_service.setdefault(heartbeat.service, []).append(heartbeat)
+        self.runner.endpoints_changed()
 
     def endpoints(self, service: str) -> list[EndpointHeartbeat]:
         """Return the endpoints of a service."""
@@ -143,9 +159,22 @@
         self.server.limits = ServerLimits(
             limits.head_bytes, limits.body_bytes, limits.head_timeout_s, limits.idle_timeout_s
         )
+        self.routed.set()
         if first:
             self.links.post_all(next(iter(self.greeting())))
 
+    def gauges(self) -> dict[str, float]:
+        """Return the state of this entry for its metrics."""
+        heard = [heartbeat.phase for heartbeat in self.table.heartbeats()]
+        endpoints = {f"endpoints_{phase}": float(heard.count(phase)) for phase in EndpointPhase}
+        return {
+            "in_flight": float(self.server.in_flight),
+            "configuration_version": float(self.follower.version),
+            "control_links": float(len(self.links.outboxes)),
+            "ready": float(self.ready),
+            **endpoints,
+        }
+
     async def _tidy(self) -> None:
         while True:
             await anyio.sleep(TIDY_S)
@@ -154,10 +183,16 @@
     async def handle(self, request: CallerRequest, writer: AnswerWriter) -> None:
         """Answer one request of a caller."""
         wishes = self.dialect.read_request(request.head)
+        with anyio.move_on_after(CONFIGURATION_WAIT_S):
+            await self.routed.wait()
+        kind: RouteKind | None = None
         try:
             admitted = admit(self.routing, request, wishes, self.random)
+            kind = admitted.route.kind
             await self.runner.run(admitted, writer)
+            self.runner.metrics.on_request(kind, writer.status if writer.finished else 0)
         except Refusal as refusal:
+            self.runner.metrics.on_request(kind, refusal.status)
             self.log.emit(
                 events.REQUEST_REFUSED,
                 request_id=wishes.request_id,
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_runner.py
@@ -13,6 +13,7 @@
 from bergamotchute_daemon.direct.direct_request import DirectRequest, Refusal
 from bergamotchute_daemon.direct.event_stream import EventStream, StreamMismatch
 from bergamotchute_daemon.event_log import EventLog
+from bergamotchute_daemon.node_metrics import NodeMetrics
 from bergamotchute_model import events
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
 from bergamotchute_model.verdict import Verdict
@@ -34,6 +35,15 @@
 STREAM_SILENCE_S = 1.3
 """A stream without an event for so long goes on elsewhere; callers give up after two seconds."""
 
+START_S = 8.0
+"""How long after its start an entry waits for the first endpoint of a service."""
+
+ENDPOINT_WAIT_S = 1.3
+"""How long a request waits for one; endpoints send heartbeats every 1.2 s."""
+
+STALL_S = 0.7
+"""An endpoint that is silent, or says *not run*, after so long stands for its whole group."""
+
 CONNECT_TRIES = 3
 """Endpoints that may refuse the connection or the request before the caller is refused."""
 
@@ -89,8 +99,11 @@
     endpoints: Callable[[str], Iterable[EndpointHeartbeat]]
     random: Random
     log: EventLog
+    metrics: NodeMetrics
     retry_ratio: float
     retry_capacity: float
+    started_at: float = field(default_factory=anyio.current_time)
+    changed: anyio.Event = field(default_factory=anyio.Event)
     budgets: dict[str, RetryBudget] = field(default_factory=lambda: defaultdict(RetryBudget))
 
     async def run(self, request: DirectRequest, writer: AnswerWriter) -> None:
@@ -113,6 +126,8 @@
             candidate = self.placement.choose(
                 self.endpoints(request.service.name), progress.avoided, now
             )
+            if candidate is None and not progress.tries and await self._wait_for_endpoint():
+                continue
             if candidate is None:
                 self._give_up(request, writer, progress, "no endpoint can be used")
                 return
@@ -124,6 +139,19 @@
                 await self._end(request, writer, progress, result)
                 return
 
+    def endpoints_changed(self) -> None:
+        """Wake the requests that wait for an endpoint."""
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def _wait_for_endpoint(self) -> bool:
+        """Wait for heartbeats at an entry that has just started; return whether any came."""
+        left_s = self.started_at + START_S - anyio.current_time()
+        with anyio.move_on_after(min(ENDPOINT_WAIT_S, left_s)):
+            await self.changed.wait()
+            return True
+        return False
+
     async def _attempt(
         self,
         request: DirectRequest,
@@ -143,17 +171,25 @@
             in_flight=self.placement.load(endpoint).in_flight,
         )
         self.placement.on_sent(endpoint)
+        begun_at = anyio.current_time()
         try:
             async with open_exchange(endpoint.address, CONNECT_TIMEOUT_S) as exchange:
                 progress.sent += 1
                 return await self._exchange(request, writer, progress, endpoint, exchange)
         except EndpointFailure as failure:
-            self.placement.on_failure(endpoint, anyio.current_time())
+            self._note_failure(endpoint, begun_at)
             verdict = Verdict.MAY_HAVE_RUN if failure.sent else Verdict.NOT_RUN
             return AttemptResult(verdict, failure.reason)
         finally:
             self.placement.on_ended(endpoint)
 
+    def _note_failure(self, endpoint: EndpointHeartbeat, begun_at: float) -> None:
+        now = anyio.current_time()
+        if now - begun_at > STALL_S:
+            self.placement.on_silence(endpoint, now)
+        else:
+            self.placement.on_failure(endpoint, now)
+
     async def _exchange(
         self,
         request: DirectRequest,
@@ -162,6 +198,7 @@
         endpoint: EndpointHeartbeat,
         exchange: EndpointExchange,
     ) -> AttemptResult | None:
+        begun_at = anyio.current_time()
         facts = SendFacts(
             endpoint=endpoint,
             time_left_s=request.deadline - anyio.current_time(),
@@ -177,8 +214,13 @@
             self.placement.on_told(endpoint, word.requests, anyio.current_time())
         fault = self._fault(request, head, word)
         if fault is not None:
-            if word.not_run:
-                self.placement.on_full(endpoint, anyio.current_time())
+            now = anyio.current_time()
+            if word.not_run and now - begun_at > STALL_S:
+                self.placement.on_silence(endpoint, now)
+            elif word.not_run:
+                self.placement.on_full(endpoint, now)
+            elif word.wrong_endpoint:
+                self.placement.on_failure(endpoint, now)
             return fault
         if request.is_stream and 200 <= head.status < 300:
             await self._pass_stream(request, writer, progress, exchange, head)
@@ -186,6 +228,8 @@
             body = await self._whole_body(exchange)
             if head.status >= 500:
                 return AttemptResult(Verdict.MAY_HAVE_RUN, f"status {head.status}", head, body)
+            waited_s = anyio.current_time() - request.arrived_at
+            self.metrics.on_first(request.route.kind, waited_s)
             await self._pass_answer(writer, head, body)
         self.placement.on_good_answer(endpoint)
         self._log_completed(request, progress, endpoint, head.status)
@@ -251,6 +295,8 @@
                 raise EndpointFailure(str(error), True) from error
             if whole:
                 if not writer.started:
+                    waited_s = anyio.current_time() - request.arrived_at
+                    self.metrics.on_first(request.route.kind, waited_s)
                     await writer.start(head.status, without_hop_headers(head.headers))
                 await writer.write(whole)
         if stream.unfinished or not writer.started:
@@ -273,6 +319,7 @@
         result: AttemptResult,
     ) -> None:
         progress.avoided.add(endpoint.endpoint)
+        self.metrics.on_attempt(result.verdict)
         progress.last = result
         if result.verdict is Verdict.MAY_HAVE_RUN:
             progress.may_have_run = True
@@ -352,6 +399,7 @@
         endpoint: EndpointHeartbeat,
         status: int,
     ) -> None:
+        self.metrics.on_attempt(Verdict.COMPLETED)
         self.log.emit(
             events.REQUEST_COMPLETED,
             request_id=request.wishes.request_id,
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
@@ -18,6 +18,7 @@
 from bergamotchute_daemon.direct.direct_runner import DirectRunner
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.node_hub import NodeHub
+from bergamotchute_daemon.node_metrics import NodeMetrics
 from bergamotchute_daemon.node_settings import NodeSettings
 from bergamotchute_daemon.ranks.rank_agent_process import RankAgentProcess
 from bergamotchute_daemon.ranks.rank_commander import RankCommander
@@ -72,6 +73,7 @@
         endpoints=lambda service: process.endpoints(service),
         random=environment.random,
         log=environment.log,
+        metrics=NodeMetrics(lambda: process.gauges()),
         retry_ratio=RETRY_MARGIN * settings.retry_ratio,
         retry_capacity=RETRY_MARGIN * settings.retry_slack / ENTRIES_SHARING,
     )
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -23,6 +23,7 @@
     EntryState,
     HeartbeatsHeard,
     NodeMessage,
+    RankPlaces,
 )
 from bergamotchute_policy.commander_choice import CommanderChoice
 from bergamotchute_policy.endpoint_table import EndpointTable
@@ -70,6 +71,8 @@
         self.followers.append(follower)
         follower.outbox.post(self.group)
         follower.outbox.post(HeartbeatsHeard(self.table.heartbeats()))
+        places = tuple(_place(each.agent) for each in self.followers if each.agent)
+        follower.outbox.post(RankPlaces(places))
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(follower.outbox.run)
@@ -107,6 +110,7 @@
                 follower.entry = message
             case AgentState():
                 follower.agent = message
+                self._tell_places((_place(message),))
                 assigned = self.choice.assigned(message.group)
                 if assigned is not None:
                     follower.outbox.post(assigned)
@@ -118,6 +122,12 @@
             case _:
                 self.log.emit(events.LINK_MUTE, peer="unexpected", message=message.kind)
 
+    def _tell_places(self, places: tuple[tuple[Address, str, bool], ...]) -> None:
+        """Tell entries which group some endpoints belong to."""
+        for follower in self.followers:
+            if follower.entry is not None:
+                follower.outbox.post(RankPlaces(places))
+
     def push_heartbeats(self, heartbeats: tuple[EndpointHeartbeat, ...]) -> None:
         """Tell every follower what changed."""
         if not heartbeats:
@@ -186,3 +196,7 @@
             key=lambda entry: (entry.availability_zone != availability_zone, entry.address),
         )
         return tuple(entry.address for entry in entries)
+
+
+def _place(agent: AgentState) -> tuple[Address, str, bool]:
+    return agent.endpoint, agent.group, agent.open
--- /dev/null
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_metrics.py
@@ -0,0 +1,74 @@
+"""Counters and latency histograms of entries, control VMs and agents, in Prometheus' form."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+from bergamotchute_model.verdict import Verdict
+from bergamotchute_model.whole_configuration import RouteKind
+from bergamotchute_wire.http1_server import AnswerWriter, CallerRequest
+
+LATENCY_BUCKETS_S = (0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1.0, 1.5, 2.5, 5.0, 10.0, float("inf"))
+"""Around the users' objectives of 0.15 s for orders and 0.4 s for a first event."""
+
+METRICS_PATH = "/metrics"
+
+ReadGauges = Callable[[], Mapping[str, float]]
+"""Reads the gauges of a process, by name."""
+
+
+class NodeMetrics:
+    """The metrics of one process.
+
+    :param read_gauges: asked when the metrics are read.
+    """
+
+    def __init__(self, read_gauges: ReadGauges) -> None:
+        self.read_gauges = read_gauges
+        self.registry = Registry()
+        self.requests = Counter(
+            "bergamotchute_direct_requests_total",
+            "Callers' requests by route kind and status; 0 for an answer that broke off.",
+            registry=self.registry,
+        )
+        self.attempts = Counter(
+            "bergamotchute_direct_attempts_total",
+            "Attempts by their verdict.",
+            registry=self.registry,
+        )
+        self.first_s = Histogram(
+            "bergamotchute_direct_first_seconds",
+            "Time from a request's arrival to its answer, or to the first event of a stream.",
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+        self.gauge = Gauge(
+            "bergamotchute_node", "State of the process, by name.", registry=self.registry
+        )
+
+    def on_request(self, kind: RouteKind | None, status: int) -> None:
+        """Count a request that ended; ``kind`` is ``None`` where no route was found."""
+        self.requests.inc({"kind": str(kind or "none"), "status": str(status)})
+
+    def on_attempt(self, verdict: Verdict) -> None:
+        """Count an attempt that ended."""
+        self.attempts.inc({"verdict": str(verdict)})
+
+    def on_first(self, kind: RouteKind, waited_s: float) -> None:
+        """Count the wait for an answer's beginning."""
+        self.first_s.observe({"kind": str(kind)}, waited_s)
+
+    async def handle(self, request: CallerRequest, writer: AnswerWriter) -> None:
+        """Answer a reader of the metrics."""
+        if request.head.target.partition("?")[0] != METRICS_PATH:
+            await writer.respond(404)
+            return
+        for name, value in self.read_gauges().items():
+            self.gauge.set({"name": name}, value)
+        accept = request.head.header("accept")
+        body, headers = render(self.registry, [accept] if accept else [])
+        plain = tuple((name.lower(), value) for name, value in headers.items())
+        await writer.respond(200, plain, body)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_runner.py
@@ -19,15 +19,17 @@
 from bergamotchute_daemon.direct.dialect import Dialect
 from bergamotchute_daemon.direct.direct_entry import DirectEntry
 from bergamotchute_daemon.environment import CONSENSUS_PATH
-from bergamotchute_daemon.event_log import LOGGER_NAME, EventLog, JsonLines, wall_clock
+from bergamotchute_daemon.event_log import LOGGER_NAME, EventLog, wall_clock
 from bergamotchute_daemon.node_composition_root import (
     NodeEnvironment,
     compose_control,
     compose_direct_entry,
     compose_rank_agent,
 )
+from bergamotchute_daemon.node_metrics import NodeMetrics
 from bergamotchute_daemon.node_settings import NodeSettings, NodeSettingsError, SettingsFile
 from bergamotchute_daemon.ranks.rank_dialect import RankDialect
+from bergamotchute_daemon.stdout_log import StdoutLog
 from bergamotchute_daemon.voter import CONSENSUS_CODEC
 from bergamotchute_model import events
 from bergamotchute_model.identifiers import Address
@@ -35,6 +37,7 @@
 from bergamotchute_model.whole_configuration import WholeConfiguration
 from bergamotchute_wire.http1_server import Handler, Http1Server
 from bergamotchute_wire.message_codec import MessageCodec
+from bergamotchute_wire.web_socket_link import LinkTiming
 from bergamotchute_wire.web_socket_transport import (
     LinkRoute,
     serve_web_socket_links,
@@ -48,6 +51,9 @@
 NODES_PATH = "/nodes"
 """Links of entries and agents to control VMs."""
 
+NODE_TIMING = LinkTiming(heartbeat_s=0.3, quiet_s=0.3, mute_s=1.2)
+"""A frozen commander may hold its rank group: it must be replaced within two seconds."""
+
 EXIT_ENDED = 0
 EXIT_SETTINGS = 2
 
@@ -60,9 +66,7 @@
 
 def log_to_stdout() -> None:
     """Send the events and warnings of this process to standard output as JSON lines."""
-    handler = logging.StreamHandler(sys.stdout)
-    handler.setFormatter(JsonLines())
-    logging.getLogger().addHandler(handler)
+    logging.getLogger().addHandler(StdoutLog(sys.stdout.fileno(), time.monotonic))
     logging.getLogger(LOGGER_NAME).setLevel(logging.INFO)
 
 
@@ -86,9 +90,9 @@
     return NodeEnvironment(
         random=Random(),
         log=log,
-        dial_control=web_socket_dial(NODES_PATH, NODE_CODEC),
-        dial_consensus=web_socket_dial(CONSENSUS_PATH, CONSENSUS_CODEC),
-        dial_ranks=web_socket_dial(RANKS_PATH, NODE_CODEC),
+        dial_control=web_socket_dial(NODES_PATH, NODE_CODEC, timing=NODE_TIMING),
+        dial_consensus=web_socket_dial(CONSENSUS_PATH, CONSENSUS_CODEC, timing=NODE_TIMING),
+        dial_ranks=web_socket_dial(RANKS_PATH, NODE_CODEC, timing=NODE_TIMING),
     )
 
 
@@ -107,6 +111,7 @@
     environment.log.emit(events.PROCESS_STARTED, listen=settings.listen.callers)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(process.run)
+        _serve_metrics(tasks, settings, process.runner.metrics)
         ready = Http1Server(ready_handler(process))
         tasks.start_soon(ready.serve, Address.parse(settings.listen.ready))
 
@@ -140,8 +145,9 @@
         CONSENSUS_PATH: LinkRoute(CONSENSUS_CODEC, process.voter.serve_peer),
     }
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(serve_web_socket_links, settings.link_address, routes)
+        tasks.start_soon(serve_web_socket_links, settings.link_address, routes, "", NODE_TIMING)
         tasks.start_soon(process.run)
+        _serve_metrics(tasks, settings, NodeMetrics(process.gauges))
         control = Http1Server(control_handler(process))
         tasks.start_soon(control.serve, Address.parse(settings.listen.control))
         directory = Http1Server(directory_handler(process))
@@ -171,8 +177,9 @@
     environment.log.emit(events.PROCESS_STARTED, endpoint=settings.endpoint)
     routes = {RANKS_PATH: LinkRoute(NODE_CODEC, process.serve_link)}
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(serve_web_socket_links, settings.link_address, routes)
+        tasks.start_soon(serve_web_socket_links, settings.link_address, routes, "", NODE_TIMING)
         tasks.start_soon(process.run)
+        _serve_metrics(tasks, settings, NodeMetrics(process.gauges))
 
         def reload(changed: NodeSettings) -> None:
             process.links.use_seeds(changed.seed_links)
@@ -182,6 +189,13 @@
         await _finish(tasks, environment.log)
 
 
+def _serve_metrics(tasks: TaskGroup, settings: NodeSettings, metrics: NodeMetrics) -> None:
+    """Serve the metrics where the settings give a port for them."""
+    if settings.metrics_port:
+        address = Address(settings.host, settings.metrics_port)
+        tasks.start_soon(Http1Server(metrics.handle).serve, address)
+
+
 Reload = Callable[[NodeSettings], None]
 
 
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_settings.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_settings.py
@@ -51,6 +51,7 @@
     :param retry_slack: further second sends in each window of ten seconds, over all entries.
     :param data_folder: empty for a process without a disk.
     :param endpoint: ``HOST:PORT`` of the endpoint beside an agent.
+    :param metrics_port: where metrics are served; 0 for nowhere.
     """
 
     name: str
@@ -67,6 +68,7 @@
     retry_slack: float
     data_folder: str = ""
     endpoint: str = ""
+    metrics_port: int = 0
     listen: ListenSettings = field(default_factory=ListenSettings)
 
     @property
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/map_switch.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/map_switch.py
@@ -19,8 +19,8 @@
 from bergamotchute_model.node_messages import RankAction, RankStatus
 from bergamotchute_policy.even_map_planner import ExpertSets
 
-COPY_LOOK_S = 0.05
-"""How often ranks are asked whether their copies are complete."""
+COPY_LOOK_S = 0.1
+"""How often ranks are asked whether their copies are complete; copies take 0.15 to 0.75 s."""
 
 COPY_BOUND_S = 4.0
 """Wait for copies; a plan is stale by then, as popular experts change about as often."""
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
@@ -81,7 +81,15 @@
             return ()
         endpoint = self.gate.connection.address
         return (
-            AgentState(self.name, self.address, endpoint, status.group, status.rank, status.size),
+            AgentState(
+                self.name,
+                self.address,
+                endpoint,
+                status.group,
+                status.rank,
+                status.size,
+                status.open,
+            ),
         )
 
     def on_message(self, address: Address, message: NodeMessage) -> None:
@@ -135,6 +143,18 @@
             self._ask_configuration()
             await self.commands(assignment).run()
 
+    def gauges(self) -> dict[str, float]:
+        """Return the state of this agent for its metrics."""
+        status = self.status
+        return {
+            "group_epoch": float(status.epoch if status else 0),
+            "group_open": float(status.open if status else 0),
+            "map_version": float(status.map_version if status else 0),
+            "requests": float(status.requests if status else 0),
+            "commanding": float(self.commanding is not None),
+            "rank_silent": float(self.silent),
+        }
+
     async def _watch(self) -> None:
         """Read the rank's state and counts, and tell who commands it."""
         number = 0
@@ -208,5 +228,5 @@
             outbox.post(status)
 
 
-def _place(status: RankStatus) -> tuple[str, int, int]:
-    return status.group, status.rank, status.size
+def _place(status: RankStatus) -> tuple[str, int, int, bool]:
+    return status.group, status.rank, status.size, status.open
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_commander.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_commander.py
@@ -34,8 +34,17 @@
 PLAN_S = 0.25
 """Wait between two looks at the demand."""
 
-LEAST_GAIN = 0.06
-"""Part of the pass time that a change must save; copying costs 15% of it for about a second."""
+BUSY_GAIN = 0.06
+"""Part of the pass time that a change must save in a group whose slots are half taken or more.
+
+Copying costs 15% of it for about a second.
+"""
+
+CALM_GAIN = 0.35
+"""The same in a group without load, where passes are short enough with a poor map."""
+
+BUSY = 0.5
+"""Requests as a part of the group's slots from which a group counts as busy."""
 
 COPIES_PER_RANK = 5
 """Experts that a rank copies for one change: about 0.7 s at the users' links."""
@@ -43,6 +52,9 @@
 LOOK_S = 0.05
 """Wait between two looks while the state of a rank is unknown."""
 
+MUTE_S = 2.0
+"""How long a rank is called directly after its agent gave no answer; such calls cost more."""
+
 ORDERS_PER_ASSIGNMENT = 1_000_000
 """Orders of one commander that have a fence of their own: days of changes."""
 
@@ -51,10 +63,14 @@
 
 @dataclass
 class _Member:
-    """One rank as the commander sees it."""
+    """One rank as the commander sees it.
+
+    :param mute_until: the rank is called past its agent until then, on the runtime's clock.
+    """
 
     place: GroupMember
     outbox: Outbox[NodeMessage] | None = None
+    mute_until: float = float("-inf")
     status: RankStatus | None = None
 
 
@@ -150,8 +166,12 @@
         sent = experts if action is RankAction.PREPARE else ()
         order = self._order(self.orders, action, version, step, sent)
         member = self.members[rank]
-        if member.outbox is not None:
-            return await self._give_linked(member, order)
+        now = anyio.current_time()
+        if member.outbox is not None and member.mute_until <= now:
+            status = await self._give_linked(member, order)
+            if status is None:
+                member.mute_until = now + MUTE_S
+            return status
         try:
             status = await self.reach(member.place.endpoint).give(order)
         except RankSilent as error:
@@ -217,12 +237,14 @@
         cleaned = await clean_up(self, fresh, self.newest_version)
         self.log.emit(events.MAP_CLEANED, group=self.assignment.group, cleaned=cleaned)
 
-    async def _read_anew(self, ranks: Iterable[int]) -> dict[int, RankStatus]:
+    async def _read_anew(
+        self, ranks: Iterable[int], action: RankAction = RankAction.READ
+    ) -> dict[int, RankStatus]:
         """Return the present state of the ranks that answer."""
         fresh: dict[int, RankStatus] = {}
 
         async def read(rank: int) -> None:
-            status = await self.give(rank, RankAction.READ, 0, 0, ())
+            status = await self.give(rank, action, 0, 0, ())
             if status is not None:
                 fresh[rank] = status
 
@@ -239,7 +261,7 @@
         wanted = (self.epoch, versions.pop())
         if self.experts_of == wanted:
             return True
-        fresh = await self._read_anew(statuses)
+        fresh = await self._read_anew(statuses, RankAction.LIST)
         ranks = sorted(fresh)
         for status in fresh.values():
             if not status.experts or (status.epoch, status.map_version) != wanted:
@@ -260,7 +282,7 @@
             return
         bounds = PlannerBounds(engine.placements, engine.spare, COPIES_PER_RANK)
         plan = plan_even_map(self.experts, popularity, bounds)
-        if plan.skew_now - plan.skew_planned < LEAST_GAIN * plan.skew_now:
+        if plan.skew_now - plan.skew_planned < self._least_gain(statuses, engine) * plan.skew_now:
             return
         self.newest_version += 1
         switch = MapSwitch(tuple(sorted(statuses)), self.newest_version, plan.experts)
@@ -280,3 +302,9 @@
             skew_planned=round(plan.skew_planned, 3),
             took_ms=round((anyio.current_time() - began_at) * 1000),
         )
+
+    def _least_gain(self, statuses: dict[int, RankStatus], engine: EngineFigures) -> float:
+        """Return the part of the pass time that a change must save at the present load."""
+        requests = sum(status.requests for status in statuses.values())
+        busy = min(1.0, requests / (BUSY * engine.slots * len(statuses)))
+        return CALM_GAIN + (BUSY_GAIN - CALM_GAIN) * busy
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_gate.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_gate.py
@@ -61,13 +61,13 @@
         if status is None:
             return None
         experts: tuple[tuple[int, ...], ...] = ()
-        if order.action is RankAction.READ:
+        if order.action is RankAction.LIST:
             body = await self._body(self.dialect.experts_call)
             experts = _readable(self.dialect.read_experts, body)
         return replace(status, order=order.order, accepted=accepted, detail=detail, experts=experts)
 
     async def _order(self, order: RankOrder) -> tuple[bool | None, str]:
-        if order.action is RankAction.READ:
+        if order.action in (RankAction.READ, RankAction.LIST):
             return True, ""
         call = self.dialect.order_call(order)
         try:
--- a/packages/bergamotchute-model/src/bergamotchute_model/events.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/events.py
@@ -151,3 +151,4 @@
 MAP_CLEANED = _define(1503, "map_cleaned", "A commander ended arms and holds that were left.")
 RANK_SILENT = _define(1504, "rank_silent", "A rank gave no readable answer.", logging.WARNING)
 RANK_HEARD = _define(1505, "rank_heard", "A rank that was silent answers again.")
+GROUP_CHANGED = _define(1506, "group_changed", "An entry heard of a rank group or of its state.")
--- a/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
@@ -30,6 +30,7 @@
     :param address: where its links arrive.
     :param endpoint: the address of the endpoint beside it.
     :param size: ranks of the group.
+    :param open: whether the group takes work.
     """
 
     name: str
@@ -38,9 +39,18 @@
     group: str
     rank: int
     size: int
+    open: bool
     kind: Literal["agent_state"] = "agent_state"
 
 
+@dataclass(frozen=True)
+class RankPlaces:
+    """Which rank group the endpoints at some addresses belong to, and whether it takes work."""
+
+    places: tuple[tuple[Address, str, bool], ...]
+    kind: Literal["rank_places"] = "rank_places"
+
+
 @dataclass(frozen=True)
 class GroupMember:
     """A rank of a group and the agent beside it."""
@@ -138,6 +148,7 @@
 
     :param size: ranks of the group.
     :param open: whether the group takes work.
+    :param requests: requests that run or wait there.
     :param step: the newest pass that was begun.
     :param map_version: the expert map in use.
     :param prepared: the version whose copy is complete; ``None`` without one.
@@ -155,6 +166,7 @@
     size: int
     epoch: int
     open: bool
+    requests: int
     step: int
     map_version: int
     prepared: int | None
@@ -168,7 +180,10 @@
 
 
 class RankAction(StrEnum):
-    """What a rank is ordered to do; ``READ`` changes nothing."""
+    """What a rank is ordered to do.
+
+    ``READ`` and ``LIST`` change nothing; ``LIST`` also asks for the rank's experts.
+    """
 
     PREPARE = "prepare"
     ARM = "arm"
@@ -176,6 +191,7 @@
     HOLD = "hold"
     GO = "go"
     READ = "read"
+    LIST = "list"
 
 
 @dataclass(frozen=True)
@@ -206,6 +222,7 @@
     | DeparturesRecorded
     | ControlGroup
     | CommanderAssigned
+    | RankPlaces
     | RankCounts
     | RankStatus
     | RankOrder,
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
@@ -11,6 +11,7 @@
 from random import Random
 
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat, EndpointPhase
+from bergamotchute_policy.rank_groups import RankGroups
 
 REPORT_HALF_LIFE_S = 1.0
 """A told load counts half after this; a usual draft runs for about a second."""
@@ -70,6 +71,7 @@
     availability_zone: str
     random: Random
     loads: dict[str, EndpointLoad] = field(default_factory=dict)
+    groups: RankGroups = field(default_factory=RankGroups)
 
     def load(self, endpoint: EndpointHeartbeat) -> EndpointLoad:
         """Return what is known of an endpoint's present life."""
@@ -101,7 +103,8 @@
 
     def _is_sound(self, endpoint: EndpointHeartbeat, now: float) -> bool:
         barred = self.load(endpoint).barred_until > now
-        return endpoint.phase is EndpointPhase.READY and not barred
+        stalled = self.groups.is_stalled(endpoint.address, now)
+        return endpoint.phase is EndpointPhase.READY and not barred and not stalled
 
     def _rank(self, endpoint: EndpointHeartbeat, now: float) -> tuple[float, float, Candidate]:
         load = self.load(endpoint)
@@ -130,6 +133,7 @@
         load = self.load(endpoint)
         load.failures = 0
         load.barred_until = 0.0
+        self.groups.on_progress(endpoint.address)
 
     def on_full(self, endpoint: EndpointHeartbeat, now: float) -> None:
         """Note that an endpoint had no room."""
@@ -138,6 +142,11 @@
         load.told_others = max(load.told_others, float(endpoint.slots))
         load.told_at = now
 
+    def on_silence(self, endpoint: EndpointHeartbeat, now: float) -> None:
+        """Note that an endpoint did not go on with a request; its whole group may stand still."""
+        self.on_failure(endpoint, now)
+        self.groups.on_silence(endpoint.address, now)
+
     def on_failure(self, endpoint: EndpointHeartbeat, now: float) -> None:
         """Note that an endpoint failed; each failure in a row bars it for longer."""
         load = self.load(endpoint)
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/http1_server.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/http1_server.py
@@ -74,6 +74,7 @@
         self.closing = closing
         self.started = False
         self.finished = False
+        self.status = 0
 
     async def respond(self, status: int, headers: Headers = (), body: bytes = b"") -> None:
         """Write a whole answer.
@@ -105,6 +106,7 @@
 
     def _head(self, status: int, headers: Headers) -> bytes:
         self.started = True
+        self.status = status
         if self.closing:
             headers = (*headers, ("connection", "close"))
         response = h11.Response(status_code=status, headers=raw_headers(headers))
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/web_socket_link.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/web_socket_link.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from collections.abc import Sequence
+from dataclasses import dataclass
 from typing import Generic, TypeVar
 
 import anyio
@@ -31,6 +32,20 @@
 RECEIVE_BYTES = 65_536
 
 
+@dataclass(frozen=True)
+class LinkTiming:
+    """How a link watches its peer, in seconds.
+
+    :param heartbeat_s: how often it looks whether the peer is quiet.
+    :param quiet_s: silence after which a heartbeat asks whether the peer is there.
+    :param mute_s: silence after which the link counts as gone.
+    """
+
+    heartbeat_s: float = HEARTBEAT_S
+    quiet_s: float = QUIET_S
+    mute_s: float = MUTE_S
+
+
 class WebSocketLink(Generic[Message]):
     """A :class:`~bergamotchute_wire.link.Link` over one WebSocket.
 
@@ -40,12 +55,19 @@
     :param protocol: the library's protocol state, open.
     :param codec: the messages that may pass.
     :param peer: the other side's address, for logs.
+    :param timing: how the peer is watched.
     """
 
     def __init__(
-        self, stream: ByteStream, protocol: Protocol, codec: MessageCodec[Message], peer: str
+        self,
+        stream: ByteStream,
+        protocol: Protocol,
+        codec: MessageCodec[Message],
+        peer: str,
+        timing: LinkTiming = LinkTiming(),
     ) -> None:
         self.peer = peer
+        self.timing = timing
         self.last_received_at = anyio.current_time()
         self.closed_reason = ""
         self._stream = stream
@@ -104,11 +126,15 @@
         A peer that sends anything needs no ping, so that mostly one side of a link pings.
         """
         while not self.closed_reason and self._protocol.state is State.OPEN:
-            await anyio.sleep(HEARTBEAT_S)
+            await anyio.sleep(self.timing.heartbeat_s)
             silent_s = anyio.current_time() - self.last_received_at
-            if silent_s > MUTE_S:
+            if silent_s > self.timing.mute_s:
                 await self._abort("mute")
-            elif silent_s >= QUIET_S and not self.closed_reason and not self._write_lock.locked():
+            elif (
+                silent_s >= self.timing.quiet_s
+                and not self.closed_reason
+                and not self._write_lock.locked()
+            ):
                 self._protocol.send_ping(b"")
                 await self._flush_quietly()
 
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/web_socket_transport.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/web_socket_transport.py
@@ -21,7 +21,7 @@
 from bergamotchute_model.identifiers import Address
 from bergamotchute_wire.link import Dial, DialFailed, LinkHandler
 from bergamotchute_wire.message_codec import MessageCodec
-from bergamotchute_wire.web_socket_link import RECEIVE_BYTES, WebSocketLink
+from bergamotchute_wire.web_socket_link import RECEIVE_BYTES, LinkTiming, WebSocketLink
 
 Message = TypeVar("Message")
 
@@ -46,17 +46,21 @@
 
 
 def web_socket_dial(
-    path: str, codec: MessageCodec[Message], cluster_token: str = ""
+    path: str,
+    codec: MessageCodec[Message],
+    cluster_token: str = "",
+    timing: LinkTiming = LinkTiming(),  # noqa: B008 - it is frozen.
 ) -> Dial[Message]:
     """Return a function that opens links of one kind.
 
     :param path: names the kind, such as ``/attempts``.
     :param cluster_token: the secret that all processes of the deployment share.
+    :param timing: how a link watches its peer.
     """
 
     @asynccontextmanager
     async def dial(address: Address) -> AsyncIterator[WebSocketLink[Message]]:
-        link = await _open(address, path, codec, cluster_token)
+        link = await _open(address, path, codec, cluster_token, timing)
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(link.keep_alive)
@@ -75,7 +79,11 @@
 
 
 async def _open(
-    address: Address, path: str, codec: MessageCodec[Message], cluster_token: str
+    address: Address,
+    path: str,
+    codec: MessageCodec[Message],
+    cluster_token: str,
+    timing: LinkTiming,
 ) -> WebSocketLink[Message]:
     """Connect and shake hands."""
     stream: SocketStream | None = None
@@ -102,7 +110,7 @@
     except BaseException:
         await _discard(stream)
         raise
-    return WebSocketLink(stream, protocol, codec, str(address))
+    return WebSocketLink(stream, protocol, codec, str(address), timing)
 
 
 async def _discard(stream: SocketStream | None) -> None:
@@ -116,6 +124,7 @@
     address: Address,
     routes: Mapping[str, LinkRoute],
     cluster_token: str = "",
+    timing: LinkTiming = LinkTiming(),  # noqa: B008 - it is frozen.
     *,
     on_listening: Callable[[], Awaitable[None]] | None = None,
 ) -> None:
@@ -130,7 +139,7 @@
     async def accept(stream: SocketStream) -> None:
         async with stream:
             try:
-                await _serve_stream(stream, routes, cluster_token)
+                await _serve_stream(stream, routes, cluster_token, timing)
             except Exception:
                 # One link's fault must not end the others.
                 _logger.exception("serving a link failed")
@@ -145,7 +154,10 @@
 
 
 async def _serve_stream(
-    stream: SocketStream, routes: Mapping[str, LinkRoute], cluster_token: str
+    stream: SocketStream,
+    routes: Mapping[str, LinkRoute],
+    cluster_token: str,
+    timing: LinkTiming,
 ) -> None:
     """Shake hands with one peer and serve its link."""
     protocol = ServerProtocol(max_size=MAX_MESSAGE_BYTES)
@@ -162,7 +174,7 @@
     route = routes[request.path]
     # A peer that is gone already has no address any more.
     peer = str(stream.extra(SocketAttribute.remote_address, "gone"))
-    link = WebSocketLink(stream, protocol, route.codec, peer)
+    link = WebSocketLink(stream, protocol, route.codec, peer, timing)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(link.keep_alive)
         try:
--- a/tests/policy/test_commander_choice.py
+++ b/tests/policy/test_commander_choice.py
@@ -10,7 +10,7 @@
 def agent(rank: int, host: int | None = None) -> AgentState:
     vm = rank if host is None else host
     return AgentState(
-        f"agent-{vm}", Address(f"10.0.0.{vm}", 1), Address(f"10.0.0.{vm}", 2), "g0", rank, 3
+        f"agent-{vm}", Address(f"10.0.0.{vm}", 1), Address(f"10.0.0.{vm}", 2), "g0", rank, 3, True
     )
 
 
--- a/tests/ranks/test_map_switch.py
+++ b/tests/ranks/test_map_switch.py
@@ -44,7 +44,7 @@
 
     def __post_init__(self) -> None:
         for rank in range(RANKS):
-            self.statuses[rank] = RankStatus("g0", rank, RANKS, 1, True, 0, 0, None, None, None)
+            self.statuses[rank] = RankStatus("g0", rank, RANKS, 1, True, 0, 0, 0, None, None, None)
 
     async def run(self) -> None:
         """Begin a pass whenever none is held."""
--- a/tests/support/control_group.py
+++ b/tests/support/control_group.py
@@ -134,7 +134,10 @@
         """Whether the present identity of a process has a vote, as the leader sees it."""
         if self.leader is None:
             return False
-        replica, own = self.processes[self.leader].voter.replica, self.processes[number].voter.replica
+        replica, own = (
+            self.processes[self.leader].voter.replica,
+            self.processes[number].voter.replica,
+        )
         if replica is None or own is None:
             return False
         return replica.state.membership.is_voter(own.state.me.replica)
@@ -142,7 +145,7 @@
     async def until(self, reached: Callable[[], bool], bound_s: float = 30.0) -> None:
         """Wait until something holds."""
         with anyio.fail_after(bound_s):
-            while not reached():
+            while not reached():  # noqa: ASYNC110 - what is waited for sets no event.
                 await anyio.sleep(0.05)
 
     async def follow(self, number: int, heard: list[NodeMessage]) -> None:
--- a/tests/support/direct_path.py
+++ b/tests/support/direct_path.py
@@ -15,6 +15,7 @@
 from bergamotchute_daemon.direct.filters import admit
 from bergamotchute_daemon.direct.routing_table import RoutingTable
 from bergamotchute_daemon.event_log import EventLog
+from bergamotchute_daemon.node_metrics import NodeMetrics
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat, EndpointPhase
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.whole_configuration import (
@@ -143,6 +144,7 @@
             endpoints=lambda _: self.endpoints,
             random=Random(1),
             log=EventLog("entry-1", "entry", "life", lambda: 0),
+            metrics=NodeMetrics(dict),
             retry_ratio=0.2,
             retry_capacity=10.0,
         )
