Wait for a silent runner where no other may help; fewer copies for a map

Change: an idempotent request leaves a silent endpoint only where the budget, the route and a sound endpoint allow another attempt; the fixed part of the retry budget comes back over its window; the log says why a request was not retried. Each copy must take a least part off the busiest ranks, more in a calm group.

Ruled out: a longer bound alone (a stalled group would hold what another can serve).

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_runner.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
+from typing import TypeVar
 
 import anyio
 
@@ -23,6 +24,8 @@
 from bergamotchute_wire.http1_messages import AnswerHead, EndpointFailure, without_hop_headers
 from bergamotchute_wire.http1_server import AnswerWriter
 
+Read = TypeVar("Read")
+
 CONNECT_TIMEOUT_S = 0.3
 """Bound on connecting to an endpoint; zones are a millisecond apart, a lost packet costs more."""
 
@@ -85,6 +88,17 @@
     last: AttemptResult | None = None
 
 
+@dataclass(frozen=True)
+class _Attempt:
+    """One request on its way to one endpoint."""
+
+    request: DirectRequest
+    writer: AnswerWriter
+    progress: _Progress
+    endpoint: EndpointHeartbeat
+    exchange: EndpointExchange
+
+
 @dataclass
 class DirectRunner:
     """Sends requests to endpoints.
@@ -92,6 +106,7 @@
     :param endpoints: the endpoints of a service, from the newest heartbeats.
     :param retry_ratio: second sends allowed for each request of a service, in the long run.
     :param retry_capacity: second sends of a service that this entry may make at once.
+    :param retry_refill_per_s: second sends of a service that come back whatever the load.
     """
 
     dialect: Dialect
@@ -102,6 +117,7 @@
     metrics: NodeMetrics
     retry_ratio: float
     retry_capacity: float
+    retry_refill_per_s: float
     started_at: float = field(default_factory=anyio.current_time)
     changed: anyio.Event = field(default_factory=anyio.Event)
     budgets: dict[str, RetryBudget] = field(default_factory=lambda: defaultdict(RetryBudget))
@@ -175,7 +191,8 @@
         try:
             async with open_exchange(endpoint.address, CONNECT_TIMEOUT_S) as exchange:
                 progress.sent += 1
-                return await self._exchange(request, writer, progress, endpoint, exchange)
+                attempt = _Attempt(request, writer, progress, endpoint, exchange)
+                return await self._exchange(attempt)
         except EndpointFailure as failure:
             self._note_failure(endpoint, begun_at)
             verdict = Verdict.MAY_HAVE_RUN if failure.sent else Verdict.NOT_RUN
@@ -190,14 +207,9 @@
         else:
             self.placement.on_failure(endpoint, now)
 
-    async def _exchange(
-        self,
-        request: DirectRequest,
-        writer: AnswerWriter,
-        progress: _Progress,
-        endpoint: EndpointHeartbeat,
-        exchange: EndpointExchange,
-    ) -> AttemptResult | None:
+    async def _exchange(self, attempt: _Attempt) -> AttemptResult | None:
+        request, progress, endpoint = attempt.request, attempt.progress, attempt.endpoint
+        exchange, writer = attempt.exchange, attempt.writer
         begun_at = anyio.current_time()
         facts = SendFacts(
             endpoint=endpoint,
@@ -208,7 +220,9 @@
             body_bytes=len(request.body),
         )
         await exchange.send(self.dialect.write_request(request.head, facts), request.body)
-        head = await self._read_head(request, exchange)
+        objectives_s = HEAD_TIMEOUT_OBJECTIVES * request.route.objective_s
+        head_bound_s = max(HEAD_TIMEOUT_LEAST_S, objectives_s)
+        head = await self._patiently(attempt, head_bound_s, exchange.read_head)
         word = self.dialect.read_answer(head)
         if word.requests is not None:
             self.placement.on_told(endpoint, word.requests, anyio.current_time())
@@ -223,7 +237,7 @@
                 self.placement.on_failure(endpoint, now)
             return fault
         if request.is_stream and 200 <= head.status < 300:
-            await self._pass_stream(request, writer, progress, exchange, head)
+            await self._pass_stream(attempt, head)
         else:
             body = await self._whole_body(exchange)
             if head.status >= 500:
@@ -250,17 +264,34 @@
             return AttemptResult(Verdict.MAY_HAVE_RUN, f"status {head.status} without a promise")
         return None
 
-    async def _read_head(self, request: DirectRequest, exchange: EndpointExchange) -> AnswerHead:
-        if not request.route.idempotent:
-            return await exchange.read_head()
-        objectives_s = HEAD_TIMEOUT_OBJECTIVES * request.route.objective_s
-        with anyio.move_on_after(max(HEAD_TIMEOUT_LEAST_S, objectives_s)):
-            return await exchange.read_head()
-        raise EndpointFailure("no answer began in time", True)
+    async def _patiently(
+        self, attempt: _Attempt, bound_s: float, read: Callable[[], Awaitable[Read]]
+    ) -> Read:
+        """Read from an endpoint, and leave a silent one only where another may do better.
+
+        :raises EndpointFailure: when the endpoint was silent for so long and another may do better.
+        """
+        if not attempt.request.route.idempotent:
+            return await read()
+        while True:
+            with anyio.move_on_after(bound_s):
+                return await read()
+            self.placement.on_silence(attempt.endpoint, anyio.current_time())
+            if self._another_may_help(attempt):
+                raise EndpointFailure(f"silent for {bound_s:.1f} s", True)
+
+    def _another_may_help(self, attempt: _Attempt) -> bool:
+        """Return whether a further attempt is allowed and has a sound endpoint to go to."""
+        request, progress = attempt.request, attempt.progress
+        if progress.sent >= request.route.max_endpoints or self._budget(request).balance < 1.0:
+            return False
+        others = progress.avoided | {attempt.endpoint.endpoint}
+        known = self.endpoints(request.service.name)
+        return self.placement.has_sound(known, others, anyio.current_time())
 
     async def _whole_body(self, exchange: EndpointExchange) -> bytes:
         body = bytearray()
-        async for data in exchange.read_body():
+        while (data := await exchange.read_data()) is not None:
             body += data
             if len(body) > ANSWER_BYTES_MAX:
                 raise EndpointFailure("the answer is too large", True)
@@ -271,22 +302,14 @@
         kept = tuple((name, value) for name, value in headers if name != "content-length")
         await writer.respond(head.status, kept, body)
 
-    async def _pass_stream(
-        self,
-        request: DirectRequest,
-        writer: AnswerWriter,
-        progress: _Progress,
-        exchange: EndpointExchange,
-        head: AnswerHead,
-    ) -> None:
+    async def _pass_stream(self, attempt: _Attempt, head: AnswerHead) -> None:
         """Pass on whole events as they come.
 
         :raises EndpointFailure: when the stream breaks off, falls silent or does not fit.
         """
-        stream = progress.stream
-        body = aiter(exchange.read_body())
+        request, writer, stream = attempt.request, attempt.writer, attempt.progress.stream
         while True:
-            data = await self._next_data(request, body)
+            data = await self._patiently(attempt, STREAM_SILENCE_S, attempt.exchange.read_data)
             if data is None:
                 break
             try:
@@ -303,14 +326,6 @@
             raise EndpointFailure("the stream ended within an event", True)
         await writer.finish()
 
-    async def _next_data(self, request: DirectRequest, body: object) -> bytes | None:
-        """Return the stream's next bytes, or ``None`` at its end."""
-        if not request.route.idempotent:
-            return await anext(body, None)  # type: ignore[call-overload,no-any-return]
-        with anyio.move_on_after(STREAM_SILENCE_S):
-            return await anext(body, None)  # type: ignore[call-overload,no-any-return]
-        raise EndpointFailure("the stream fell silent", True)
-
     def _note(
         self,
         request: DirectRequest,
@@ -337,19 +352,31 @@
         self, request: DirectRequest, progress: _Progress, result: AttemptResult
     ) -> bool:
         """Return whether another endpoint may be tried, and take that from the budget."""
-        if result.verdict is Verdict.MAY_HAVE_RUN and not request.route.idempotent:
-            return False
-        if progress.sent >= max(1, request.route.max_endpoints) or progress.tries > CONNECT_TRIES:
-            return False
-        if progress.sent and not self._budget(request).take():
-            return False
+        reason = self._why_not_again(request, progress, result)
+        kind = events.REQUEST_NOT_RETRIED if reason else events.REQUEST_RETRIED
         self.log.emit(
-            events.REQUEST_RETRIED,
+            kind,
             request_id=request.wishes.request_id,
             attempt=progress.tries + 1,
             resume_after=progress.stream.last_id,
+            reason=reason,
+            budget=round(self._budget(request).balance, 1),
         )
-        return True
+        return not reason
+
+    def _why_not_again(
+        self, request: DirectRequest, progress: _Progress, result: AttemptResult
+    ) -> str:
+        """Return what forbids another attempt; empty where nothing does."""
+        if result.verdict is Verdict.MAY_HAVE_RUN and not request.route.idempotent:
+            return "it may have run and may not run twice"
+        if progress.sent >= max(1, request.route.max_endpoints):
+            return "the route allows no further endpoint"
+        if progress.tries > CONNECT_TRIES:
+            return "too many endpoints refused the connection"
+        if progress.sent and not self._budget(request).take():
+            return "the retry budget is spent"
+        return ""
 
     async def _end(
         self,
@@ -389,7 +416,10 @@
     def _budget(self, request: DirectRequest) -> RetryBudget:
         name = request.service.name
         if name not in self.budgets:
-            self.budgets[name] = RetryBudget(self.retry_ratio, self.retry_capacity)
+            self.budgets[name] = RetryBudget(
+                self.retry_ratio, self.retry_capacity, self.retry_refill_per_s
+            )
+        self.budgets[name].refill(anyio.current_time())
         return self.budgets[name]
 
     def _log_completed(
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
@@ -40,6 +40,12 @@
 RETRY_MARGIN = 0.7
 """Part of the shared retry budget that entries spend, as they count requests apart."""
 
+SLACK_AT_ONCE = 0.45
+"""Part of the fixed retries of a window that may go out at once; as many come back during it."""
+
+RETRY_WINDOW_S = 10.0
+"""The window of :attr:`NodeSettings.retry_slack`."""
+
 ENTRIES_SHARING = 10.0
 """Entries among which the fixed part of the retry budget is split; both users have fewer."""
 
@@ -75,7 +81,8 @@
         log=environment.log,
         metrics=NodeMetrics(lambda: process.gauges()),
         retry_ratio=RETRY_MARGIN * settings.retry_ratio,
-        retry_capacity=RETRY_MARGIN * settings.retry_slack / ENTRIES_SHARING,
+        retry_capacity=SLACK_AT_ONCE * settings.retry_slack / ENTRIES_SHARING,
+        retry_refill_per_s=SLACK_AT_ONCE * settings.retry_slack / ENTRIES_SHARING / RETRY_WINDOW_S,
     )
     links = ControlLinks(
         seeds=settings.seed_links,
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_commander.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_commander.py
@@ -35,17 +35,25 @@
 """Wait between two looks at the demand."""
 
 BUSY_GAIN = 0.06
-"""Part of the pass time that a change must save in a group whose slots are half taken or more.
+"""Part of the pass time that a change must save in a group that is busy.
 
 Copying costs 15% of it for about a second.
 """
 
-CALM_GAIN = 0.35
+CALM_GAIN = 0.45
 """The same in a group without load, where passes are short enough with a poor map."""
 
-BUSY = 0.5
+BUSY = 0.75
 """Requests as a part of the group's slots from which a group counts as busy."""
 
+BUSY_STEP_GAIN = 1e-3
+CALM_STEP_GAIN = 6e-3
+"""What each copy must bring in a busy and in a calm group.
+
+With the users' popularity, the busy figure gives up 3% of skew for a quarter of the copies, the calm
+one 12% for half of them.
+"""
+
 COPIES_PER_RANK = 5
 """Experts that a rank copies for one change: about 0.7 s at the users' links."""
 
@@ -280,9 +288,12 @@
         popularity = self.popularity.by_set(len(self.experts), anyio.current_time())
         if popularity is None or engine is None:
             return
-        bounds = PlannerBounds(engine.placements, engine.spare, COPIES_PER_RANK)
+        busy = _busy(statuses, engine)
+        step_gain = CALM_STEP_GAIN + (BUSY_STEP_GAIN - CALM_STEP_GAIN) * busy
+        bounds = PlannerBounds(engine.placements, engine.spare, COPIES_PER_RANK, step_gain)
         plan = plan_even_map(self.experts, popularity, bounds)
-        if plan.skew_now - plan.skew_planned < self._least_gain(statuses, engine) * plan.skew_now:
+        least_gain = CALM_GAIN + (BUSY_GAIN - CALM_GAIN) * busy
+        if plan.skew_now - plan.skew_planned < least_gain * plan.skew_now:
             return
         self.newest_version += 1
         switch = MapSwitch(tuple(sorted(statuses)), self.newest_version, plan.experts)
@@ -303,8 +314,8 @@
             took_ms=round((anyio.current_time() - began_at) * 1000),
         )
 
-    def _least_gain(self, statuses: dict[int, RankStatus], engine: EngineFigures) -> float:
-        """Return the part of the pass time that a change must save at the present load."""
-        requests = sum(status.requests for status in statuses.values())
-        busy = min(1.0, requests / (BUSY * engine.slots * len(statuses)))
-        return CALM_GAIN + (BUSY_GAIN - CALM_GAIN) * busy
+
+def _busy(statuses: dict[int, RankStatus], engine: EngineFigures) -> float:
+    """Return how busy a group is, from 0 to 1."""
+    requests = sum(status.requests for status in statuses.values())
+    return min(1.0, requests / (BUSY * engine.slots * len(statuses)))
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
@@ -101,6 +101,12 @@
         _, _, chosen = min(ranked, key=lambda one: one[:2])
         return chosen
 
+    def has_sound(
+        self, endpoints: Iterable[EndpointHeartbeat], avoided: Collection[str], now: float
+    ) -> bool:
+        """Return whether an endpoint is left that is ready, not barred and goes on."""
+        return any(each.endpoint not in avoided and self._is_sound(each, now) for each in endpoints)
+
     def _is_sound(self, endpoint: EndpointHeartbeat, now: float) -> bool:
         barred = self.load(endpoint).barred_until > now
         stalled = self.groups.is_stalled(endpoint.address, now)
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/even_map_planner.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/even_map_planner.py
@@ -18,9 +18,6 @@
 IDLE_RANKS = 6
 """Least loaded ranks that are considered as its place."""
 
-LEAST_STEP_GAIN = 1e-4
-"""Part of a set's load below which a further copy is not looked for."""
-
 ExpertSets = tuple[tuple[tuple[int, ...], ...], ...]
 """The experts of every rank: by set, by rank."""
 
@@ -32,11 +29,13 @@
     :param placements: experts that a rank holds in a set at the most.
     :param copies_per_set: experts new to a rank in one set at the most.
     :param copies_per_rank: experts new to a rank in all sets at the most.
+    :param least_step_gain: part of a set's load that each copy must take off its busiest ranks.
     """
 
     placements: int
     copies_per_set: int
     copies_per_rank: int
+    least_step_gain: float
 
 
 @dataclass(frozen=True)
@@ -170,7 +169,9 @@
                 for step in self._steps(expert, hot, rank):
                     if best is None or step.gain > best.gain:
                         best = step
-        return best if best is not None and best.gain > LEAST_STEP_GAIN * total else None
+        return (
+            best if best is not None and best.gain > self.bounds.least_step_gain * total else None
+        )
 
     def _part(self, expert: int) -> float:
         return self.popularity[expert] / len(self.holders[expert])
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/retry.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/retry.py
@@ -38,12 +38,26 @@
     The budget starts full and holds at most :attr:`capacity` retries.
 
     :param ratio: retries allowed for each first attempt, in the long run.
+    :param refill_per_s: retries that come back in a second whatever the load.
     """
 
-    def __init__(self, ratio: float = 0.1, capacity: float = 10.0) -> None:
+    def __init__(
+        self, ratio: float = 0.1, capacity: float = 10.0, refill_per_s: float = 0.0
+    ) -> None:
         self.ratio = ratio
         self.capacity = capacity
+        self.refill_per_s = refill_per_s
         self.balance = capacity
+        self.refilled_at = 0.0
+
+    def refill(self, now: float) -> None:
+        """Add what came back since the last call.
+
+        :param now: the runtime's clock, in seconds.
+        """
+        added = self.refill_per_s * (now - self.refilled_at)
+        self.refilled_at = now
+        self.balance = min(self.capacity, self.balance + added)
 
     def on_first_attempt(self) -> None:
         """Count a request that is dispatched for the first time."""
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/http1_client.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/http1_client.py
@@ -76,19 +76,19 @@
             if not isinstance(event, h11.InformationalResponse):
                 raise EndpointFailure("the connection ended before an answer", True)
 
-    async def read_body(self) -> AsyncIterator[bytes]:
-        """Yield the bytes of the answer as they come, to its proper end.
+    async def read_data(self) -> bytes | None:
+        """Return the next bytes of the answer, or ``None`` at its proper end.
+
+        A call that is cancelled loses nothing.
 
         :raises EndpointFailure: when the answer ends early.
         """
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return
-            else:
-                raise EndpointFailure("the answer ended early", True)
+        event = await self._next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise EndpointFailure("the answer ended early", True)
 
     async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
         try:
--- a/tests/direct/test_direct_answers.py
+++ b/tests/direct/test_direct_answers.py
@@ -224,3 +224,38 @@
         await ended.wait()
 
     run_direct(body)
+
+
+def test_a_silent_runner_is_waited_for_where_no_other_may_help() -> None:
+    """Load pattern: a group stands still for a second; a draft that is late is still of use."""
+
+    async def body(path: DirectPath) -> None:
+        async def late(arrival: Arrival, stream: SocketStream) -> None:
+            await anyio.sleep(1.1)
+            await stream.send(stream_head(arrival) + chunked(event(1)) + b"0\r\n\r\n")
+
+        await path.add_endpoint("runner-1", late)
+        got = await path.ask("draft")
+        assert got.whole
+        assert got.body == event(1)
+        assert len(path.arrivals) == 1
+
+    run_direct(body)
+
+
+def test_a_silent_runner_is_left_for_one_that_is_sound() -> None:
+    async def body(path: DirectPath) -> None:
+        async def silent(_: Arrival, stream: SocketStream) -> None:
+            await stream.receive()
+
+        async def quick(arrival: Arrival, stream: SocketStream) -> None:
+            await stream.send(stream_head(arrival) + chunked(event(1)) + b"0\r\n\r\n")
+
+        await path.add_endpoint("runner-1", silent)
+        second = await path.add_endpoint("runner-2", quick)
+        path.placement.on_told(second, 3, anyio.current_time())
+        got = await path.ask("draft")
+        assert got.body == event(1)
+        assert [arrival.endpoint for arrival in path.arrivals] == ["runner-1", "runner-2"]
+
+    run_direct(body)
--- a/tests/policy/test_retries.py
+++ b/tests/policy/test_retries.py
@@ -49,3 +49,13 @@
                 break
             retries += 1
     assert retries <= 1_000 + 10
+
+
+def test_a_budget_comes_back_with_time_up_to_its_capacity() -> None:
+    budget = RetryBudget(ratio=0.0, capacity=4.0, refill_per_s=0.4)
+    budget.refill(100.0)
+    assert [budget.take() for _ in range(5)] == [True] * 4 + [False]
+    budget.refill(105.0)
+    assert [budget.take() for _ in range(3)] == [True, True, False]
+    budget.refill(1000.0)
+    assert budget.balance == 4.0
--- a/tests/support/direct_path.py
+++ b/tests/support/direct_path.py
@@ -147,6 +147,7 @@
             metrics=NodeMetrics(dict),
             retry_ratio=0.2,
             retry_capacity=10.0,
+            retry_refill_per_s=0.0,
         )
         self.server = Http1Server(self._handle)
         self.address = Address("127.0.0.1", 0)
