--- /dev/null
+++ b/tests/daemon/test_node_settings.py
@@ -0,0 +1,70 @@
+"""The settings file of processes that find each other from seeds."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from bergamotchute_daemon.node_settings import NodeSettingsError, SettingsFile
+from bergamotchute_model.identifiers import Address
+
+VALID = """
+name = "control-1"
+availability_zone = "north"
+host = "10.0.0.1"
+link_port = 7280
+seeds = ["10.0.0.1:80", "10.0.0.2:80"]
+found = true
+disks_to_lose = 1
+heartbeat_ms = 1200
+stop_s = 8
+address_lifetime_s = 5
+retry_ratio = 0.2
+retry_slack = 92
+[listen]
+control = "10.0.0.1:80"
+"""
+
+
+def write(folder: Path, text: str) -> SettingsFile:
+    path = folder / "settings.toml"
+    path.write_text(text, encoding="utf-8")
+    return SettingsFile(path)
+
+
+def test_settings_are_read(tmp_path: Path) -> None:
+    settings = write(tmp_path, VALID).read()
+    assert settings.link_address == Address("10.0.0.1", 7280)
+    assert settings.seed_links == (Address("10.0.0.1", 7280), Address("10.0.0.2", 7280))
+    assert settings.listen.control == "10.0.0.1:80"
+    assert settings.data_folder == ""
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "named"),
+    [
+        ("link_port = 7280", 'link_port = "x"', "link_port"),
+        ("found = true", "", "found"),
+        ("found = true", "found = true\nsurprise = 1", "surprise"),
+        ("name = ", "name = = ", "settings.toml"),
+    ],
+)
+def test_a_wrong_setting_is_named(tmp_path: Path, old: str, new: str, named: str) -> None:
+    with pytest.raises(NodeSettingsError, match=named):
+        write(tmp_path, VALID.replace(old, new)).read()
+
+
+def test_a_missing_file_is_named(tmp_path: Path) -> None:
+    with pytest.raises(NodeSettingsError, match=r"none\.toml"):
+        SettingsFile(tmp_path / "none.toml").read()
+
+
+def test_a_change_is_noticed_once_it_is_read_again(tmp_path: Path) -> None:
+    file = write(tmp_path, VALID)
+    file.read()
+    assert not file.changed()
+    write(tmp_path, VALID.replace("10.0.0.2:80", "10.0.0.3:80"))
+    assert file.changed()
+    assert file.read().seeds[1] == "10.0.0.3:80"
+    assert not file.changed()
--- /dev/null
+++ b/tests/direct/test_direct_entry.py
@@ -0,0 +1,174 @@
+"""What an entry believes: configurations, endpoints, and when it takes callers."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import anyio
+import trio
+import trio.testing
+
+from bergamotchute_daemon.direct.direct_entry import CONFIGURATION_WAIT_S, DirectEntry
+from bergamotchute_daemon.event_log import EventLog
+from bergamotchute_daemon.node_composition_root import NodeEnvironment, compose_direct_entry
+from bergamotchute_daemon.node_settings import ListenSettings, NodeSettings
+from bergamotchute_model.identifiers import Address
+from bergamotchute_model.node_messages import (
+    AskConfiguration,
+    ConfigurationText,
+    ConfigurationVersion,
+    DeparturesRecorded,
+    EntryState,
+    HeartbeatsHeard,
+    NodeMessage,
+)
+from bergamotchute_platform.request_format import DIALECT
+from bergamotchute_wire.http1_messages import RequestHead
+from bergamotchute_wire.http1_server import CallerRequest
+from support.control_group import heartbeat
+from support.memory_links import MemoryNetwork
+
+CONTROL = Address("10.0.0.1", 7000)
+OTHER = Address("10.0.0.2", 7000)
+
+
+def text(version: int) -> bytes:
+    return b'{"version": %d, "routes": [], "services": []}' % version
+
+
+class Answer:
+    """Takes the status of an answer in place of a connection."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.finished = False
+        self.at = 0.0
+
+    async def respond(self, status: int, _: object = (), __: bytes = b"") -> None:
+        self.status = status
+        self.finished = True
+        self.at = anyio.current_time()
+
+
+def run_entry(body: Callable[[DirectEntry, list[NodeMessage]], Awaitable[None]]) -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as tasks:
+            network = MemoryNetwork(tasks)
+            environment = NodeEnvironment(
+                random=Random(1),
+                log=EventLog("entry-1", "entry", "life", lambda: 0),
+                dial_control=network.dial("entry-1", "/nodes"),
+                dial_consensus=network.dial("entry-1", "/none"),
+                dial_ranks=network.dial("entry-1", "/none"),
+            )
+            settings = NodeSettings(
+                name="entry-1",
+                availability_zone="north",
+                host="10.0.0.9",
+                link_port=7000,
+                seeds=("10.0.0.1:80",),
+                found=True,
+                disks_to_lose=1,
+                heartbeat_ms=1200,
+                stop_s=8,
+                address_lifetime_s=5,
+                retry_ratio=0.2,
+                retry_slack=90,
+                listen=ListenSettings(callers="10.0.0.9:8000"),
+            )
+            entry = compose_direct_entry(settings, DIALECT, environment)
+            sent: list[NodeMessage] = []
+            entry.links.post_all = sent.append  # type: ignore[method-assign]
+            entry.follower.post = lambda _, message: sent.append(message)
+            entry.follower.post_all = sent.append
+            await body(entry, sent)
+            tasks.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_no_older_configuration_comes_back() -> None:
+    async def body(entry: DirectEntry, _: list[NodeMessage]) -> None:
+        entry.on_message(CONTROL, ConfigurationText(5, text(5)))
+        entry.on_message(OTHER, ConfigurationText(4, text(4)))
+        assert entry.follower.version == 5
+        assert entry.routing is not None
+        assert entry.routing.configuration.version == 5
+
+    run_entry(body)
+
+
+def test_a_text_is_asked_for_once_and_again_when_it_does_not_come() -> None:
+    async def body(entry: DirectEntry, sent: list[NodeMessage]) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(entry.follower.run)
+            entry.on_message(CONTROL, ConfigurationVersion(5))
+            entry.on_message(OTHER, ConfigurationVersion(5))
+            assert sent == [AskConfiguration()]
+            await anyio.sleep(1.0)
+            assert len(sent) > 1
+            entry.on_message(OTHER, ConfigurationText(5, text(5)))
+            asked = len(sent)
+            await anyio.sleep(2.0)
+            assert len([each for each in sent if each == AskConfiguration()]) <= asked
+            tasks.cancel_scope.cancel()
+
+    run_entry(body)
+
+
+def test_an_entry_takes_callers_once_it_has_a_configuration_and_none_when_it_stops() -> None:
+    async def body(entry: DirectEntry, sent: list[NodeMessage]) -> None:
+        assert not entry.ready
+        entry.on_message(CONTROL, ConfigurationText(5, text(5)))
+        assert entry.ready
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(entry.drain)
+            await anyio.sleep(0.01)
+            assert not entry.ready
+            tasks.cancel_scope.cancel()
+        states = [each.open for each in sent if isinstance(each, EntryState)]
+        assert states == [True, False]
+
+    run_entry(body)
+
+
+REQUEST = CallerRequest(RequestHead("GET", "/a/b", (("host", "house.example"),)), b"")
+
+
+def test_a_request_waits_at_a_fresh_entry_for_its_configuration() -> None:
+    """Load pattern: all VMs come back from a power loss, and callers with them."""
+
+    async def body(entry: DirectEntry, _: list[NodeMessage]) -> None:
+        answer = Answer()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(entry.handle, REQUEST, answer)
+            await anyio.sleep(CONFIGURATION_WAIT_S / 2)
+            assert not answer.finished
+            entry.on_message(CONTROL, ConfigurationText(5, text(5)))
+        assert answer.status == 404
+        assert answer.at < CONFIGURATION_WAIT_S
+
+    run_entry(body)
+
+
+def test_a_request_is_not_run_at_an_entry_that_gets_no_configuration() -> None:
+    async def body(entry: DirectEntry, _: list[NodeMessage]) -> None:
+        answer = Answer()
+        await entry.handle(REQUEST, answer)  # type: ignore[arg-type]
+        assert answer.status == 503
+
+    run_entry(body)
+
+
+def test_a_departure_takes_an_endpoint_out_at_once() -> None:
+    async def body(entry: DirectEntry, _: list[NodeMessage]) -> None:
+        entry.on_message(CONTROL, HeartbeatsHeard((heartbeat(1),)))
+        placement = entry.runner.placement
+        assert placement.choose(entry.endpoints("model"), (), 0.0) is not None
+        entry.on_message(OTHER, DeparturesRecorded((("runner-1", 1000),)))
+        assert placement.choose(entry.endpoints("model"), (), 0.0) is None
+        entry.on_message(CONTROL, HeartbeatsHeard((heartbeat(2),)))
+        assert placement.choose(entry.endpoints("model"), (), 0.0) is None
+
+    run_entry(body)
