Turn away at once what engines can't begin in time; hold passes away from the commander

A frozen commander's VM also had the held rank.

Change: agents' loads reach entries within 0.3 s through the leader; a draft is turned away where even the emptiest engine holds more than 1.25 of its slots, to come back in 0.5 to 2 s. The held rank is another VM's; the commander's own rank is armed last, so that a successor can end a hold without asking it. Passes are held further ahead.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
@@ -24,6 +24,9 @@
 LOOK_S = 0.2
 """How often silent endpoints and changes of the control group are looked for."""
 
+LOADS_S = 0.1
+"""How often entries are told loads, all that changed together; agents read them every 0.2 s."""
+
 HAND_ON_S = 1.0
 """How long a stopping control VM goes on answering while another one begins to lead."""
 
@@ -48,6 +51,12 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.voter.run)
             tasks.start_soon(self._look)
+            tasks.start_soon(self._tell_loads)
+
+    async def _tell_loads(self) -> None:
+        while True:
+            await anyio.sleep(LOADS_S)
+            self.hub.tell_loads()
 
     async def drain(self) -> None:
         """Hand leadership on and answer what is in hand."""
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -25,6 +25,7 @@
     DeparturesRecorded,
     EntryState,
     HeartbeatsHeard,
+    LoadsTold,
     NodeMessage,
     RankPlaces,
 )
@@ -69,6 +70,7 @@
     routing: RoutingTable | None = None
     routed: anyio.Event = field(default_factory=anyio.Event)
     stopping: bool = False
+    by_address: dict[Address, EndpointHeartbeat] = field(default_factory=dict)
     by_service: dict[str, list[EndpointHeartbeat]] = field(default_factory=dict)
     now: Callable[[], float] = anyio.current_time
 
@@ -115,12 +117,20 @@
                     if self.table.on_departure(endpoint, born_ms):
                         self.log.emit(events.MEMBER_DRAINING, endpoint=endpoint, born_ms=born_ms)
                 self._arrange()
+            case LoadsTold(loads):
+                self._on_loads(loads)
             case RankPlaces(places):
                 for place, group, takes_work in places:
                     self._on_place(place, group, takes_work)
             case _:
                 pass
 
+    def _on_loads(self, loads: tuple[tuple[Address, int], ...]) -> None:
+        for place, requests in loads:
+            heartbeat = self.by_address.get(place)
+            if heartbeat is not None:
+                self.runner.placement.on_told(heartbeat, requests, self.now())
+
     def _on_place(self, endpoint: Address, group: str, takes_work: bool) -> None:
         if self.runner.placement.groups.on_place(endpoint, group, takes_work):
             self.log.emit(events.GROUP_CHANGED, group=group, open=takes_work)
@@ -142,6 +152,7 @@
             known = newest.get(heartbeat.address)
             if known is None or heartbeat.born_ms > known.born_ms:
                 newest[heartbeat.address] = heartbeat
+        self.by_address = newest
         self.by_service = {}
         for heartbeat in newest.values():
             self.by_service.setdefault(heartbeat.service, []).append(heartbeat)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_runner.py
@@ -18,7 +18,7 @@
 from bergamotchute_model import events
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
 from bergamotchute_model.verdict import Verdict
-from bergamotchute_policy.direct_placement import DirectPlacement
+from bergamotchute_policy.direct_placement import Candidate, DirectPlacement
 from bergamotchute_policy.retry import RetryBudget
 from bergamotchute_wire.http1_client import EndpointExchange, open_exchange
 from bergamotchute_wire.http1_messages import AnswerHead, EndpointFailure, without_hop_headers
@@ -147,6 +147,8 @@
             if candidate is None:
                 self._give_up(request, writer, progress, "no endpoint can be used")
                 return
+            if not progress.tries:
+                self._turn_away(request, candidate)
             result = await self._attempt(request, writer, progress, candidate.heartbeat)
             if result is None:
                 return
@@ -155,6 +157,16 @@
                 await self._end(request, writer, progress, result)
                 return
 
+    def _turn_away(self, request: DirectRequest, chosen: Candidate) -> None:
+        """Refuse a request at once where every endpoint has too much work.
+
+        :raises Refusal: with when to come back.
+        """
+        away_s = self.placement.turn_away_s(chosen, request.service.engine)
+        if away_s is not None:
+            fullness = f"{chosen.fullness:.2f}"
+            raise Refusal(503, f"all endpoints are full, the emptiest to {fullness}", away_s)
+
     def endpoints_changed(self) -> None:
         """Wake the requests that wait for an endpoint."""
         self.changed.set()
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -22,6 +22,7 @@
     DeparturesRecorded,
     EntryState,
     HeartbeatsHeard,
+    LoadsTold,
     NodeMessage,
     RankPlaces,
 )
@@ -64,6 +65,7 @@
     choice: CommanderChoice = field(default_factory=CommanderChoice)
     group: ControlGroup = field(default_factory=lambda: ControlGroup((), 0))
     departures_told: int = -1
+    loads: dict[Address, int] = field(default_factory=dict)
 
     async def serve(self, link: Link[NodeMessage]) -> None:
         """Serve one link until it closes."""
@@ -116,6 +118,8 @@
                     follower.outbox.post(assigned)
                 self.log.emit(events.LINK_OPENED, peer=message.name)
                 self.assign_commanders(self.choice.term)
+            case LoadsTold(loads):
+                self.loads.update(loads)
             case AskConfiguration():
                 held = self.voter.state.state.configuration
                 follower.outbox.post(ConfigurationText(held.version, held.text))
@@ -128,6 +132,15 @@
             if follower.entry is not None:
                 follower.outbox.post(RankPlaces(places))
 
+    def tell_loads(self) -> None:
+        """Tell entries the loads that changed since they were told last."""
+        if not self.loads:
+            return
+        told, self.loads = LoadsTold(tuple(self.loads.items())), {}
+        for follower in self.followers:
+            if follower.entry is not None:
+                follower.outbox.post(told)
+
     def push_heartbeats(self, heartbeats: tuple[EndpointHeartbeat, ...]) -> None:
         """Tell every follower what changed."""
         if not heartbeats:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/map_switch.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/map_switch.py
@@ -25,8 +25,11 @@
 COPY_BOUND_S = 4.0
 """Wait for copies; a plan is stale by then, as popular experts change about as often."""
 
-PASSES_AHEAD = (3, 5, 8)
-"""How far ahead the pass is held, by try; a pass takes 30 to 80 ms, and a hold about 10."""
+PASSES_AHEAD = (4, 6, 9)
+"""How far ahead the pass is held, by try.
+
+A pass takes 30 ms and more; hold, arms and go take about 50 and should be done before it is due.
+"""
 
 ORDER_TRIES = 4
 """Sendings of one order before the switch is given up."""
@@ -63,7 +66,8 @@
 class MapSwitch:
     """One change of the map.
 
-    :param ranks: all ranks of the group; the first one holds the pass.
+    :param ranks: all ranks of the group. The first one holds the pass. The last one is armed once
+        all others are: the commander's own, which its successor may be unable to ask.
     :param version: higher than all versions that any of the ranks has had.
     """
 
@@ -82,19 +86,26 @@
 
     async def _arm_and_go(self, caller: RankCaller, step: int) -> SwitchOutcome:
         outcome = SwitchOutcome.SWITCHED
-        armed = await self._on_all(caller, RankAction.ARM, step, self._is_armed(step))
-        if not all(armed.values()):
+        armed = await self._arm(caller, step, self.ranks[:-1])
+        if not armed or not await self._arm(caller, step, self.ranks[-1:]):
             outcome = SwitchOutcome.NOT_ARMED
-            if not await disarm(caller, self.ranks, self.version):
+            # The last rank first: while another is not armed, a successor takes it to be unarmed.
+            last_disarmed = await disarm(caller, self.ranks[-1:], self.version)
+            if not last_disarmed or not await disarm(caller, self.ranks, self.version):
                 # A rank that may switch alone must not get the pass.
                 return SwitchOutcome.STUCK
         if not await release(caller, self.ranks[0], step):
             return SwitchOutcome.STUCK
         return outcome
 
+    async def _arm(self, caller: RankCaller, step: int, ranks: tuple[int, ...]) -> bool:
+        """Arm some ranks; return whether all of them are seen armed."""
+        armed = await self._on_all(caller, RankAction.ARM, step, self._is_armed(step), ranks)
+        return all(armed.values())
+
     async def _prepare(self, caller: RankCaller) -> bool:
         """Have every rank copy its new experts; return whether all of them hold the map."""
-        taken = await self._on_all(caller, RankAction.PREPARE, 0, self._prepares)
+        taken = await self._on_all(caller, RankAction.PREPARE, 0, self._prepares, self.ranks)
         if not all(taken.values()):
             return False
         waiting = self.ranks
@@ -136,9 +147,10 @@
         action: RankAction,
         step: int,
         done: Callable[[RankStatus], bool],
+        ranks: tuple[int, ...],
     ) -> dict[int, bool]:
-        """Give an order to all ranks, again where it was not seen carried out."""
-        results = dict.fromkeys(self.ranks, False)
+        """Give an order to ranks, again where it was not seen carried out."""
+        results = dict.fromkeys(ranks, False)
 
         async def give(rank: int) -> None:
             for _ in range(ORDER_TRIES):
@@ -149,7 +161,7 @@
                 if status is not None and status.accepted is False:
                     return
 
-        await _together([lambda rank=rank: give(rank) for rank in self.ranks])  # type: ignore[misc]
+        await _together([lambda rank=rank: give(rank) for rank in ranks])  # type: ignore[misc]
         return results
 
     def _prepares(self, status: RankStatus) -> bool:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
@@ -22,6 +22,7 @@
     CommanderAssigned,
     ConfigurationText,
     ConfigurationVersion,
+    LoadsTold,
     NodeMessage,
     RankCounts,
     RankOrder,
@@ -180,6 +181,10 @@
         before, self.status = self.status, status
         if status is None:
             return
+        leader = self.links.leader
+        if leader is not None and (before is None or before.requests != status.requests):
+            endpoint = self.gate.connection.address
+            self.links.post(leader, LoadsTold(((endpoint, status.requests),)))
         if before is None or _place(before) != _place(status):
             for message in self.greeting():
                 self.links.post_all(message)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_commander.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_commander.py
@@ -73,10 +73,12 @@
 class _Member:
     """One rank as the commander sees it.
 
+    :param gate: calls the rank from here.
     :param mute_until: the rank is called past its agent until then, on the runtime's clock.
     """
 
     place: GroupMember
+    gate: RankGate
     outbox: Outbox[NodeMessage] | None = None
     mute_until: float = float("-inf")
     status: RankStatus | None = None
@@ -105,7 +107,10 @@
 
     async def run(self) -> None:
         """Command the group until cancelled."""
-        self.members = {place.rank: _Member(place) for place in self.assignment.members}
+        self.members = {
+            place.rank: _Member(place, self.reach(place.endpoint))
+            for place in self.assignment.members
+        }
         self.log.emit(
             events.COMMAND_TAKEN, group=self.assignment.group, fence=self.assignment.fence
         )
@@ -181,7 +186,7 @@
                 member.mute_until = now + MUTE_S
             return status
         try:
-            status = await self.reach(member.place.endpoint).give(order)
+            status = await member.gate.give(order)
         except RankSilent as error:
             self.log.emit(
                 events.RANK_SILENT, group=self.assignment.group, rank=rank, detail=str(error)
@@ -207,6 +212,7 @@
             if statuses is None:
                 await anyio.sleep(LOOK_S)
                 await self._read_missing()
+                await self._rescue()
                 continue
             if not is_settled(statuses):
                 await self._clean_up(statuses)
@@ -214,6 +220,23 @@
                 await self._plan(statuses)
             await anyio.sleep(PLAN_S)
 
+    async def _rescue(self) -> None:
+        """End what the earlier commander left where its own rank can't be asked.
+
+        That one arms its own rank last, so it is not armed while any other isn't.
+        """
+        known = {rank: one.status for rank, one in self.members.items() if one.status}
+        missing = [one.place.agent for rank, one in self.members.items() if rank not in known]
+        if missing != [self.assignment.earlier] or is_settled(known):
+            return
+        fresh = await self._read_anew(known)
+        if len(fresh) != len(known) or all(status.armed for status in fresh.values()):
+            return
+        cleaned = await clean_up(self, fresh, self.newest_version)
+        self.log.emit(
+            events.MAP_CLEANED, group=self.assignment.group, cleaned=cleaned, without=len(missing)
+        )
+
     async def _read_missing(self) -> None:
         """Ask ranks that have not told their state since the group's newest life began."""
         epoch = self.epoch
@@ -296,7 +319,7 @@
         if plan.skew_now - plan.skew_planned < least_gain * plan.skew_now:
             return
         self.newest_version += 1
-        switch = MapSwitch(tuple(sorted(statuses)), self.newest_version, plan.experts)
+        switch = MapSwitch(self._own_last(statuses), self.newest_version, plan.experts)
         began_at = anyio.current_time()
         outcome = await switch.run(self)
         if outcome is SwitchOutcome.SWITCHED:
@@ -314,6 +337,11 @@
             took_ms=round((anyio.current_time() - began_at) * 1000),
         )
 
+    def _own_last(self, ranks: Iterable[int]) -> tuple[int, ...]:
+        """Return the ranks with the one beside this commander at the end."""
+        own = self.assignment.commander
+        return tuple(sorted(ranks, key=lambda rank: self.members[rank].place.agent == own))
+
 
 def _busy(statuses: dict[int, RankStatus], engine: EngineFigures) -> float:
     """Return how busy a group is, from 0 to 1."""
--- a/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
@@ -51,6 +51,14 @@
     kind: Literal["rank_places"] = "rank_places"
 
 
+@dataclass(frozen=True)
+class LoadsTold:
+    """Requests that run or wait at endpoints, read beside them a moment ago."""
+
+    loads: tuple[tuple[Address, int], ...]
+    kind: Literal["loads_told"] = "loads_told"
+
+
 @dataclass(frozen=True)
 class GroupMember:
     """A rank of a group and the agent beside it."""
@@ -65,12 +73,14 @@
     """The leader of the control group names the agent that commands a rank group.
 
     :param fence: grows with each assignment; orders under an older one are refused.
+    :param earlier: the commander before this one; ``None`` where the leader knows none.
     """
 
     group: str
     fence: int
     commander: Address
     members: tuple[GroupMember, ...]
+    earlier: Address | None = None
     kind: Literal["commander_assigned"] = "commander_assigned"
 
 
@@ -223,6 +233,7 @@
     | ControlGroup
     | CommanderAssigned
     | RankPlaces
+    | LoadsTold
     | RankCounts
     | RankStatus
     | RankOrder,
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/commander_choice.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/commander_choice.py
@@ -79,5 +79,8 @@
             return None
         self.count += 1
         fence = self.term * FENCES_PER_TERM + self.count
-        group.assigned = CommanderAssigned(name, fence, commander, members)
+        earlier = before.commander if before is not None else None
+        if earlier == commander and before is not None:
+            earlier = before.earlier
+        group.assigned = CommanderAssigned(name, fence, commander, members, earlier)
         return group.assigned
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
@@ -11,6 +11,7 @@
 from random import Random
 
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat, EndpointPhase
+from bergamotchute_model.whole_configuration import EngineFigures
 from bergamotchute_policy.rank_groups import RankGroups
 
 REPORT_HALF_LIFE_S = 1.0
@@ -23,6 +24,17 @@
 BAR_MAX_S = 4.0
 """First and longest time for which an endpoint that failed gets no new request."""
 
+ADMITTED_FULLNESS = 1.25
+"""Requests at an engine, as a part of its slots, from which further ones are turned away.
+
+One that waits behind a quarter of the slots begins within the users' objective of 0.4 s; more
+would make every draft late at the crest, where turning some away keeps the others in time.
+"""
+
+RETURN_LEAST_S = 0.5
+RETURN_SPREAD_S = 1.5
+"""When those that are turned away come back: spread over the time of a usual draft or two."""
+
 FULL_BAR_S = 0.15
 """How long an endpoint that was full gets no new request; a pass or a few of its engine."""
 
@@ -101,6 +113,16 @@
         _, _, chosen = min(ranked, key=lambda one: one[:2])
         return chosen
 
+    def turn_away_s(self, chosen: Candidate, engine: EngineFigures | None) -> float | None:
+        """Return when to come back if even the chosen endpoint has too much work, else ``None``.
+
+        Load pattern: a crest beyond the capacity of all engines, or the callers of an outage that
+        come back together. Plain services do without: their work is short and they shed it.
+        """
+        if engine is None or chosen.fullness < ADMITTED_FULLNESS:
+            return None
+        return RETURN_LEAST_S + RETURN_SPREAD_S * self.random.random()
+
     def has_sound(
         self, endpoints: Iterable[EndpointHeartbeat], avoided: Collection[str], now: float
     ) -> bool:
--- a/tests/policy/test_rank_groups.py
+++ b/tests/policy/test_rank_groups.py
@@ -6,7 +6,13 @@
 
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat, EndpointPhase
 from bergamotchute_model.identifiers import Address
-from bergamotchute_policy.direct_placement import FULL_BAR_S, DirectPlacement
+from bergamotchute_model.whole_configuration import EngineFigures
+from bergamotchute_policy.direct_placement import (
+    FULL_BAR_S,
+    RETURN_LEAST_S,
+    RETURN_SPREAD_S,
+    DirectPlacement,
+)
 from bergamotchute_policy.rank_groups import STALL_BASE_S, RankGroups
 
 
@@ -85,6 +91,39 @@
     assert 2.9 < load.others(11.0) < 3.1
 
 
+ENGINE = EngineFigures(6, 247_000, 0.005, 0.0007, 2e-8, 75_000.0, 512, 6, 835.0, 159.0)
+
+
+def test_a_crest_beyond_all_engines_is_turned_away_spread_over_time() -> None:
+    """Load pattern: callers of an outage come back together, twice what the engines can do."""
+    placed = placement()
+    for rank in RANKS:
+        placed.on_told(rank, 7, 10.0)
+    pick = placed.choose(RANKS, (), 10.0)
+    assert pick is not None
+    assert placed.turn_away_s(pick, ENGINE) is None
+    for rank in RANKS:
+        placed.on_told(rank, 8, 10.0)
+    pick = placed.choose(RANKS, (), 10.0)
+    assert pick is not None
+    returns = [placed.turn_away_s(pick, ENGINE) for _ in range(200)]
+    times = sorted(each for each in returns if each is not None)
+    assert len(times) == 200
+    assert times[0] >= RETURN_LEAST_S
+    assert times[-1] - times[0] > 0.9 * RETURN_SPREAD_S
+    assert placed.turn_away_s(pick, None) is None
+
+
+def test_nothing_is_turned_away_while_one_engine_has_a_place() -> None:
+    placed = placement()
+    for rank in RANKS[:-1]:
+        placed.on_told(rank, 12, 10.0)
+    pick = placed.choose(RANKS, (), 10.0)
+    assert pick is not None
+    assert pick.heartbeat == RANKS[-1]
+    assert placed.turn_away_s(pick, ENGINE) is None
+
+
 def test_the_own_zone_comes_first_until_it_is_fuller() -> None:
     placed = DirectPlacement("north", Random(1))
     near, far = endpoint(1), endpoint(2, "south")
--- a/tests/ranks/test_map_switch.py
+++ b/tests/ranks/test_map_switch.py
@@ -199,3 +199,33 @@
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
     assert not group.broken
     assert {status.held for status in group.statuses.values()} == {None}
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_a_successor_goes_on_without_the_rank_of_a_frozen_commander(seed: int) -> None:
+    """The earlier commander's own rank, the last, can't be asked; it is armed last of all."""
+    random = Random(seed)
+    group = LockStepGroup(random, late_share=0.15, lost_share=0.1)
+    frozen_at = 0.7 + 0.6 * random.random()
+
+    async def main() -> None:
+        async with anyio.create_task_group() as tasks:
+            group.tasks = tasks
+            tasks.start_soon(group.run)
+            with anyio.move_on_after(frozen_at):
+                await MapSwitch(tuple(range(RANKS)), 1, MAP).run(group)
+            await anyio.sleep(0.3)
+            while True:
+                others = {}
+                for rank in range(RANKS - 1):
+                    status = await group.give(rank, RankAction.READ, 0, 0, ())
+                    assert status is not None
+                    others[rank] = status
+                if is_settled(others) or all(status.armed for status in others.values()):
+                    break
+                await clean_up(group, others, 1)
+            await anyio.sleep(15)
+            tasks.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert not group.broken
