--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_runner.py
@@ -78,6 +78,7 @@
     :param avoided: endpoints that failed it.
     :param sent: endpoints that it was sent to.
     :param may_have_run: whether any of them may have run it.
+    :param last: how the last attempt ended.
     """
 
     stream: EventStream
@@ -144,6 +145,9 @@
             )
             if candidate is None and not progress.tries and await self._wait_for_endpoint():
                 continue
+            if candidate is None and progress.last is not None:
+                await self._end(request, writer, progress, progress.last)
+                return
             if candidate is None:
                 self._give_up(request, writer, progress, "no endpoint can be used")
                 return
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_runner.py
@@ -114,12 +114,7 @@
         _serve_metrics(tasks, settings, process.runner.metrics)
         ready = Http1Server(ready_handler(process))
         tasks.start_soon(ready.serve, Address.parse(settings.listen.ready))
-
-        def reload(changed: NodeSettings) -> None:
-            process.links.use_seeds(changed.seed_links)
-
-        tasks.start_soon(_follow_settings, file, reload, environment.log)
-        await _wait_for_stop(file, reload, environment.log)
+        await _until_stopped(tasks, file, process.links.use_seeds, environment.log)
         await process.drain()
         await _finish(tasks, environment.log)
 
@@ -152,12 +147,7 @@
         tasks.start_soon(control.serve, Address.parse(settings.listen.control))
         directory = Http1Server(directory_handler(process))
         tasks.start_soon(directory.serve, Address.parse(settings.listen.directory))
-
-        def reload(changed: NodeSettings) -> None:
-            process.voter.use_seeds(changed.seed_links)
-
-        tasks.start_soon(_follow_settings, file, reload, environment.log)
-        await _wait_for_stop(file, reload, environment.log)
+        await _until_stopped(tasks, file, process.voter.use_seeds, environment.log)
         await process.drain()
         await _finish(tasks, environment.log)
 
@@ -180,12 +170,7 @@
         tasks.start_soon(serve_web_socket_links, settings.link_address, routes, "", NODE_TIMING)
         tasks.start_soon(process.run)
         _serve_metrics(tasks, settings, NodeMetrics(process.gauges))
-
-        def reload(changed: NodeSettings) -> None:
-            process.links.use_seeds(changed.seed_links)
-
-        tasks.start_soon(_follow_settings, file, reload, environment.log)
-        await _wait_for_stop(file, reload, environment.log)
+        await _until_stopped(tasks, file, process.links.use_seeds, environment.log)
         await _finish(tasks, environment.log)
 
 
@@ -196,37 +181,40 @@
         tasks.start_soon(Http1Server(metrics.handle).serve, address)
 
 
-Reload = Callable[[NodeSettings], None]
+UseSeeds = Callable[[tuple[Address, ...]], None]
+"""Takes the only setting that may change under way."""
 
 
-async def _follow_settings(file: SettingsFile, reload: Reload, log: EventLog) -> None:
-    """Read the settings again when the file changes without a signal."""
+async def _until_stopped(
+    tasks: TaskGroup, file: SettingsFile, use_seeds: UseSeeds, log: EventLog
+) -> None:
+    """Wait for SIGTERM or SIGINT; read the settings again on SIGHUP and when the file changes."""
+    tasks.start_soon(_follow_settings, file, use_seeds, log)
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async for received in signals:
+            if received is not signal.SIGHUP:
+                log.emit(events.PROCESS_DRAINING, signal=received.name)
+                return
+            _read_again(file, use_seeds, log)
+
+
+async def _follow_settings(file: SettingsFile, use_seeds: UseSeeds, log: EventLog) -> None:
     while True:
         await anyio.sleep(SETTINGS_LOOK_S)
         if file.changed():
-            _read_again(file, reload, log)
+            _read_again(file, use_seeds, log)
 
 
-def _read_again(file: SettingsFile, reload: Reload, log: EventLog) -> None:
+def _read_again(file: SettingsFile, use_seeds: UseSeeds, log: EventLog) -> None:
     try:
         settings = file.read()
     except NodeSettingsError as error:
         log.emit(events.SETTINGS_RELOADED, used=False, detail=str(error))
         return
-    reload(settings)
+    use_seeds(settings.seed_links)
     log.emit(events.SETTINGS_RELOADED, used=True, seeds=",".join(settings.seeds))
 
 
-async def _wait_for_stop(file: SettingsFile, reload: Reload, log: EventLog) -> None:
-    """Wait for SIGTERM or SIGINT; SIGHUP reads the settings again."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-        async for received in signals:
-            if received is not signal.SIGHUP:
-                log.emit(events.PROCESS_DRAINING, signal=received.name)
-                return
-            _read_again(file, reload, log)
-
-
 async def _finish(tasks: TaskGroup, log: EventLog) -> None:
     await anyio.sleep(STOP_S)
     log.emit(events.PROCESS_STOPPED)
