Post to followers in one place, and drop a setting and a default that nothing used

Read again as a newcomer: the hub had the same loop five times; the retry budgets' default could never be used; two handlers of a call's errors did the same; no part used the longest lifetime of addresses, which the directory's own constant stays below. Behaviour stays as it was; no test lost an assertion, the settings that tests write lost that line.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_runner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
@@ -121,7 +120,7 @@
     retry_refill_per_s: float
     started_at: float = field(default_factory=anyio.current_time)
     changed: anyio.Event = field(default_factory=anyio.Event)
-    budgets: dict[str, RetryBudget] = field(default_factory=lambda: defaultdict(RetryBudget))
+    budgets: dict[str, RetryBudget] = field(default_factory=dict)
 
     async def run(self, request: DirectRequest, writer: AnswerWriter) -> None:
         """Answer a request.
@@ -229,7 +228,7 @@
         begun_at = anyio.current_time()
         facts = SendFacts(
             endpoint=endpoint,
-            time_left_s=request.deadline - anyio.current_time(),
+            time_left_s=request.deadline - begun_at,
             team=request.team,
             resume_after=progress.stream.last_id,
             urgency=min(9, request.priority),
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -126,27 +126,30 @@
             case _:
                 self.log.emit(events.LINK_MUTE, peer="unexpected", message=message.kind)
 
-    def _tell_places(self, places: tuple[tuple[Address, str, bool], ...]) -> None:
-        """Tell entries which group some endpoints belong to."""
+    def _post_to_all(self, message: NodeMessage) -> None:
+        for follower in self.followers:
+            follower.outbox.post(message)
+
+    def _post_to_entries(self, message: NodeMessage) -> None:
         for follower in self.followers:
             if follower.entry is not None:
-                follower.outbox.post(RankPlaces(places))
+                follower.outbox.post(message)
+
+    def _tell_places(self, places: tuple[tuple[Address, str, bool], ...]) -> None:
+        """Tell entries which group some endpoints belong to."""
+        self._post_to_entries(RankPlaces(places))
 
     def tell_loads(self) -> None:
         """Tell entries the loads that changed since they were told last."""
         if not self.loads:
             return
         told, self.loads = LoadsTold(tuple(self.loads.items())), {}
-        for follower in self.followers:
-            if follower.entry is not None:
-                follower.outbox.post(told)
+        self._post_to_entries(told)
 
     def push_heartbeats(self, heartbeats: tuple[EndpointHeartbeat, ...]) -> None:
         """Tell every follower what changed."""
-        if not heartbeats:
-            return
-        for follower in self.followers:
-            follower.outbox.post(HeartbeatsHeard(heartbeats))
+        if heartbeats:
+            self._post_to_all(HeartbeatsHeard(heartbeats))
 
     def on_applied(self) -> None:
         """Tell the followers what the log changed since they were told last."""
@@ -162,8 +165,7 @@
     def tell_departure(self, endpoint: str, born_ms: int) -> None:
         """Tell the followers that one life of an endpoint takes no new work, if that is news."""
         if self.table.on_departure(endpoint, born_ms):
-            for follower in self.followers:
-                follower.outbox.post(DeparturesRecorded(((endpoint, born_ms),)))
+            self._post_to_all(DeparturesRecorded(((endpoint, born_ms),)))
 
     def _tell_version(self, follower: Follower) -> None:
         version = self.voter.state.state.configuration.version
@@ -176,8 +178,7 @@
         if group == self.group:
             return
         self.group = group
-        for follower in self.followers:
-            follower.outbox.post(group)
+        self._post_to_all(group)
 
     def assign_commanders(self, term: int) -> None:
         """Name a commander for each rank group while leading ``term``; 0 for not leading."""
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_settings.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_settings.py
@@ -46,7 +46,6 @@
     :param disks_to_lose: control VMs that may be lost at once.
     :param heartbeat_ms: how often an endpoint sends a heartbeat, in milliseconds.
     :param stop_s: time between SIGTERM and SIGKILL, in seconds.
-    :param address_lifetime_s: the longest that callers may keep an answer of addresses, in seconds.
     :param retry_ratio: second sends allowed for each request of a service, over all entries.
     :param retry_slack: further second sends in each window of ten seconds, over all entries.
     :param data_folder: empty for a process without a disk.
@@ -63,7 +62,6 @@
     disks_to_lose: int
     heartbeat_ms: float
     stop_s: float
-    address_lifetime_s: float
     retry_ratio: float
     retry_slack: float
     data_folder: str = ""
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/kept_connection.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/kept_connection.py
@@ -12,6 +12,16 @@
 from bergamotchute_wire.http1_client import RECEIVE_BYTES
 from bergamotchute_wire.http1_messages import EndpointFailure, raw_headers
 
+CALL_ERRORS = (
+    OSError,
+    TimeoutError,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+    h11.ProtocolError,
+)
+"""What ends a call without a whole answer."""
+
 
 @dataclass
 class KeptConnection:
@@ -40,9 +50,7 @@
                     await self._connect()
                     sent = True
                     return await self._exchange(method, target, body)
-        except (OSError, TimeoutError, anyio.BrokenResourceError, anyio.EndOfStream) as error:
-            raise EndpointFailure(str(error) or type(error).__name__, sent) from error
-        except (anyio.ClosedResourceError, h11.ProtocolError) as error:
+        except CALL_ERRORS as error:
             raise EndpointFailure(str(error) or type(error).__name__, sent) from error
 
     async def _connect(self) -> None:
--- a/tests/daemon/test_node_settings.py
+++ b/tests/daemon/test_node_settings.py
@@ -19,7 +19,6 @@
 disks_to_lose = 1
 heartbeat_ms = 1200
 stop_s = 8
-address_lifetime_s = 5
 retry_ratio = 0.2
 retry_slack = 92
 [listen]
--- a/tests/direct/test_direct_entry.py
+++ b/tests/direct/test_direct_entry.py
@@ -72,7 +72,6 @@
                 disks_to_lose=1,
                 heartbeat_ms=1200,
                 stop_s=8,
-                address_lifetime_s=5,
                 retry_ratio=0.2,
                 retry_slack=90,
                 listen=ListenSettings(callers="10.0.0.9:8000"),
--- a/tests/processes/test_platform_processes.py
+++ b/tests/processes/test_platform_processes.py
@@ -95,7 +95,7 @@
         settings.write_text(
             f'name = "{name}"\navailability_zone = "north"\nhost = "{host}"\n'
             f"link_port = {self.link_port}\nseeds = {seeds}\nfound = true\ndisks_to_lose = 1\n"
-            "heartbeat_ms = 1200\nstop_s = 8\naddress_lifetime_s = 5\nretry_ratio = 0.2\n"
+            "heartbeat_ms = 1200\nstop_s = 8\nretry_ratio = 0.2\n"
             f"retry_slack = 92\n{data}\n[listen]\n{listen}\n",
             encoding="utf-8",
         )
