Write answers whole that are ready as their time ends

Ruled out: a longer deadline, which would let silent endpoints hold callers. Change: the writes that end an answer are shielded, bounded by the write timeout as before. The two new tests fail on the code before. Completed requests also log the time to the first event and the longest pause, and a histogram counts the pauses, so that a late draft's cause is told apart: waiting, or slow passes.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_runner.py
@@ -78,6 +78,9 @@
     :param sent: endpoints that it was sent to.
     :param may_have_run: whether any of them may have run it.
     :param last: how the last attempt ended.
+    :param begun_at: when the caller got the beginning of its answer, on the runtime's clock.
+    :param passed_at: when it last got a part of a stream.
+    :param longest_pause_s: the longest time between two parts of a stream.
     """
 
     stream: EventStream
@@ -86,6 +89,17 @@
     tries: int = 0
     may_have_run: bool = False
     last: AttemptResult | None = None
+    begun_at: float | None = None
+    passed_at: float = 0.0
+    longest_pause_s: float = 0.0
+
+    def on_part(self, now: float) -> None:
+        """Note that a part of the answer is passed on."""
+        if self.begun_at is None:
+            self.begun_at = now
+        else:
+            self.longest_pause_s = max(self.longest_pause_s, now - self.passed_at)
+        self.passed_at = now
 
 
 @dataclass(frozen=True)
@@ -257,11 +271,10 @@
             body = await self._whole_body(exchange)
             if head.status >= 500:
                 return AttemptResult(Verdict.MAY_HAVE_RUN, f"status {head.status}", head, body)
-            waited_s = anyio.current_time() - request.arrived_at
-            self.metrics.on_first(request.route.kind, waited_s)
+            progress.on_part(anyio.current_time())
             await self._pass_answer(writer, head, body)
         self.placement.on_good_answer(endpoint)
-        self._log_completed(request, progress, endpoint, head.status)
+        self._note_completed(request, progress, endpoint, head.status)
         return None
 
     def _fault(
@@ -322,7 +335,7 @@
 
         :raises EndpointFailure: when the stream breaks off, falls silent or does not fit.
         """
-        request, writer, stream = attempt.request, attempt.writer, attempt.progress.stream
+        writer, stream = attempt.writer, attempt.progress.stream
         while True:
             data = await self._patiently(attempt, STREAM_SILENCE_S, attempt.exchange.read_data)
             if data is None:
@@ -332,9 +345,8 @@
             except StreamMismatch as error:
                 raise EndpointFailure(str(error), True) from error
             if whole:
+                attempt.progress.on_part(anyio.current_time())
                 if not writer.started:
-                    waited_s = anyio.current_time() - request.arrived_at
-                    self.metrics.on_first(request.route.kind, waited_s)
                     await writer.start(head.status, without_hop_headers(head.headers))
                 await writer.write(whole)
         if stream.unfinished or not writer.started:
@@ -437,14 +449,18 @@
         self.budgets[name].refill(anyio.current_time())
         return self.budgets[name]
 
-    def _log_completed(
+    def _note_completed(
         self,
         request: DirectRequest,
         progress: _Progress,
         endpoint: EndpointHeartbeat,
         status: int,
     ) -> None:
+        begun_at = progress.begun_at or request.arrived_at
         self.metrics.on_attempt(Verdict.COMPLETED)
+        self.metrics.on_answer(
+            request.route.kind, begun_at - request.arrived_at, progress.longest_pause_s
+        )
         self.log.emit(
             events.REQUEST_COMPLETED,
             request_id=request.wishes.request_id,
@@ -452,5 +468,7 @@
             status=status,
             attempts=progress.tries,
             events_passed=progress.stream.events,
+            first_ms=round((begun_at - request.arrived_at) * 1000),
+            longest_pause_ms=round(progress.longest_pause_s * 1000),
             took_ms=round((anyio.current_time() - request.arrived_at) * 1000),
         )
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_metrics.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_metrics.py
@@ -45,6 +45,12 @@
             registry=self.registry,
             buckets=LATENCY_BUCKETS_S,
         )
+        self.pause_s = Histogram(
+            "bergamotchute_direct_longest_pause_seconds",
+            "The longest pause between two parts of a stream.",
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
         self.gauge = Gauge(
             "bergamotchute_node", "State of the process, by name.", registry=self.registry
         )
@@ -57,9 +63,11 @@
         """Count an attempt that ended."""
         self.attempts.inc({"verdict": str(verdict)})
 
-    def on_first(self, kind: RouteKind, waited_s: float) -> None:
-        """Count the wait for an answer's beginning."""
+    def on_answer(self, kind: RouteKind, waited_s: float, longest_pause_s: float) -> None:
+        """Count a whole answer: the wait for its beginning, and the longest pause of a stream."""
         self.first_s.observe({"kind": str(kind)}, waited_s)
+        if kind is RouteKind.STREAM:
+            self.pause_s.observe({"kind": str(kind)}, longest_pause_s)
 
     async def handle(self, request: CallerRequest, writer: AnswerWriter) -> None:
         """Answer a reader of the metrics."""
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/http1_server.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/http1_server.py
@@ -77,7 +77,7 @@
         self.status = 0
 
     async def respond(self, status: int, headers: Headers = (), body: bytes = b"") -> None:
-        """Write a whole answer.
+        """Write a whole answer, even when the request's time ends meanwhile.
 
         :raises CallerGone: when the caller can't be reached.
         """
@@ -87,7 +87,7 @@
             data += self.protocol.send(h11.Data(data=body)) or b""
         data += self.protocol.send(h11.EndOfMessage()) or b""
         self.finished = True
-        await self._write(data)
+        await self._write(data, shield=True)
 
     async def start(self, status: int, headers: Headers) -> None:
         """Write the head of an answer; without a length it goes out in chunks."""
@@ -99,10 +99,10 @@
             await self._write(self.protocol.send(h11.Data(data=data)) or b"")
 
     async def finish(self) -> None:
-        """End the answer as complete."""
+        """End the answer as complete, even when the request's time ends meanwhile."""
         data = self.protocol.send(h11.EndOfMessage()) or b""
         self.finished = True
-        await self._write(data)
+        await self._write(data, shield=True)
 
     def _head(self, status: int, headers: Headers) -> bytes:
         self.started = True
@@ -112,9 +112,9 @@
         response = h11.Response(status_code=status, headers=raw_headers(headers))
         return self.protocol.send(response) or b""
 
-    async def _write(self, data: bytes) -> None:
+    async def _write(self, data: bytes, shield: bool = False) -> None:
         try:
-            with anyio.fail_after(WRITE_TIMEOUT_S):
+            with anyio.fail_after(WRITE_TIMEOUT_S, shield=shield):
                 await self.stream.send(data)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, TimeoutError) as error:
             raise CallerGone(type(error).__name__) from error
--- a/tests/wire/test_http1_server.py
+++ b/tests/wire/test_http1_server.py
@@ -6,8 +6,9 @@
 
 import anyio
 import anyio.lowlevel
+import h11
 import pytest
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.abc import ByteStream, SocketAttribute, SocketStream
 
 from bergamotchute_model.identifiers import Address
 from bergamotchute_wire.http1_server import AnswerWriter, CallerRequest, Http1Server, ServerLimits
@@ -120,3 +121,44 @@
             assert not (await read_all(stream)).endswith(b"0\r\n\r\n")
 
     serve(breaks, body)
+
+
+class _YieldingStream(ByteStream):
+    """A caller's connection on which each write gives way to other tasks first."""
+
+    def __init__(self) -> None:
+        self.sent = b""
+
+    async def send(self, item: bytes) -> None:
+        await anyio.lowlevel.checkpoint()
+        self.sent += item
+
+    async def receive(self, max_bytes: int = 65_536) -> bytes:
+        return await anyio.sleep_forever()
+
+    async def send_eof(self) -> None:
+        pass
+
+    async def aclose(self) -> None:
+        pass
+
+
+@pytest.mark.parametrize("streamed", [False, True])
+def test_an_answer_that_is_ready_as_its_time_ends_is_written_whole(streamed: bool) -> None:
+    stream = _YieldingStream()
+
+    async def main() -> None:
+        protocol = h11.Connection(h11.SERVER)
+        protocol.receive_data(b"GET /a HTTP/1.1\r\nhost: x\r\n\r\n")
+        protocol.next_event()
+        writer = AnswerWriter(stream, protocol, closing=False)
+        if streamed:
+            await writer.start(200, ())
+            await writer.write(b"done")
+        with anyio.CancelScope() as scope:
+            scope.cancel()
+            await (writer.finish() if streamed else writer.respond(200, (), b"done"))
+        assert writer.finished
+
+    anyio.run(main)
+    assert stream.sent.endswith(b"0\r\n\r\n" if streamed else b"done")
