Reserve slots with the agents beside endpoints

Ruled out: lack of slots (86 of 96 in use at the worst), slow passes (counted apart). Change: an entry asks the agent of its first choice for a slot; a refusal tells how full the endpoint is and the entry chooses again. The last choice is taken as full as it is, or the request is turned away.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -27,6 +27,7 @@
     HeartbeatsHeard,
     LoadsTold,
     NodeMessage,
+    RankPlace,
     RankPlaces,
 )
 from bergamotchute_model.whole_configuration import RouteKind, WholeConfiguration
@@ -79,6 +80,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.links.run)
             tasks.start_soon(self.follower.run)
+            tasks.start_soon(self.runner.slots.run)
             tasks.start_soon(self.server.serve, self.address)
             tasks.start_soon(self._tidy)
 
@@ -120,8 +122,8 @@
             case LoadsTold(loads):
                 self._on_loads(loads)
             case RankPlaces(places):
-                for place, group, takes_work in places:
-                    self._on_place(place, group, takes_work)
+                for place in places:
+                    self._on_place(place)
             case _:
                 pass
 
@@ -131,9 +133,11 @@
             if heartbeat is not None:
                 self.runner.placement.on_told(heartbeat, requests, self.now())
 
-    def _on_place(self, endpoint: Address, group: str, takes_work: bool) -> None:
-        if self.runner.placement.groups.on_place(endpoint, group, takes_work):
-            self.log.emit(events.GROUP_CHANGED, group=group, open=takes_work)
+    def _on_place(self, place: RankPlace) -> None:
+        self.runner.slots.agents[place.endpoint] = place.agent
+        groups = self.runner.placement.groups
+        if groups.on_place(place.endpoint, place.group, place.takes_work):
+            self.log.emit(events.GROUP_CHANGED, group=place.group, open=place.takes_work)
 
     def _on_heartbeat(self, heartbeat: EndpointHeartbeat) -> None:
         if self.table.on_heartbeat(heartbeat, self.now()):
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_runner.py
@@ -12,6 +12,7 @@
 from bergamotchute_daemon.direct.dialect import Dialect, EndpointWord, SendFacts
 from bergamotchute_daemon.direct.direct_request import DirectRequest, Refusal
 from bergamotchute_daemon.direct.event_stream import EventStream, StreamMismatch
+from bergamotchute_daemon.direct.slot_reservations import Reservation, SlotReservations
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.node_metrics import NodeMetrics
 from bergamotchute_model import events
@@ -19,6 +20,7 @@
 from bergamotchute_model.verdict import Verdict
 from bergamotchute_policy.direct_placement import Candidate, DirectPlacement
 from bergamotchute_policy.retry import RetryBudget
+from bergamotchute_policy.slot_search import SlotSearch
 from bergamotchute_wire.http1_client import EndpointExchange, open_exchange
 from bergamotchute_wire.http1_messages import AnswerHead, EndpointFailure, without_hop_headers
 from bergamotchute_wire.http1_server import AnswerWriter
@@ -113,6 +115,19 @@
     exchange: EndpointExchange
 
 
+@dataclass(frozen=True)
+class _Placed:
+    """Where a request goes.
+
+    :param reservation: its slot there; ``None`` where no agent confirmed one.
+    :param refusals: agents that refused one.
+    """
+
+    candidate: Candidate
+    reservation: Reservation | None
+    refusals: int
+
+
 @dataclass
 class DirectRunner:
     """Sends requests to endpoints.
@@ -125,6 +140,7 @@
 
     dialect: Dialect
     placement: DirectPlacement
+    slots: SlotReservations
     endpoints: Callable[[str], Iterable[EndpointHeartbeat]]
     random: Random
     log: EventLog
@@ -152,33 +168,56 @@
         self, request: DirectRequest, writer: AnswerWriter, progress: _Progress
     ) -> None:
         while True:
-            now = anyio.current_time()
-            candidate = self.placement.choose(
-                self.endpoints(request.service.name), progress.avoided, now
-            )
-            if candidate is None and not progress.tries and await self._wait_for_endpoint():
+            placed = await self._place(request, progress)
+            if placed is None and not progress.tries and await self._wait_for_endpoint():
                 continue
-            if candidate is None and progress.last is not None:
+            if placed is None and progress.last is not None:
                 await self._end(request, writer, progress, progress.last)
                 return
-            if candidate is None:
+            if placed is None:
                 self._give_up(request, writer, progress, "no endpoint can be used")
                 return
-            if not progress.tries:
-                self._turn_away(request, candidate)
-            result = await self._attempt(request, writer, progress, candidate.heartbeat)
+            try:
+                result = await self._attempt(request, writer, progress, placed)
+            finally:
+                if placed.reservation is not None:
+                    placed.reservation.release()
             if result is None:
                 return
-            self._note(request, progress, candidate.heartbeat, result)
+            self._note(request, progress, placed.candidate.heartbeat, result)
             if not self._may_go_on(request, progress, result):
                 await self._end(request, writer, progress, result)
                 return
 
-    def _turn_away(self, request: DirectRequest, chosen: Candidate) -> None:
+    async def _place(self, request: DirectRequest, progress: _Progress) -> _Placed | None:
+        """Choose an endpoint and reserve a slot there; ``None`` when no endpoint can be used.
+
+        :raises Refusal: when every endpoint has too much work.
+        """
+        search = SlotSearch(self.placement, progress.avoided)
+        while True:
+            candidate = search.next(self.endpoints(request.service.name), anyio.current_time())
+            if candidate is None:
+                return None
+            if candidate.most is None:
+                self._turn_away(request, progress, candidate)
+            endpoint = candidate.heartbeat
+            told = await self.slots.reserve(endpoint.address, candidate.most)
+            if told is None:
+                self._turn_away(request, progress, candidate)
+                return _Placed(candidate, None, len(search.refused))
+            self.placement.on_told(endpoint, told.requests, anyio.current_time())
+            if told.reservation is not None:
+                return _Placed(candidate, told.reservation, len(search.refused))
+            search.on_refused(candidate)
+
+    def _turn_away(self, request: DirectRequest, progress: _Progress, chosen: Candidate) -> None:
         """Refuse a request at once where every endpoint has too much work.
 
         :raises Refusal: with when to come back.
         """
+        if progress.tries:
+            return
         away_s = self.placement.turn_away_s(chosen, request.service.engine)
         if away_s is not None:
             fullness = f"{chosen.fullness:.2f}"
@@ -202,9 +241,10 @@
         request: DirectRequest,
         writer: AnswerWriter,
         progress: _Progress,
-        endpoint: EndpointHeartbeat,
+        placed: _Placed,
     ) -> AttemptResult | None:
         """Send a request to one endpoint; ``None`` once the caller has the whole answer."""
+        endpoint = placed.candidate.heartbeat
         progress.tries += 1
         progress.stream.begin_attempt()
         self.log.emit(
@@ -213,7 +253,9 @@
             endpoint=endpoint.endpoint,
             attempt=progress.tries,
             born_ms=endpoint.born_ms,
-            in_flight=self.placement.load(endpoint).in_flight,
+            fullness=round(placed.candidate.fullness, 2),
+            reserved=placed.reservation is not None,
+            refusals=placed.refusals,
         )
         self.placement.on_sent(endpoint)
         begun_at = anyio.current_time()
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
@@ -16,6 +16,7 @@
 from bergamotchute_daemon.direct.dialect import Dialect
 from bergamotchute_daemon.direct.direct_entry import DirectEntry
 from bergamotchute_daemon.direct.direct_runner import DirectRunner
+from bergamotchute_daemon.direct.slot_reservations import SlotReservations
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.node_hub import NodeHub
 from bergamotchute_daemon.node_metrics import NodeMetrics
@@ -65,6 +66,7 @@
     dial_control: Dial[NodeMessage]
     dial_consensus: Dial[ConsensusMessage]
     dial_ranks: Dial[NodeMessage]
+    dial_slots: Dial[NodeMessage]
 
 
 def compose_direct_entry(
@@ -76,6 +78,7 @@
     runner = DirectRunner(
         dialect=dialect,
         placement=DirectPlacement(settings.availability_zone, environment.random),
+        slots=SlotReservations(environment.dial_slots, environment.random, environment.log),
         endpoints=lambda service: process.endpoints(service),
         random=environment.random,
         log=environment.log,
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -24,6 +24,7 @@
     HeartbeatsHeard,
     LoadsTold,
     NodeMessage,
+    RankPlace,
     RankPlaces,
 )
 from bergamotchute_policy.commander_choice import CommanderChoice
@@ -135,8 +136,8 @@
             if follower.entry is not None:
                 follower.outbox.post(message)
 
-    def _tell_places(self, places: tuple[tuple[Address, str, bool], ...]) -> None:
-        """Tell entries which group some endpoints belong to."""
+    def _tell_places(self, places: tuple[RankPlace, ...]) -> None:
+        """Tell entries where some endpoints stand."""
         self._post_to_entries(RankPlaces(places))
 
     def tell_loads(self) -> None:
@@ -212,5 +213,5 @@
         return tuple(entry.address for entry in entries)
 
 
-def _place(agent: AgentState) -> tuple[Address, str, bool]:
-    return agent.endpoint, agent.group, agent.open
+def _place(agent: AgentState) -> RankPlace:
+    return RankPlace(agent.endpoint, agent.address, agent.group, agent.open)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_runner.py
@@ -48,6 +48,9 @@
 RANKS_PATH = "/ranks"
 """Links of a rank group's commander to the agents of the group."""
 
+SLOTS_PATH = "/slots"
+"""Links of entries to agents, for slots of the endpoints beside these."""
+
 NODES_PATH = "/nodes"
 """Links of entries and agents to control VMs."""
 
@@ -93,6 +96,7 @@
         dial_control=web_socket_dial(NODES_PATH, NODE_CODEC, timing=NODE_TIMING),
         dial_consensus=web_socket_dial(CONSENSUS_PATH, CONSENSUS_CODEC, timing=NODE_TIMING),
         dial_ranks=web_socket_dial(RANKS_PATH, NODE_CODEC, timing=NODE_TIMING),
+        dial_slots=web_socket_dial(SLOTS_PATH, NODE_CODEC),
     )
 
 
@@ -165,7 +169,10 @@
     environment = node_environment(settings, "agent")
     process = compose_rank_agent(settings, dialect, read_configuration, environment)
     environment.log.emit(events.PROCESS_STARTED, endpoint=settings.endpoint)
-    routes = {RANKS_PATH: LinkRoute(NODE_CODEC, process.serve_link)}
+    routes = {
+        RANKS_PATH: LinkRoute(NODE_CODEC, process.serve_link),
+        SLOTS_PATH: LinkRoute(NODE_CODEC, process.slots.serve),
+    }
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(serve_web_socket_links, settings.link_address, routes, "", NODE_TIMING)
         tasks.start_soon(process.run)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
@@ -15,6 +15,7 @@
 from bergamotchute_daemon.ranks.rank_commander import RankCommander
 from bergamotchute_daemon.ranks.rank_dialect import ChoiceCounts
 from bergamotchute_daemon.ranks.rank_gate import RankGate, RankSilent
+from bergamotchute_daemon.ranks.slot_keeper import SlotKeeper
 from bergamotchute_model import events
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.node_messages import (
@@ -56,6 +57,7 @@
     follower: ConfigurationFollower
     log: EventLog
     commands: Commands
+    slots: SlotKeeper = field(default_factory=SlotKeeper)
     status: RankStatus | None = None
     counts: ChoiceCounts | None = None
     assignment: CommanderAssigned | None = None
@@ -181,6 +183,7 @@
         before, self.status = self.status, status
         if status is None:
             return
+        self.slots.ledger.on_report(status.requests)
         leader = self.links.leader
         if leader is not None and (before is None or before.requests != status.requests):
             endpoint = self.gate.connection.address
--- /dev/null
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/slot_keeper.py
@@ -0,0 +1,41 @@
+"""Answers the entries that ask for slots of the endpoint beside this agent."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+import anyio
+
+from bergamotchute_model.node_messages import NodeMessage, ReleaseSlot, ReserveSlot, SlotAnswer
+from bergamotchute_policy.slot_ledger import SlotLedger
+from bergamotchute_wire.link import Link, LinkClosed
+from bergamotchute_wire.outbox import Outbox
+
+
+@dataclass
+class SlotKeeper:
+    """Serves the links of entries."""
+
+    ledger: SlotLedger = field(default_factory=SlotLedger)
+
+    async def serve(self, link: Link[NodeMessage]) -> None:
+        """Serve one entry until its link closes; its reservations end with the link."""
+        outbox: Outbox[NodeMessage] = Outbox(link)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(outbox.run)
+                with suppress(LinkClosed):
+                    while True:
+                        self._take(outbox, await link.receive())
+                tasks.cancel_scope.cancel()
+        finally:
+            self.ledger.forget(outbox)
+
+    def _take(self, outbox: Outbox[NodeMessage], message: NodeMessage) -> None:
+        if isinstance(message, ReserveSlot):
+            before = self.ledger.requests
+            reserved = self.ledger.reserve(outbox, message.number, message.most)
+            outbox.post(SlotAnswer(message.number, reserved, before))
+        elif isinstance(message, ReleaseSlot):
+            self.ledger.release(outbox, message.number)
--- a/packages/bergamotchute-model/src/bergamotchute_model/events.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/events.py
@@ -55,6 +55,9 @@
     1104, "request_failed", "A request ended without a whole answer.", logging.WARNING
 )
 REQUEST_RETRIED = _define(1105, "request_retried", "A request goes on at another endpoint.")
+AGENT_SILENT = _define(
+    1108, "agent_silent", "An agent did not answer; requests go on without its reservations."
+)
 REQUEST_NOT_RETRIED = _define(
     1107, "request_not_retried", "A failed request is not tried at another endpoint."
 )
--- a/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
@@ -43,11 +43,25 @@
     kind: Literal["agent_state"] = "agent_state"
 
 
+@dataclass(frozen=True)
+class RankPlace:
+    """Where an endpoint that is a rank stands.
+
+    :param agent: where the links of the agent beside it arrive.
+    :param takes_work: whether its group takes work.
+    """
+
+    endpoint: Address
+    agent: Address
+    group: str
+    takes_work: bool
+
+
 @dataclass(frozen=True)
 class RankPlaces:
-    """Which rank group the endpoints at some addresses belong to, and whether it takes work."""
+    """The places of some endpoints."""
 
-    places: tuple[tuple[Address, str, bool], ...]
+    places: tuple[RankPlace, ...]
     kind: Literal["rank_places"] = "rank_places"
 
 
@@ -222,6 +236,40 @@
     kind: Literal["rank_order"] = "rank_order"
 
 
+@dataclass(frozen=True)
+class ReserveSlot:
+    """An entry asks an agent for a slot of the endpoint beside it.
+
+    :param number: names the reservation on its link.
+    :param most: requests there with which the slot is still wanted; ``None`` for any number.
+    """
+
+    number: int
+    most: int | None
+    kind: Literal["reserve_slot"] = "reserve_slot"
+
+
+@dataclass(frozen=True)
+class SlotAnswer:
+    """An agent's answer to :class:`ReserveSlot`.
+
+    :param requests: requests at the endpoint besides this one.
+    """
+
+    number: int
+    reserved: bool
+    requests: int
+    kind: Literal["slot_answer"] = "slot_answer"
+
+
+@dataclass(frozen=True)
+class ReleaseSlot:
+    """An entry's request has left the endpoint, or never went there."""
+
+    number: int
+    kind: Literal["release_slot"] = "release_slot"
+
+
 NodeMessage = Annotated[
     EntryState
     | AgentState
@@ -236,6 +284,9 @@
     | LoadsTold
     | RankCounts
     | RankStatus
-    | RankOrder,
+    | RankOrder
+    | ReserveSlot
+    | SlotAnswer
+    | ReleaseSlot,
     Discriminator("kind"),
 ]
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from heapq import nsmallest
 from random import Random
 
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat, EndpointPhase
@@ -67,10 +68,13 @@
     """An endpoint that may get the request, and how full it seems.
 
     :param fullness: requests there, as a share of its slots.
+    :param most: requests there with which it is still as good a choice as the next one: while a
+        slot is free, or no other seems emptier. ``None`` for any number.
     """
 
     heartbeat: EndpointHeartbeat
     fullness: float
+    most: int | None = None
 
 
 @dataclass
@@ -107,11 +111,14 @@
             if each.phase is not EndpointPhase.LEAVING and each.endpoint not in avoided
         ]
         sound = [each for each in usable if self._is_sound(each, now)]
-        ranked = [self._rank(each, now) for each in sound or usable]
+        ranked = nsmallest(
+            2, (self._rank(each, now) for each in sound or usable), key=lambda one: one[:2]
+        )
         if not ranked:
             return None
-        _, _, chosen = min(ranked, key=lambda one: one[:2])
-        return chosen
+        chosen, next_best = ranked[0][2], ranked[-1][2]
+        slots = chosen.heartbeat.slots
+        return replace(chosen, most=max(slots - 1, int(next_best.fullness * slots)))
 
     def turn_away_s(self, chosen: Candidate, engine: EngineFigures | None) -> float | None:
         """Return when to come back if even the chosen endpoint has too much work, else ``None``.
--- a/tests/direct/test_direct_entry.py
+++ b/tests/direct/test_direct_entry.py
@@ -61,6 +61,7 @@
                 dial_control=network.dial("entry-1", "/nodes"),
                 dial_consensus=network.dial("entry-1", "/none"),
                 dial_ranks=network.dial("entry-1", "/none"),
+                dial_slots=network.dial("entry-1", "/none"),
             )
             settings = NodeSettings(
                 name="entry-1",
--- a/tests/support/control_group.py
+++ b/tests/support/control_group.py
@@ -69,6 +69,7 @@
             dial_control=self.network.dial(name, NODES_PATH),
             dial_consensus=self.network.dial(name, CONSENSUS_PATH),
             dial_ranks=self.network.dial(name, "/ranks"),
+            dial_slots=self.network.dial(name, "/slots"),
         )
         disk = self.disks.setdefault(number, MemoryDisk(Random(number)))
         process = compose_control(self.settings(number, found), disk, environment)
--- a/tests/support/direct_path.py
+++ b/tests/support/direct_path.py
@@ -14,6 +14,7 @@
 from bergamotchute_daemon.direct.direct_runner import DirectRunner
 from bergamotchute_daemon.direct.filters import admit
 from bergamotchute_daemon.direct.routing_table import RoutingTable
+from bergamotchute_daemon.direct.slot_reservations import SlotReservations
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.node_metrics import NodeMetrics
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat, EndpointPhase
@@ -29,6 +30,7 @@
 from bergamotchute_platform.request_format import DIALECT
 from bergamotchute_policy.direct_placement import DirectPlacement
 from bergamotchute_wire.http1_server import AnswerWriter, CallerRequest, Http1Server
+from support.memory_links import MemoryNetwork
 
 
 def _route(name: str, kind: RouteKind, endpoints: int) -> RouteRule:
@@ -138,12 +140,16 @@
         self.endpoints: list[EndpointHeartbeat] = []
         self.table: RoutingTable | None = RoutingTable(CONFIGURATION)
         self.placement = DirectPlacement("north", Random(1))
+        self.network = MemoryNetwork(tasks)
+        self.log = EventLog("entry-1", "entry", "life", lambda: 0)
+        self.slots = SlotReservations(self.network.dial("entry-1", "/slots"), Random(1), self.log)
         self.runner = DirectRunner(
             dialect=DIALECT,
             placement=self.placement,
+            slots=self.slots,
             endpoints=lambda _: self.endpoints,
             random=Random(1),
-            log=EventLog("entry-1", "entry", "life", lambda: 0),
+            log=self.log,
             metrics=NodeMetrics(dict),
             retry_ratio=0.2,
             retry_capacity=10.0,
@@ -161,6 +167,7 @@
 
     async def start(self) -> None:
         """Serve callers on a free port."""
+        self.tasks.start_soon(self.slots.run)
         self.address = await self._listen(self.server._accept)
 
     async def _listen(self, accept: Callable[[SocketStream], Awaitable[None]]) -> Address:
