Go on without a reservation when an agent is lost during a wait

Cause: a request that waited beside an endpoint whose agent was killed was refused as if all endpoints were full, though only the agent was gone. Change: a wait that ends with its link counts as no answer, and the request goes by what the entry knows. The test fails before. Also: links asked for before the process runs are opened, refusals tell of a wait only if there was one.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_runner.py
@@ -52,6 +52,9 @@
 STALL_S = 0.7
 """An endpoint that is silent, or says *not run*, after so long stands for its whole group."""
 
+NOTED_WAIT_S = 0.1
+"""A refusal tells of a wait for a slot from here on; asking agents takes a few milliseconds."""
+
 CONNECT_TRIES = 3
 """Endpoints that may refuse the connection or the request before the caller is refused."""
 
@@ -219,7 +222,7 @@
             if told.reservation is not None:
                 return _Placed(wish.candidate, told.reservation, len(search.refused), told.waited_s)
             if wish.queue:
-                self._turn_away(request, told.requests / endpoint.slots, told.waited_s)
+                self._turn_away(request, told.requests / max(1, endpoint.slots), told.waited_s)
             search.on_refused(wish)
 
     def _turn_away(self, request: DirectRequest, fullness: float, waited_s: float) -> None:
@@ -231,7 +234,7 @@
         engine = request.service.engine
         away_s = self.placement.return_s(engine) if engine is not None else RETRY_AFTER_SPREAD_S
         reason = f"all endpoints are full, the emptiest to {fullness:.2f}"
-        if waited_s > 0:
+        if waited_s >= NOTED_WAIT_S:
             reason += f"; waited {waited_s:.2f} s for a slot"
         raise Refusal(503, reason, away_s)
 
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/slot_reservations.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/slot_reservations.py
@@ -112,6 +112,8 @@
         """Keep the links until cancelled."""
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
+            for agent, link in self.links.items():
+                tasks.start_soon(self._keep, agent, link)
             await anyio.sleep_forever()
 
     def on_agent(self, endpoint: Address, agent: Address) -> None:
@@ -121,7 +123,10 @@
             self._link(agent)
 
     async def reserve(self, endpoint: Address, question: SlotQuestion) -> SlotTold | None:
-        """Ask for a slot, and wait for it if need be; ``None`` where no agent answers."""
+        """Ask for a slot, and wait for it if need be.
+
+        :returns: ``None`` where no agent answers, or it is lost during the wait.
+        """
         agent = self.agents.get(endpoint)
         if agent is None:
             return None
@@ -147,6 +152,8 @@
             requests = answer.requests
             if answer.state is SlotState.WAITING:
                 answer = await _next_answer(receiver, question.wait_until)
+                if answer is None and link.outbox is not outbox:
+                    return None
             if answer is not None and answer.state is SlotState.RESERVED:
                 reservation = Reservation(number, outbox)
         finally:
--- a/tests/direct/test_slot_reservations.py
+++ b/tests/direct/test_slot_reservations.py
@@ -137,9 +137,16 @@
         while keeper.ledger.waiting:
             await anyio.lowlevel.checkpoint()
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(path.slots.reserve, endpoint.address, question(2, 1000.0))
+
+            async def ask() -> None:
+                # The request goes on by what the entry knows, as if there were no agent.
+                assert await path.slots.reserve(endpoint.address, question(2, 1000.0)) is None
+
+            tasks.start_soon(ask)
             while not keeper.ledger.waiting:
                 await anyio.lowlevel.checkpoint()
+            # The entry hears that it waits within a millisecond.
+            await anyio.sleep(0.02)
             path.network.stop_serving("agent-1")
 
     run_direct(body)
