Give each order of a commander a fence of its own

Cause: found by reading: map_switch.py, its stand-in and the design note count on a fence an order, but a commander gave all its orders the assignment's fence, and the constant that should have parted them was never used. So a rank that had answered a disarm still took an earlier arm that had got no answer: in the moments between disarm and go, or in a group that made no passes meanwhile, one rank could have switched alone. Ruled out as protection: the hold (ended by then), the pass (not yet begun). Change: orders that change something count up within the assignment; reads, and the first order on a new link, carry the newest.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_commander.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_commander.py
@@ -48,8 +48,12 @@
 MUTE_S = 2.0
 """How long a rank is called directly after its agent gave no answer; such calls cost more."""
 
-ORDERS_PER_ASSIGNMENT = 1_000_000
-"""Orders of one commander that have a fence of their own: days of changes."""
+ORDERS_PER_ASSIGNMENT = 100_000_000
+"""Orders of one commander that have a fence of their own below the next assignment's.
+
+A crest takes 40 a second, so these are enough for a month of it; fences stay below 2**53, which JSON
+carries exactly, for 9,000 terms.
+"""
 
 RELINK_S = 0.2
 
@@ -89,6 +93,7 @@
     experts: ExpertSets = ()
     experts_of: tuple[int, int] = (0, -1)
     orders: int = 0
+    changes: int = 0
     newest_version: int = 0
 
     async def run(self) -> None:
@@ -117,7 +122,7 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(member.outbox.run)
-                member.outbox.post(self._order(0, RankAction.READ))
+                member.outbox.post(self._next_order(RankAction.READ))
                 with suppress(LinkClosed):
                     while True:
                         self._take(member, await link.receive())
@@ -143,15 +148,19 @@
             self.newest_version, status.map_version, status.prepared or 0, armed
         )
 
-    def _order(
+    def _next_order(
         self,
-        number: int,
         action: RankAction,
         version: int = 0,
         step: int = 0,
         experts: ExpertSets = (),
     ) -> RankOrder:
-        return RankOrder(number, self.assignment.fence, self.epoch, action, version, step, experts)
+        """Return an order; one that changes something has a fence above all earlier ones."""
+        self.orders += 1
+        if not action.is_read:
+            self.changes += 1
+        fence = self.assignment.fence * ORDERS_PER_ASSIGNMENT + self.changes
+        return RankOrder(self.orders, fence, self.epoch, action, version, step, experts)
 
     @property
     def epoch(self) -> int:
@@ -162,9 +171,8 @@
         self, rank: int, action: RankAction, version: int, step: int, experts: ExpertSets
     ) -> RankStatus | None:
         """Give an order to a rank; ``None`` when its state behind it is unknown."""
-        self.orders += 1
         sent = experts if action is RankAction.PREPARE else ()
-        order = self._order(self.orders, action, version, step, sent)
+        order = self._next_order(action, version, step, sent)
         member = self.members[rank]
         now = anyio.current_time()
         if member.outbox is not None and member.mute_until <= now:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_gate.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_gate.py
@@ -67,7 +67,7 @@
         return replace(status, order=order.order, accepted=accepted, detail=detail, experts=experts)
 
     async def _order(self, order: RankOrder) -> tuple[bool | None, str]:
-        if order.action in (RankAction.READ, RankAction.LIST):
+        if order.action.is_read:
             return True, ""
         call = self.dialect.order_call(order)
         try:
--- a/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
@@ -225,6 +225,11 @@
     READ = "read"
     LIST = "list"
 
+    @property
+    def is_read(self) -> bool:
+        """Whether it changes nothing at the rank."""
+        return self in (RankAction.READ, RankAction.LIST)
+
 
 @dataclass(frozen=True)
 class RankOrder:
