Serve links, take heartbeats and wire control links in one place each

Reading the whole change: the loop that sends from an outbox while a link is read stood in six places (two from before); it is open_outbox now. Taking a heartbeat with its log line stood in control VMs and entries, the wiring of control links in two compositions, writing a whole HTTP/1.1 request in two clients, turning demand in two tests. A codec's fault text names the place in a single message again, without the number that lists have. Dropped: four things read from each caller's request that nothing used.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_links.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_links.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from contextlib import suppress
 from dataclasses import dataclass, field
 from random import Random
 
@@ -16,7 +15,7 @@
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.node_messages import ControlGroup, NodeMessage
 from bergamotchute_wire.link import Dial, DialFailed, Link, LinkClosed
-from bergamotchute_wire.outbox import Outbox
+from bergamotchute_wire.outbox import Outbox, open_outbox
 
 RECONNECT_MAX_S = 1.0
 """Longest wait between tries; a follower must hear of changes soon after a control VM is back."""
@@ -106,21 +105,18 @@
         self.running.discard(address)
 
     async def _serve(self, address: Address, link: Link[NodeMessage]) -> None:
-        outbox = self.outboxes[address] = Outbox(link)
-        self.log.emit(events.LINK_OPENED, peer=str(address))
-        try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(outbox.run)
-                for message in self.greeting():
-                    outbox.post(message)
-                with suppress(LinkClosed):
-                    while True:
-                        self._take(address, await link.receive())
-                tasks.cancel_scope.cancel()
-        finally:
-            del self.outboxes[address]
-            self.named.pop(address, None)
-            self.log.emit(events.LINK_CLOSED, peer=str(address))
+        async with open_outbox(link) as outbox:
+            self.outboxes[address] = outbox
+            self.log.emit(events.LINK_OPENED, peer=str(address))
+            for message in self.greeting():
+                outbox.post(message)
+            try:
+                while True:
+                    self._take(address, await link.receive())
+            finally:
+                del self.outboxes[address]
+                self.named.pop(address, None)
+                self.log.emit(events.LINK_CLOSED, peer=str(address))
 
     def _take(self, address: Address, message: NodeMessage) -> None:
         if isinstance(message, ControlGroup):
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
@@ -8,6 +8,7 @@
 
 from bergamotchute_daemon.control_log import ControlLog, ControlUnavailable
 from bergamotchute_daemon.event_log import EventLog
+from bergamotchute_daemon.heartbeat_intake import take_heartbeat
 from bergamotchute_daemon.node_hub import NodeHub
 from bergamotchute_daemon.voter import Voter
 from bergamotchute_model import events
@@ -132,14 +133,7 @@
         leaving = heartbeat.phase is EndpointPhase.LEAVING
         if leaving and not await self.on_leave(heartbeat.endpoint, heartbeat.born_ms):
             return False
-        if self.table.on_heartbeat(heartbeat, anyio.current_time()):
-            self.log.emit(
-                events.ENDPOINT_HEARD,
-                endpoint=heartbeat.endpoint,
-                phase=heartbeat.phase,
-                born_ms=heartbeat.born_ms,
-                heartbeat=heartbeat.sequence,
-            )
+        if take_heartbeat(self.table, heartbeat, self.log):
             self.hub.push_heartbeats((heartbeat,))
         return True
 
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/dialect.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/dialect.py
@@ -15,20 +15,12 @@
     """What a caller's request says of itself.
 
     :param time_left_s: how long the caller waits, in seconds; ``None`` where it does not say.
-    :param prompt_tokens: 0 for a request without a prompt.
-    :param output_tokens: the most that may be generated.
-    :param expected_output_tokens: the caller's estimate; ``None`` where it gives none.
-    :param prompt_parts: identifier and tokens of each part of the prompt, in order.
     :param resume_after: the last event that the caller has; empty for a request from the start.
     """
 
     request_id: str
     team_key: str
     time_left_s: float | None
-    prompt_tokens: int = 0
-    output_tokens: int = 0
-    expected_output_tokens: int | None = None
-    prompt_parts: tuple[tuple[str, int], ...] = ()
     resume_after: str = ""
 
 
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -16,6 +16,7 @@
 from bergamotchute_daemon.direct.filters import admit
 from bergamotchute_daemon.direct.routing_table import RoutingTable
 from bergamotchute_daemon.event_log import EventLog
+from bergamotchute_daemon.heartbeat_intake import take_heartbeat
 from bergamotchute_model import events
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat, EndpointPhase
 from bergamotchute_model.identifiers import Address
@@ -112,7 +113,7 @@
                 self.follower.on_text(message)
             case HeartbeatsHeard(heartbeats):
                 for heartbeat in heartbeats:
-                    self._on_heartbeat(heartbeat)
+                    take_heartbeat(self.table, heartbeat, self.log)
                 self._arrange()
             case DeparturesRecorded(departures):
                 for endpoint, born_ms in departures:
@@ -139,16 +140,6 @@
         if groups.on_place(place.endpoint, place.group, place.takes_work):
             self.log.emit(events.GROUP_CHANGED, group=place.group, open=place.takes_work)
 
-    def _on_heartbeat(self, heartbeat: EndpointHeartbeat) -> None:
-        if self.table.on_heartbeat(heartbeat, self.now()):
-            self.log.emit(
-                events.ENDPOINT_HEARD,
-                endpoint=heartbeat.endpoint,
-                phase=heartbeat.phase,
-                born_ms=heartbeat.born_ms,
-                heartbeat=heartbeat.sequence,
-            )
-
     def _arrange(self) -> None:
         """Sort the endpoints by service; at one address, only the newest life counts."""
         newest: dict[Address, EndpointHeartbeat] = {}
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/slot_reservations.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/slot_reservations.py
@@ -22,7 +22,7 @@
     SlotState,
 )
 from bergamotchute_wire.link import Dial, DialFailed, Link, LinkClosed
-from bergamotchute_wire.outbox import Outbox
+from bergamotchute_wire.outbox import Outbox, open_outbox
 
 ANSWER_WAIT_S = 0.05
 """Wait for an agent's answer: a round trip of 2 ms, and up to 40 ms while it plans a map."""
@@ -185,18 +185,15 @@
         del self.links[agent]
 
     async def _serve(self, link: _AgentLink, opened: Link[NodeMessage]) -> None:
-        outbox = link.outbox = Outbox(opened)
-        try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(outbox.run)
-                with suppress(LinkClosed):
-                    while True:
-                        _take(link, await opened.receive())
-                tasks.cancel_scope.cancel()
-        finally:
-            link.outbox = None
-            for sender in link.answers.values():
-                sender.close()
+        async with open_outbox(opened) as outbox:
+            link.outbox = outbox
+            try:
+                while True:
+                    _take(link, await opened.receive())
+            finally:
+                link.outbox = None
+                for sender in link.answers.values():
+                    sender.close()
 
 
 def _take(link: _AgentLink, message: NodeMessage) -> None:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
@@ -91,14 +91,7 @@
         retry_capacity=SLACK_AT_ONCE * settings.retry_slack / ENTRIES_SHARING,
         retry_refill_per_s=SLACK_AT_ONCE * settings.retry_slack / ENTRIES_SHARING / RETRY_WINDOW_S,
     )
-    links = ControlLinks(
-        seeds=settings.seed_links,
-        dial=environment.dial_control,
-        random=environment.random,
-        log=environment.log,
-        greeting=lambda: process.greeting(),
-        on_message=lambda address, message: process.on_message(address, message),
-    )
+    links = _control_links(settings, environment, lambda: process)
     server = Http1Server(lambda request, writer: process.handle(request, writer))
     process = DirectEntry(
         name=settings.name,
@@ -197,14 +190,7 @@
         )
 
     process: RankAgentProcess
-    links = ControlLinks(
-        seeds=settings.seed_links,
-        dial=environment.dial_control,
-        random=environment.random,
-        log=environment.log,
-        greeting=lambda: process.greeting(),
-        on_message=lambda address, message: process.on_message(address, message),
-    )
+    links = _control_links(settings, environment, lambda: process)
     process = RankAgentProcess(
         name=settings.name,
         address=settings.link_address,
@@ -221,3 +207,22 @@
         commands=commands,
     )
     return process
+
+
+def _control_links(
+    settings: NodeSettings,
+    environment: NodeEnvironment,
+    process: Callable[[], DirectEntry | RankAgentProcess],
+) -> ControlLinks:
+    """Return the links of an entry or agent.
+
+    :param process: returns it, once it is composed.
+    """
+    return ControlLinks(
+        seeds=settings.seed_links,
+        dial=environment.dial_control,
+        random=environment.random,
+        log=environment.log,
+        greeting=lambda: process().greeting(),
+        on_message=lambda address, message: process().on_message(address, message),
+    )
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_commander.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_commander.py
@@ -34,7 +34,7 @@
 from bergamotchute_policy.map_change_choice import busyness, change_bounds, is_worth_changing
 from bergamotchute_policy.pass_pace import PassPace
 from bergamotchute_wire.link import Dial, DialFailed, Link, LinkClosed
-from bergamotchute_wire.outbox import Outbox
+from bergamotchute_wire.outbox import Outbox, open_outbox
 
 ORDER_WAIT_S = 0.4
 """Wait for an agent's answer; its calls to the rank are bounded by less."""
@@ -118,17 +118,14 @@
             await anyio.sleep(RELINK_S)
 
     async def _serve(self, member: _Member, link: Link[NodeMessage]) -> None:
-        member.outbox = Outbox(link)
-        try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(member.outbox.run)
-                member.outbox.post(self._next_order(RankAction.READ))
-                with suppress(LinkClosed):
-                    while True:
-                        self._take(member, await link.receive())
-                tasks.cancel_scope.cancel()
-        finally:
-            member.outbox = None
+        async with open_outbox(link) as outbox:
+            member.outbox = outbox
+            outbox.post(self._next_order(RankAction.READ))
+            try:
+                while True:
+                    self._take(member, await link.receive())
+            finally:
+                member.outbox = None
 
     def _take(self, member: _Member, message: NodeMessage) -> None:
         if isinstance(message, RankCounts):
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/slot_keeper.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/slot_keeper.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from contextlib import suppress
 from dataclasses import dataclass, field
 
 import anyio
@@ -15,8 +14,8 @@
     SlotState,
 )
 from bergamotchute_policy.slot_ledger import SlotLedger
-from bergamotchute_wire.link import Link, LinkClosed
-from bergamotchute_wire.outbox import Outbox
+from bergamotchute_wire.link import Link
+from bergamotchute_wire.outbox import Outbox, open_outbox
 
 
 @dataclass
@@ -27,17 +26,13 @@
 
     async def serve(self, link: Link[NodeMessage]) -> None:
         """Serve one entry until its link closes; its reservations end with the link."""
-        outbox: Outbox[NodeMessage] = Outbox(link)
-        try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(outbox.run)
-                with suppress(LinkClosed):
-                    while True:
-                        self._take(outbox, await link.receive())
-                tasks.cancel_scope.cancel()
-        finally:
-            self.ledger.forget(outbox)
-            self._serve_waiting()
+        async with open_outbox(link) as outbox:
+            try:
+                while True:
+                    self._take(outbox, await link.receive())
+            finally:
+                self.ledger.forget(outbox)
+                self._serve_waiting()
 
     def on_report(self, requests: int) -> None:
         """Take the endpoint's own count of its requests."""
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/relay.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/relay.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from contextlib import suppress
 from dataclasses import dataclass, field, replace
 from functools import reduce
 from random import Random
@@ -43,7 +42,7 @@
 from bergamotchute_policy.address_answer import preferred_entries, with_other_zone
 from bergamotchute_policy.subset import Member, Place, place_of
 from bergamotchute_wire.link import Dial, DialFailed, Link, LinkClosed
-from bergamotchute_wire.outbox import Outbox
+from bergamotchute_wire.outbox import Outbox, open_outbox
 
 EXPIRY_CHECK_S = 0.5
 
@@ -105,14 +104,10 @@
 
     async def serve_link(self, link: Link[ControlMessage]) -> None:
         """Serve one child or one other relay until its link closes."""
-        outbox: Outbox[ControlMessage] = Outbox(link)
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(outbox.run)
-            with suppress(LinkClosed):
-                hello = await link.receive()
-                if isinstance(hello, Hello):
-                    await self._serve_child(link, Child(outbox, hello))
-            tasks.cancel_scope.cancel()
+        async with open_outbox(link) as outbox:
+            hello = await link.receive()
+            if isinstance(hello, Hello):
+                await self._serve_child(link, Child(outbox, hello))
 
     async def _serve_child(self, link: Link[ControlMessage], child: Child) -> None:
         """Introduce the members, then handle what comes."""
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
@@ -71,7 +71,7 @@
 from bergamotchute_model.status_messages import AskStatus, ControlStatus, StatusReport
 from bergamotchute_wire.link import Dial, Link, LinkClosed
 from bergamotchute_wire.message_codec import MessageCodec
-from bergamotchute_wire.outbox import Outbox
+from bergamotchute_wire.outbox import Outbox, open_outbox
 
 CONSENSUS_CODEC: MessageCodec[ConsensusMessage] = MessageCodec(ConsensusMessage)
 STATUS_CODEC: MessageCodec[ControlStatus] = MessageCodec(ControlStatus)
@@ -332,14 +332,12 @@
 
     async def serve_relay(self, link: Link[ControlMessage]) -> None:
         """Serve one relay until its link closes."""
-        outbox: Outbox[ControlMessage] = Outbox(link)
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(outbox.run)
-            with suppress(LinkClosed):
+        async with open_outbox(link) as outbox:
+            try:
                 while True:
                     self.on_relay_message(outbox, await link.receive())
-            self.state.leave(outbox)
-            tasks.cancel_scope.cancel()
+            finally:
+                self.state.leave(outbox)
 
     def on_relay_message(self, outbox: Outbox[ControlMessage], message: ControlMessage) -> None:
         """Take one message of a relay."""
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/http1_client.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/http1_client.py
@@ -22,6 +22,15 @@
 MAX_HEAD_BYTES = 32_768
 
 
+def request_bytes(protocol: h11.Connection, head: RequestHead, body: bytes) -> bytes:
+    """Return the bytes of a whole request."""
+    request = h11.Request(method=head.method, target=head.target, headers=raw_headers(head.headers))
+    data = protocol.send(request) or b""
+    if body:
+        data += protocol.send(h11.Data(data=body)) or b""
+    return data + (protocol.send(h11.EndOfMessage()) or b"")
+
+
 class EndpointExchange:
     """One request and its answer.
 
@@ -41,13 +50,7 @@
 
         :raises EndpointFailure: when the connection broke.
         """
-        request = h11.Request(
-            method=head.method, target=head.target, headers=raw_headers(head.headers)
-        )
-        data = self.protocol.send(request) or b""
-        if body:
-            data += self.protocol.send(h11.Data(data=body)) or b""
-        data += self.protocol.send(h11.EndOfMessage()) or b""
+        data = request_bytes(self.protocol, head, body)
         self.sent = True
         try:
             await self.stream.send(data)
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/kept_connection.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/kept_connection.py
@@ -9,8 +9,8 @@
 from anyio.abc import ByteStream
 
 from bergamotchute_model.identifiers import Address
-from bergamotchute_wire.http1_client import RECEIVE_BYTES
-from bergamotchute_wire.http1_messages import EndpointFailure, raw_headers
+from bergamotchute_wire.http1_client import RECEIVE_BYTES, request_bytes
+from bergamotchute_wire.http1_messages import EndpointFailure, RequestHead
 
 CALL_ERRORS = (
     OSError,
@@ -68,12 +68,8 @@
                 ("content-type", "application/json"),
                 ("content-length", str(len(body))),
             )
-            request = h11.Request(method=method, target=target, headers=raw_headers(headers))
-            data = self.protocol.send(request) or b""
-            if body:
-                data += self.protocol.send(h11.Data(data=body)) or b""
-            data += self.protocol.send(h11.EndOfMessage()) or b""
-            await self.stream.send(data)
+            head = RequestHead(method, target, headers)
+            await self.stream.send(request_bytes(self.protocol, head, body))
             status, answer = await self._read_answer(self.protocol, self.stream)
             whole = self.protocol.our_state is h11.DONE and self.protocol.their_state is h11.DONE
             if whole:
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/message_codec.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/message_codec.py
@@ -39,7 +39,7 @@
 
         :raises MalformedMessageError: when they hold none; the text says what was wrong.
         """
-        return self._checked([_loaded(data)])[0]
+        return self._checked([_loaded(data)], is_list=False)[0]
 
     def encode_all(self, messages: Sequence[Message]) -> bytes:
         """Return the CBOR form of several messages together."""
@@ -52,11 +52,11 @@
         """
         return self._checked(_loaded(data))
 
-    def _checked(self, items: Any) -> list[Message]:
+    def _checked(self, items: Any, is_list: bool = True) -> list[Message]:
         try:
             return self._adapter.validate_python(items)
         except ValidationError as error:
-            raise MalformedMessageError(_first_fault(error)) from error
+            raise MalformedMessageError(_first_fault(error, is_list)) from error
         except RecursionError as error:
             raise MalformedMessageError("nested too deeply") from error
 
@@ -68,8 +68,11 @@
         raise MalformedMessageError(f"not CBOR: {error}") from error
 
 
-def _first_fault(error: ValidationError) -> str:
-    """Return where the first fault stands and what it is, without the offending value."""
+def _first_fault(error: ValidationError, is_list: bool) -> str:
+    """Return where the first fault stands and what it is, without the offending value.
+
+    :param is_list: whether a message's number is part of the place.
+    """
     fault = error.errors(include_input=False, include_url=False)[0]
-    place = ".".join(str(part) for part in fault["loc"])
+    place = ".".join(str(part) for part in fault["loc"][0 if is_list else 1 :])
     return f"{place}: {fault['msg']}"
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/outbox.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/outbox.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, suppress
 from typing import Generic, TypeVar
 
 import anyio
@@ -61,3 +62,14 @@
         finally:
             self._receiver.close()
             await self.link.aclose()
+
+
+@asynccontextmanager
+async def open_outbox(link: Link[Message]) -> AsyncIterator[Outbox[Message]]:
+    """Send what is posted while the body runs; the body ends quietly when the link closes."""
+    outbox = Outbox(link)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(outbox.run)
+        with suppress(LinkClosed):
+            yield outbox
+        tasks.cancel_scope.cancel()
--- a/tests/policy/test_even_map_planner.py
+++ b/tests/policy/test_even_map_planner.py
@@ -13,21 +13,11 @@
     map_skew,
     plan_even_map,
 )
+from support.expert_demand import EXPERTS, RANKS, SETS, skewed_demand, turned_demand
 
-SETS, RANKS, EXPERTS = 6, 8, 64
 BOUNDS = PlannerBounds(placements=11, copies_per_set=4, copies_per_rank=5, least_step_gain=1e-3)
 
 
-def skewed_demand(random: Random) -> list[list[float]]:
-    """Return a demand in which a few experts get most of the tokens, as the users' models have."""
-    demand = []
-    for _ in range(SETS):
-        weights = [1.0 / (place + 1) ** 1.6 for place in range(EXPERTS)]
-        random.shuffle(weights)
-        demand.append(weights)
-    return demand
-
-
 def check(present: ExpertSets, planned: ExpertSets, bounds: PlannerBounds) -> None:
     copied = [0] * RANKS
     for before, after in zip(present, planned, strict=True):
@@ -50,10 +40,6 @@
     assert plan.skew_planned < plan.skew_now
 
 
-SHIFTED = 0.65
-"""Part of what is liked that changes at a time, as on the users' sites."""
-
-
 @pytest.mark.parametrize("seed", range(5))
 def test_two_changes_follow_a_demand_that_turned(seed: int) -> None:
     """Load pattern: most of what is liked changes every four seconds; two changes take 1.5 s."""
@@ -61,11 +47,7 @@
     present = first_map(SETS, RANKS, EXPERTS)
     demand = skewed_demand(random)
     for _ in range(4):
-        turned = skewed_demand(random)
-        demand = [
-            [(1 - SHIFTED) * old + SHIFTED * new for old, new in zip(*sets, strict=True)]
-            for sets in zip(demand, turned, strict=True)
-        ]
+        demand = turned_demand(demand, random)
         for _ in range(2):
             plan = plan_even_map(present, demand, BOUNDS)
             check(present, plan.experts, BOUNDS)
--- a/tests/policy/test_map_change_choice.py
+++ b/tests/policy/test_map_change_choice.py
@@ -22,8 +22,8 @@
     is_worth_changing,
 )
 from bergamotchute_policy.pass_pace import FIRST_PASS_S, PassPace
+from support.expert_demand import EXPERTS, RANKS, SETS, skewed_demand, turned_demand
 
-SETS, RANKS, EXPERTS = 6, 8, 64
 ENGINE = EngineFigures(
     6, 247_000, 0.005, 0.0007, 2e-8, 75_000.0, 512, 6, 835.0, 159.0, SETS, EXPERTS, 11, 4, 0.85
 )
@@ -36,15 +36,6 @@
 """From complete copies until the pass with the new map."""
 
 
-def _demand(random: Random) -> list[list[float]]:
-    demand = []
-    for _ in range(SETS):
-        weights = [1.0 / (place + 1) ** 1.6 for place in range(EXPERTS)]
-        random.shuffle(weights)
-        demand.append(weights)
-    return demand
-
-
 def _new_experts(present: ExpertSets, planned: ExpertSets) -> int:
     """Return the experts that the rank with the most copies copies."""
     return max(
@@ -57,14 +48,10 @@
     """Return the mean time of a pass, over that of an even load, while demand turns."""
     random = Random(seed)
     present = first_map(SETS, RANKS, EXPERTS)
-    demand = _demand(random)
+    demand = skewed_demand(random)
     spent = 0.0
     for _ in range(turns):
-        turned = _demand(random)
-        demand = [
-            [0.35 * old + 0.65 * new for old, new in zip(*sets, strict=True)]
-            for sets in zip(demand, turned, strict=True)
-        ]
+        demand = turned_demand(demand, random)
         left_s = TURN_S
         now_s = 0.15 + 0.85 * map_skew(present, demand)
         spent += NOTICE_S * now_s
@@ -92,7 +79,7 @@
 
 
 def test_a_calm_group_changes_only_for_much() -> None:
-    demand = _demand(Random(1))
+    demand = skewed_demand(Random(1))
     present = first_map(SETS, RANKS, EXPERTS)
     calm = change_bounds(ENGINE, busy=0.0)
     plan = plan_even_map(present, demand, calm)
--- /dev/null
+++ b/tests/support/expert_demand.py
@@ -0,0 +1,29 @@
+"""Demand for experts as the users' models have it."""
+
+from __future__ import annotations
+
+from random import Random
+
+SETS, RANKS, EXPERTS = 6, 8, 64
+
+
+def skewed_demand(random: Random) -> list[list[float]]:
+    """Return a demand in which a few experts get most of the tokens."""
+    demand = []
+    for _ in range(SETS):
+        weights = [1.0 / (place + 1) ** 1.6 for place in range(EXPERTS)]
+        random.shuffle(weights)
+        demand.append(weights)
+    return demand
+
+
+SHIFTED = 0.65
+"""Part of what is liked that changes at a time, as on the users' sites."""
+
+
+def turned_demand(demand: list[list[float]], random: Random) -> list[list[float]]:
+    """Return a demand of which :data:`SHIFTED` has moved to other experts."""
+    return [
+        [(1 - SHIFTED) * old + SHIFTED * new for old, new in zip(*sets, strict=True)]
+        for sets in zip(demand, skewed_demand(random), strict=True)
+    ]
