Keep the new rules: endpoints that leave or want a pause, answers without end

Cause: nothing read Server-Leaving or an endpoint's Retry-After, and an endpoint could hold an entry's memory and processor with bytes that never become an answer: interim answers, tiny chunks, events without a number, 16 MB a plain answer for each request at once. Reading events took time quadratic in an event's length.

Change: an answer that says its endpoint leaves takes that life out of choice at once and is recorded through the control group for all entries; only a new life undoes it. A 503 with Retry-After closes the endpoint for that long, also where it is the only one and behind a wait for its slot; other endpoints take over, and callers are told when the first one opens again. Heads, interim answers, parts, events and bodies are bounded, bodies of all requests and all answers together too, on both sides of an entry.

Ruled out: counting an endpoint as failed whenever a request's time ends there. At a crest that would close sound endpoints.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/_event_splitter.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/_event_splitter.py
@@ -12,16 +12,18 @@
     """
 
     def __init__(self) -> None:
-        self.rest = b""
+        self.rest = bytearray()
 
     def feed(self, data: bytes) -> tuple[bytes, int]:
         """Take the next bytes; return the whole events among them and how many they are."""
-        data = self.rest + data if self.rest else data
-        end = data.rfind(EVENT_END)
+        unseen = max(0, len(self.rest) - len(EVENT_END) + 1)
+        self.rest += data
+        end = self.rest.rfind(EVENT_END, unseen)
         if end < 0:
-            self.rest = data
             return b"", 0
-        whole, self.rest = data[: end + 2], data[end + 2 :]
+        end += len(EVENT_END)
+        whole = bytes(self.rest[:end])
+        del self.rest[:end]
         return whole, whole.count(EVENT_END)
 
 
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_links.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_links.py
@@ -69,6 +69,12 @@
         for outbox in self.outboxes.values():
             outbox.post(message)
 
+    def post_any(self, message: NodeMessage) -> None:
+        """Send a message to one linked control VM, the leader if it is linked."""
+        address = self.leader or next(iter(self.outboxes), None)
+        if address is not None:
+            self.post(address, message)
+
     @property
     def leader(self) -> Address | None:
         """The linked control VM that leads the newest term known here."""
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
@@ -9,19 +9,16 @@
 from bergamotchute_daemon.control_log import ControlLog, ControlUnavailable
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.heartbeat_intake import take_heartbeat
-from bergamotchute_daemon.node_hub import NodeHub
+from bergamotchute_daemon.node_hub import ANSWER_S, NodeHub
 from bergamotchute_daemon.voter import Voter
 from bergamotchute_model import events
-from bergamotchute_model.commands import ConfigurationPut, PutConfiguration, RecordDeparture
+from bergamotchute_model.commands import ConfigurationPut, PutConfiguration
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat, EndpointPhase
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.node_messages import ControlGroup
 from bergamotchute_policy.endpoint_table import EndpointTable
 from bergamotchute_state.configuration_store import ConfigurationStore
 
-ANSWER_S = 0.9
-"""Wait for the log behind one call; callers move on to another control VM after a second."""
-
 LOOK_S = 0.2
 """How often silent endpoints and changes of the control group are looked for."""
 
@@ -139,13 +136,4 @@
 
     async def on_leave(self, endpoint: str, born_ms: int) -> bool:
         """Record that one life of an endpoint takes no new work; return whether that is sure."""
-        if self.table.has_departed(endpoint, born_ms):
-            return True
-        try:
-            await self.control.commit(RecordDeparture(endpoint, born_ms), ANSWER_S)
-        except ControlUnavailable as error:
-            self.log.emit(events.DEPARTURE_UNSURE, endpoint=endpoint, detail=str(error))
-            return False
-        # The state of a follower of the log may lag behind the commit; entries must not.
-        self.hub.tell_departure(endpoint, born_ms)
-        return True
+        return await self.hub.record_departure(endpoint, born_ms)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/dialect.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/dialect.py
@@ -52,6 +52,9 @@
     :param not_run: the endpoint says that the request has not run and will not.
     :param wrong_endpoint: another endpoint has the address.
     :param requests: requests that the endpoint holds; ``None`` where it does not say.
+    :param leaving: the endpoint is about to stop and takes no new work.
+    :param retry_after_s: how long an endpoint that refused wants nothing; ``None`` where it does
+        not say.
     """
 
     request_id: str
@@ -59,6 +62,8 @@
     not_run: bool
     wrong_endpoint: bool
     requests: int | None
+    leaving: bool = False
+    retry_after_s: float | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -23,6 +23,7 @@
 from bergamotchute_model.node_messages import (
     ConfigurationText,
     ConfigurationVersion,
+    DepartureSeen,
     DeparturesRecorded,
     EntryState,
     HeartbeatsHeard,
@@ -153,6 +154,19 @@
             self.by_service.setdefault(heartbeat.service, []).append(heartbeat)
         self.runner.endpoints_changed()
 
+    def on_leaving(self, endpoint: EndpointHeartbeat) -> None:
+        """Take an endpoint's own word that it leaves, and have it recorded for the others."""
+        if not self.table.on_departure(endpoint.endpoint, endpoint.born_ms):
+            return
+        self.log.emit(
+            events.MEMBER_DRAINING,
+            endpoint=endpoint.endpoint,
+            born_ms=endpoint.born_ms,
+            told_by="answer",
+        )
+        self._arrange()
+        self.links.post_any(DepartureSeen(endpoint.endpoint, endpoint.born_ms))
+
     def endpoints(self, service: str) -> list[EndpointHeartbeat]:
         """Return the endpoints of a service."""
         return self.by_service.get(service, [])
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_runner.py
@@ -25,6 +25,7 @@
 from bergamotchute_policy.direct_placement import Candidate, DirectPlacement
 from bergamotchute_policy.retry import RetryBudget
 from bergamotchute_policy.slot_search import BEGIN_S, PATIENCE_S, SlotSearch
+from bergamotchute_wire.byte_budget import ByteBudget, ByteClaim
 from bergamotchute_wire.http1_client import EndpointExchange, open_exchange
 from bergamotchute_wire.http1_messages import AnswerHead, EndpointFailure, without_hop_headers
 from bergamotchute_wire.http1_server import AnswerWriter
@@ -62,8 +63,15 @@
 RETRY_AFTER_SPREAD_S = 0.5
 """Callers that are refused together come back spread over this time."""
 
-ANSWER_BYTES_MAX = 16_777_216
-"""An answer that is no stream is held whole up to this size; a larger one is a failure."""
+ANSWER_BYTES_MAX = 4_194_304
+"""An answer that is no stream is held whole up to this size, the default for a caller's body; a
+larger one is a failure."""
+
+ANSWER_PARTS_MAX = 16_384
+"""Parts of such an answer; an endpoint that sends tiny parts without end costs 0.3 s of work."""
+
+HELD_BYTES = 33_554_432
+"""Bytes of all such answers together, a sixth of the memory of the smallest entry VM."""
 
 
 @dataclass(frozen=True)
@@ -142,6 +150,7 @@
     """Sends requests to endpoints.
 
     :param endpoints: the endpoints of a service, from the newest heartbeats.
+    :param on_leaving: told of an endpoint whose answer says that it leaves.
     :param retry_ratio: second sends allowed for each request of a service, in the long run.
     :param retry_capacity: second sends of a service that this entry may make at once.
     :param retry_refill_per_s: second sends of a service that come back whatever the load.
@@ -151,6 +160,7 @@
     placement: DirectPlacement
     slots: SlotReservations
     endpoints: Callable[[str], Iterable[EndpointHeartbeat]]
+    on_leaving: Callable[[EndpointHeartbeat], None]
     random: Random
     log: EventLog
     metrics: NodeMetrics
@@ -160,6 +170,7 @@
     started_at: float = field(default_factory=anyio.current_time)
     changed: anyio.Event = field(default_factory=anyio.Event)
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
+    held: ByteBudget = field(default_factory=lambda: ByteBudget(HELD_BYTES))
 
     async def run(self, request: DirectRequest, writer: AnswerWriter) -> None:
         """Answer a request.
@@ -220,11 +231,21 @@
                 return _Placed(wish.candidate, None, len(search.refused))
             self.placement.on_told(endpoint, told.requests, anyio.current_time())
             if told.reservation is not None:
-                return _Placed(wish.candidate, told.reservation, len(search.refused), told.waited_s)
+                if self._may_still_send(request, endpoint):
+                    refusals = len(search.refused)
+                    return _Placed(wish.candidate, told.reservation, refusals, told.waited_s)
+                told.reservation.release()
+                continue
             if wish.queue:
                 self._turn_away(request, told.requests / max(1, endpoint.slots), told.waited_s)
             search.on_refused(wish)
 
+    def _may_still_send(self, request: DirectRequest, endpoint: EndpointHeartbeat) -> bool:
+        """Return whether an endpoint takes requests also after the wait for its slot."""
+        known = self.endpoints(request.service.name)
+        newest = next((each for each in known if each.endpoint == endpoint.endpoint), None)
+        return newest is not None and self.placement.may_send(newest, anyio.current_time())
+
     def _turn_away(self, request: DirectRequest, fullness: float, waited_s: float) -> None:
         """Refuse a request where every endpoint has too much work.
 
@@ -311,8 +332,7 @@
         head_bound_s = max(HEAD_TIMEOUT_LEAST_S, objectives_s)
         head = await self._patiently(attempt, head_bound_s, exchange.read_head)
         word = self.dialect.read_answer(head)
-        if word.requests is not None:
-            self.placement.on_told(endpoint, word.requests, anyio.current_time())
+        self._note_word(endpoint, word)
         fault = self._fault(request, head, word)
         if fault is not None:
             now = anyio.current_time()
@@ -326,15 +346,31 @@
         if request.is_stream and 200 <= head.status < 300:
             await self._pass_stream(attempt, head)
         else:
-            body = await self._whole_body(exchange)
-            if head.status >= 500:
-                return AttemptResult(Verdict.MAY_HAVE_RUN, f"status {head.status}", head, body)
-            progress.on_part(anyio.current_time())
-            await self._pass_answer(writer, head, body)
+            with self.held.claim() as claim:
+                body = await self._whole_body(exchange, claim)
+                if head.status >= 500:
+                    return AttemptResult(Verdict.MAY_HAVE_RUN, f"status {head.status}", head, body)
+                progress.on_part(anyio.current_time())
+                await self._pass_answer(writer, head, body)
         self.placement.on_good_answer(endpoint)
         self._note_completed(request, progress, endpoint, head.status)
         return None
 
+    def _note_word(self, endpoint: EndpointHeartbeat, word: EndpointWord) -> None:
+        now = anyio.current_time()
+        if word.requests is not None:
+            self.placement.on_told(endpoint, word.requests, now)
+        if word.leaving:
+            self.on_leaving(endpoint)
+        if word.retry_after_s is not None:
+            self.placement.on_retry_after(endpoint, word.retry_after_s, now)
+            self.log.emit(
+                events.ENDPOINT_PAUSED,
+                endpoint=endpoint.endpoint,
+                born_ms=endpoint.born_ms,
+                retry_after_s=word.retry_after_s,
+            )
+
     def _fault(
         self, request: DirectRequest, head: AnswerHead, word: EndpointWord
     ) -> AttemptResult | None:
@@ -375,12 +411,16 @@
         known = self.endpoints(request.service.name)
         return self.placement.has_sound(known, others, anyio.current_time())
 
-    async def _whole_body(self, exchange: EndpointExchange) -> bytes:
+    async def _whole_body(self, exchange: EndpointExchange, claim: ByteClaim) -> bytes:
         body = bytearray()
+        parts = 0
         while (data := await exchange.read_data()) is not None:
             body += data
-            if len(body) > ANSWER_BYTES_MAX:
+            parts += 1
+            if len(body) > ANSWER_BYTES_MAX or parts > ANSWER_PARTS_MAX:
                 raise EndpointFailure("the answer is too large", True)
+            if not claim.grow(len(data)):
+                raise EndpointFailure("too many bytes of answers are held", True)
         return bytes(body)
 
     async def _pass_answer(self, writer: AnswerWriter, head: AnswerHead, body: bytes) -> None:
@@ -496,7 +536,9 @@
         if progress.may_have_run:
             raise Refusal(502, reason)
         spread_s = RETRY_AFTER_SPREAD_S * self.random.random()
-        raise Refusal(503, reason, RETRY_AFTER_LEAST_S + spread_s)
+        known = self.endpoints(request.service.name)
+        pause_s = self.placement.next_retry_s(known, anyio.current_time())
+        raise Refusal(503, reason, pause_s + RETRY_AFTER_LEAST_S + spread_s)
 
     def _budget(self, request: DirectRequest) -> RetryBudget:
         name = request.service.name
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
@@ -84,6 +84,7 @@
         placement=DirectPlacement(settings.availability_zone, environment.random),
         slots=SlotReservations(environment.dial_slots, environment.random, environment.log),
         endpoints=lambda service: process.endpoints(service),
+        on_leaving=lambda endpoint: process.on_leaving(endpoint),
         random=environment.random,
         log=environment.log,
         metrics=NodeMetrics(lambda: process.gauges()),
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -11,6 +11,7 @@
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.voter import Voter
 from bergamotchute_model import events
+from bergamotchute_model.commands import RecordDeparture
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.node_messages import (
@@ -19,6 +20,7 @@
     ConfigurationText,
     ConfigurationVersion,
     ControlGroup,
+    DepartureSeen,
     DeparturesRecorded,
     EntryState,
     HeartbeatsHeard,
@@ -32,6 +34,9 @@
 from bergamotchute_wire.link import Link, LinkClosed
 from bergamotchute_wire.outbox import Outbox
 
+ANSWER_S = 0.9
+"""Wait for the log behind one call; callers move on to another control VM after a second."""
+
 CONFIRM_S = 2.0
 """Wait for a quorum before a new follower is told what is in force; then another try."""
 
@@ -67,6 +72,7 @@
     group: ControlGroup = field(default_factory=lambda: ControlGroup((), 0))
     departures_told: int = -1
     loads: dict[Address, int] = field(default_factory=dict)
+    recording: set[tuple[str, int]] = field(default_factory=set)
 
     async def serve(self, link: Link[NodeMessage]) -> None:
         """Serve one link until it closes."""
@@ -82,7 +88,11 @@
                 tasks.start_soon(self._confirm, follower)
                 with suppress(LinkClosed):
                     while True:
-                        self._on_message(follower, await link.receive())
+                        message = await link.receive()
+                        if isinstance(message, DepartureSeen):
+                            tasks.start_soon(self._on_departure_seen, message)
+                        else:
+                            self._on_message(follower, message)
                 tasks.cancel_scope.cancel()
         finally:
             self._forget(follower, link.peer)
@@ -163,6 +173,30 @@
             for endpoint, born_ms in state.departures.recorded.items():
                 self.tell_departure(endpoint, born_ms)
 
+    async def record_departure(self, endpoint: str, born_ms: int) -> bool:
+        """Record that one life of an endpoint takes no new work; return whether that is sure."""
+        if self.table.has_departed(endpoint, born_ms):
+            return True
+        try:
+            await self.control.commit(RecordDeparture(endpoint, born_ms), ANSWER_S)
+        except ControlUnavailable as error:
+            self.log.emit(events.DEPARTURE_UNSURE, endpoint=endpoint, detail=str(error))
+            return False
+        # The state of a follower of the log may lag behind the commit; entries must not.
+        self.tell_departure(endpoint, born_ms)
+        return True
+
+    async def _on_departure_seen(self, seen: DepartureSeen) -> None:
+        """Record what an entry saw, once for all entries that see it together."""
+        life = (seen.endpoint, seen.born_ms)
+        if life in self.recording:
+            return
+        self.recording.add(life)
+        try:
+            await self.record_departure(*life)
+        finally:
+            self.recording.discard(life)
+
     def tell_departure(self, endpoint: str, born_ms: int) -> None:
         """Tell the followers that one life of an endpoint takes no new work, if that is news."""
         if self.table.on_departure(endpoint, born_ms):
--- a/packages/bergamotchute-model/src/bergamotchute_model/events.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/events.py
@@ -126,6 +126,9 @@
 ENDPOINT_QUIET = _define(
     1421, "endpoint_quiet", "No heartbeat of an endpoint came for some time.", logging.WARNING
 )
+ENDPOINT_PAUSED = _define(
+    1424, "endpoint_paused", "An endpoint refused a request and wants none for some time."
+)
 DEPARTURE_UNSURE = _define(
     1422,
     "departure_unsure",
--- a/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
@@ -138,6 +138,15 @@
     kind: Literal["departures_recorded"] = "departures_recorded"
 
 
+@dataclass(frozen=True)
+class DepartureSeen:
+    """An entry read in an endpoint's answer that this life of it is leaving."""
+
+    endpoint: str
+    born_ms: int
+    kind: Literal["departure_seen"] = "departure_seen"
+
+
 @dataclass(frozen=True)
 class ControlGroup:
     """The control VMs' link addresses.
@@ -295,6 +304,7 @@
     | ConfigurationText
     | HeartbeatsHeard
     | DeparturesRecorded
+    | DepartureSeen
     | ControlGroup
     | CommanderAssigned
     | RankPlaces
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
@@ -53,6 +53,7 @@
     :param told_at: when it told, on the runtime's clock.
     :param failures: failures since its last good answer.
     :param barred_until: when it may get a new request, on the runtime's clock.
+    :param retry_at: when it accepts requests again, by its own word, on the runtime's clock.
     """
 
     born_ms: int
@@ -61,6 +62,7 @@
     told_at: float = 0.0
     failures: int = 0
     barred_until: float = 0.0
+    retry_at: float = float("-inf")
 
     def others(self, now: float) -> float:
         """Return the requests of others, discounted by the age of the word."""
@@ -105,14 +107,13 @@
     ) -> Candidate | None:
         """Return the emptiest endpoint that may be used, or ``None`` when there is none.
 
-        Quiet and barred endpoints are used only where no other is left.
+        Quiet and barred endpoints are used only where no other is left; those that asked for a
+        pause are not used at all.
 
         :param avoided: identifiers of endpoints that failed this request.
         """
         usable = [
-            each
-            for each in endpoints
-            if each.phase is not EndpointPhase.LEAVING and each.endpoint not in avoided
+            each for each in endpoints if each.endpoint not in avoided and self.may_send(each, now)
         ]
         sound = [each for each in usable if self._is_sound(each, now)]
         ranked = nsmallest(
@@ -143,7 +144,22 @@
         """Return whether an endpoint is left that is ready, not barred and goes on."""
         return any(each.endpoint not in avoided and self._is_sound(each, now) for each in endpoints)
 
+    def may_send(self, endpoint: EndpointHeartbeat, now: float) -> bool:
+        """Return whether an endpoint takes new requests by its own word."""
+        leaving = endpoint.phase is EndpointPhase.LEAVING
+        return not leaving and self.load(endpoint).retry_at <= now
+
+    def next_retry_s(self, endpoints: Iterable[EndpointHeartbeat], now: float) -> float:
+        """Return in how many seconds the first endpoint that asked for a pause takes requests.
+
+        :returns: 0 where another one takes them now, or none will.
+        """
+        known = [each for each in endpoints if each.phase is not EndpointPhase.LEAVING]
+        return min((max(0.0, self.load(each).retry_at - now) for each in known), default=0.0)
+
     def _is_sound(self, endpoint: EndpointHeartbeat, now: float) -> bool:
+        if not self.may_send(endpoint, now):
+            return False
         barred = self.load(endpoint).barred_until > now
         stalled = self.groups.is_stalled(endpoint.address, now)
         return endpoint.phase is EndpointPhase.READY and not barred and not stalled
@@ -184,6 +200,11 @@
         load.told_others = max(load.told_others, float(endpoint.slots))
         load.told_at = now
 
+    def on_retry_after(self, endpoint: EndpointHeartbeat, seconds: float, now: float) -> None:
+        """Note that an endpoint wants no request for some seconds; only a new life ends that."""
+        load = self.load(endpoint)
+        load.retry_at = max(load.retry_at, now + seconds)
+
     def on_silence(self, endpoint: EndpointHeartbeat, now: float) -> None:
         """Note that an endpoint did not go on with a request; its whole group may stand still."""
         self.on_failure(endpoint, now)
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/http1_client.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/http1_client.py
@@ -21,6 +21,9 @@
 RECEIVE_BYTES = 65_536
 MAX_HEAD_BYTES = 32_768
 
+MAX_INTERIM_ANSWERS = 16
+"""Interim answers before the final one; an endpoint that sends them without end is failing."""
+
 
 def request_bytes(protocol: h11.Connection, head: RequestHead, body: bytes) -> bytes:
     """Return the bytes of a whole request."""
@@ -72,12 +75,13 @@
 
         :raises EndpointFailure: when none comes.
         """
-        while True:
+        for _ in range(MAX_INTERIM_ANSWERS + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 return AnswerHead(event.status_code, text_headers(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise EndpointFailure("the connection ended before an answer", True)
+        raise EndpointFailure("too many interim answers", True)
 
     async def read_data(self) -> bytes | None:
         """Return the next bytes of the answer, or ``None`` at its proper end.
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/http1_server.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/http1_server.py
@@ -18,6 +18,7 @@
 
 from bergamotchute_model.attempt_messages import Headers
 from bergamotchute_model.identifiers import Address
+from bergamotchute_wire.byte_budget import ByteBudget, ByteClaim
 from bergamotchute_wire.http1_messages import RequestHead, raw_headers, text_headers
 
 _logger = logging.getLogger(__name__)
@@ -30,6 +31,15 @@
 READ_AHEAD_PAUSE_S = 0.05
 """How often a paused reader looks whether it may go on."""
 
+REQUEST_PARTS_MAX = 16_384
+"""Parts of one body; a caller that sends tiny parts without end costs 0.3 s of work."""
+
+HELD_BYTES = 33_554_432
+"""Bodies of all requests under way together, a sixth of the memory of the smallest entry VM."""
+
+HELD_RETRY_S = 1.0
+"""When a caller may come back whose body does not fit; about the time of a usual answer."""
+
 WRITE_TIMEOUT_S = 10.0
 """A caller that takes no byte of an answer for so long is given up."""
 
@@ -142,6 +152,7 @@
     in_flight: int = 0
     idle: anyio.Event = field(default_factory=anyio.Event)
     idle_scopes: set[anyio.CancelScope] = field(default_factory=set)
+    held: ByteBudget = field(default_factory=lambda: ByteBudget(HELD_BYTES))
 
     async def serve(self, address: Address) -> None:
         """Serve until cancelled."""
@@ -194,24 +205,30 @@
         self.ended = False
 
     async def run(self) -> None:
-        while True:
-            try:
-                request = await self._read_request()
-            except h11.RemoteProtocolError as error:
-                await self._reject(error.error_status_hint)
-                return
-            if request is None:
-                return
-            self.server.in_flight += 1
-            try:
-                usable = await self._handle(request)
-            finally:
-                self.server.in_flight -= 1
-                if not self.server.in_flight:
-                    self.server.idle.set()
-            if not usable:
-                return
+        usable = True
+        while usable:
+            with self.server.held.claim() as claim:
+                usable = await self._serve_one(claim)
+
+    async def _serve_one(self, claim: ByteClaim) -> bool:
+        """Read and handle one request; return whether the connection serves another."""
+        try:
+            request = await self._read_request(claim)
+        except h11.RemoteProtocolError as error:
+            await self._reject(error.error_status_hint)
+            return False
+        if request is None:
+            return False
+        self.server.in_flight += 1
+        try:
+            usable = await self._handle(request)
+        finally:
+            self.server.in_flight -= 1
+            if not self.server.in_flight:
+                self.server.idle.set()
+        if usable:
             self.protocol.start_next_cycle()
+        return usable
 
     async def _handle(self, request: CallerRequest) -> bool:
         """Handle a request while watching for its caller to leave; return whether to go on."""
@@ -239,11 +256,12 @@
                 handling.cancel()
                 return
 
-    async def _read_request(self) -> CallerRequest | None:
+    async def _read_request(self, claim: ByteClaim) -> CallerRequest | None:
         """Return the next whole request, or ``None`` once the connection is over."""
         limits = self.server.limits
         head: h11.Request | None = None
         body = bytearray()
+        parts = 0
         begun = False
         deadline = anyio.current_time() + limits.idle_timeout_s
         while True:
@@ -267,8 +285,11 @@
                     await self.stream.send(self.protocol.send(go_on) or b"")
             elif isinstance(event, h11.Data):
                 body += event.data
-                if len(body) > limits.body_bytes:
+                parts += 1
+                if len(body) > limits.body_bytes or parts > REQUEST_PARTS_MAX:
                     raise h11.RemoteProtocolError("the body is too large", 413)
+                if not claim.grow(len(event.data)):
+                    raise h11.RemoteProtocolError("too many bytes of bodies are held", 503)
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 return CallerRequest(_request_head(head), bytes(body))
             else:
@@ -297,7 +318,9 @@
         """Answer a malformed request, if its connection still takes an answer."""
         if self.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        headers = (("content-length", "0"), ("connection", "close"))
+        headers: Headers = (("content-length", "0"), ("connection", "close"))
+        if status == 503:
+            headers = (*headers, ("retry-after", f"{HELD_RETRY_S:.2f}"))
         response = h11.Response(status_code=status, headers=raw_headers(headers))
         try:
             data = self.protocol.send(response) or b""
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/kept_connection.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/kept_connection.py
@@ -12,6 +12,9 @@
 from bergamotchute_wire.http1_client import RECEIVE_BYTES, request_bytes
 from bergamotchute_wire.http1_messages import EndpointFailure, RequestHead
 
+ANSWER_BYTES_MAX = 1_048_576
+"""A longer answer is a failure; the longest, the counts of a rank's experts, takes some 20 kB."""
+
 CALL_ERRORS = (
     OSError,
     TimeoutError,
@@ -90,6 +93,8 @@
                 status = event.status_code
             elif isinstance(event, h11.Data):
                 body += event.data
+                if len(body) > ANSWER_BYTES_MAX:
+                    raise h11.RemoteProtocolError("the answer is too large")
             elif isinstance(event, h11.EndOfMessage):
                 return status, bytes(body)
             elif not isinstance(event, h11.InformationalResponse):
--- a/tests/daemon/test_control_process.py
+++ b/tests/daemon/test_control_process.py
@@ -5,13 +5,16 @@
 import anyio
 import pytest
 
+from bergamotchute_daemon.node_runner import NODES_PATH
 from bergamotchute_model.endpoint_heartbeat import EndpointPhase
+from bergamotchute_model.identifiers import Address
 from bergamotchute_model.node_messages import (
     ConfigurationVersion,
+    DepartureSeen,
     DeparturesRecorded,
     NodeMessage,
 )
-from support.control_group import ControlGroup, heartbeat, run_control
+from support.control_group import PORT, ControlGroup, heartbeat, host, run_control
 
 
 async def text_at(group: ControlGroup, number: int) -> tuple[int, bytes] | None:
@@ -105,6 +108,27 @@
     run_control(body)
 
 
+def test_a_departure_that_entries_saw_is_recorded_and_told_to_all() -> None:
+    """Load pattern: each entry passes on an answer of the endpoint that leaves."""
+
+    async def body(group: ControlGroup) -> None:
+        await group.found(3)
+        heard: list[NodeMessage] = []
+        dial = group.network.dial("entry-2", NODES_PATH)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(group.follow, 2, heard)
+            async with dial(Address(host(0), PORT)) as link:
+                for _ in range(5):
+                    await link.send(DepartureSeen("runner-1", 1000))
+                told = DeparturesRecorded((("runner-1", 1000),))
+                await group.until(lambda: told in heard)
+            tasks.cancel_scope.cancel()
+        replica = group.processes[0].voter.state.state
+        assert replica.departures.recorded == {"runner-1": 1000}
+
+    run_control(body)
+
+
 def test_a_process_that_is_gone_for_good_is_replaced_by_another() -> None:
     async def body(group: ControlGroup) -> None:
         await group.found(5)
--- a/tests/support/direct_path.py
+++ b/tests/support/direct_path.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 import anyio
@@ -137,6 +137,7 @@
         self.tasks = tasks
         self.arrivals: list[Arrival] = []
         self.closed: list[str] = []
+        self.left: list[EndpointHeartbeat] = []
         self.endpoints: list[EndpointHeartbeat] = []
         self.table: RoutingTable | None = RoutingTable(CONFIGURATION)
         self.placement = DirectPlacement("north", Random(1))
@@ -148,6 +149,7 @@
             placement=self.placement,
             slots=self.slots,
             endpoints=lambda _: self.endpoints,
+            on_leaving=self._on_leaving,
             random=Random(1),
             log=self.log,
             metrics=NodeMetrics(dict),
@@ -197,12 +199,29 @@
         self.endpoints.append(heartbeat)
         return heartbeat
 
+    def _on_leaving(self, endpoint: EndpointHeartbeat) -> None:
+        self.left.append(endpoint)
+        index = [each.endpoint for each in self.endpoints].index(endpoint.endpoint)
+        self.endpoints[index] = replace(endpoint, phase=EndpointPhase.LEAVING)
+
+    def restart(self, index: int) -> None:
+        """Begin a new life of an endpoint."""
+        before = self.endpoints[index]
+        born_ms = before.born_ms + 1
+        self.endpoints[index] = replace(before, born_ms=born_ms, phase=EndpointPhase.READY)
+
     async def ask(self, route: str, method: str = "POST", **headers: str) -> Got:
         """Send one request as a caller and read its answer to the end."""
         async with await anyio.connect_tcp(self.address.host, self.address.port) as stream:
             return await exchange(stream, route, method, **headers)
 
 
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait for what another task brings about; the test's own time limit ends a wait in vain."""
+    while not condition():  # noqa: ASYNC110 - what is awaited has no event of its own.
+        await anyio.sleep(0.01)
+
+
 async def exchange(stream: SocketStream, route: str, method: str = "POST", **headers: str) -> Got:
     """Send one request on a connection and read its answer."""
     protocol = h11.Connection(h11.CLIENT)
--- a/tests/wire/test_http1_server.py
+++ b/tests/wire/test_http1_server.py
@@ -13,6 +13,9 @@
 from bergamotchute_model.identifiers import Address
 from bergamotchute_wire.http1_server import AnswerWriter, CallerRequest, Http1Server, ServerLimits
 
+SENDS = 2_000
+"""Far more sends of 8 kB than what sockets and the server's bounds hold."""
+
 REQUEST = b"POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\nhi"
 
 
@@ -52,6 +55,11 @@
             return data
 
 
+async def send_often(stream: SocketStream, data: bytes) -> None:
+    for _ in range(SENDS):
+        await stream.send(data)
+
+
 async def echo(request: CallerRequest, writer: AnswerWriter) -> None:
     await writer.respond(200, (), request.body)
 
@@ -110,6 +118,54 @@
     serve(echo, body, ServerLimits(head_bytes=2_000, body_bytes=2_000))
 
 
+POST_CHUNKED = b"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("head", "endless"),
+    [
+        (b"", b"x" * 8_192),
+        (b"GET / HTTP/1.1\r\n", b"x-one: two\r\n" * 600),
+        (POST_CHUNKED + b"1;", b"x" * 8_192),
+        (POST_CHUNKED, b"1\r\nx\r\n" * 1_300),
+        (POST_CHUNKED + b"0\r\n", b"x-one: two\r\n" * 600),
+    ],
+    ids=["line", "headers", "chunk line", "small chunks", "trailers"],
+)
+def test_a_caller_that_sends_without_end_is_cut_off_and_others_are_served(
+    head: bytes, endless: bytes
+) -> None:
+    async def body(server: Http1Server, address: Address) -> None:
+        async with await connect(address) as stream, await connect(address) as other:
+            await stream.send(head)
+            with pytest.raises(anyio.BrokenResourceError):
+                await send_often(stream, endless)
+            await other.send(REQUEST)
+            assert (await other.receive()).startswith(b"HTTP/1.1 200")
+        assert server.held.held == 0
+
+    serve(echo, body)
+
+
+def test_bodies_share_one_bound_beyond_which_a_request_is_not_run() -> None:
+    async def body(server: Http1Server, address: Address) -> None:
+        server.held.limit = 1_000
+        begun = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 900\r\n\r\n" + b"x" * 800
+        async with await connect(address) as first:
+            await first.send(begun)
+            async with await connect(address) as second:
+                await second.send(begun)
+                answer = await read_all(second)
+                assert answer.startswith(b"HTTP/1.1 503 ")
+                assert b"retry-after: " in answer.lower()
+            await first.send(b"x" * 100)
+            assert (await first.receive()).startswith(b"HTTP/1.1 200")
+        while server.held.held:  # noqa: ASYNC110 - the budget has no event.
+            await anyio.sleep(0.01)
+
+    serve(echo, body)
+
+
 def test_an_answer_that_is_given_up_does_not_look_complete() -> None:
     async def breaks(_: CallerRequest, writer: AnswerWriter) -> None:
         await writer.start(200, ())
