Let a commander serve groups of 32 to 96 ranks

The commander weighed each step over all ranks, asked every rank every 50 ms whether it had copied, sent each of them the whole map (8 kB at 96 ranks, over 3 Mbit/s), and was sent all counts of all ranks five times a second (4 Mbit/s at 32 ranks, 23 Mbit/s at 96).

Change: weighed loads are kept and changed by step; planning gives way to other work after each step; maps go out as changes to one that the agent holds, whole where it doesn't; agents look at their rank closely while it copies or is armed and tell by themselves; ranks of large groups take turns in telling counts of one period each. A change copies as many experts as 0.15 s allow, not one: experts of large groups are small.

Ruled out: counts added up over a rank's turns, as old choices would pass for new ones.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/map_switch.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/map_switch.py
@@ -19,8 +19,11 @@
 from bergamotchute_model.node_messages import RankAction, RankStatus
 from bergamotchute_policy.even_map_planner import ExpertSets
 
-COPY_LOOK_S = 0.05
-"""How often ranks are asked whether their copies are complete; one expert takes 0.15 s."""
+COPY_LOOK_S = 0.02
+"""How often it is looked whether all ranks' copies are complete; one expert takes 0.02 to 0.15 s."""
+
+COPY_ASK_S = 0.3
+"""How often ranks are asked that have not told it by themselves, as their words may be lost."""
 
 COPY_BOUND_S = 4.0
 """Wait for copies; a plan is stale by then, as popular experts change about as often."""
@@ -61,6 +64,9 @@
     ) -> RankStatus | None:
         """Give an order; ``None`` when the rank's state behind it is unknown."""
 
+    def told(self, rank: int) -> RankStatus | None:
+        """Return the newest state of a rank that is known; ``None`` for none."""
+
 
 @dataclass(frozen=True)
 class MapSwitch:
@@ -111,20 +117,27 @@
         if not all(taken.values()):
             return False
         waiting = self.ranks
+        ask_at = anyio.current_time() + COPY_ASK_S
         with anyio.move_on_after(COPY_BOUND_S):
             while waiting:
                 await anyio.sleep(COPY_LOOK_S)
-                ready = await self._look(caller, waiting)
+                ready = {rank for rank in waiting if self._is_ready(caller.told(rank))}
+                if anyio.current_time() >= ask_at:
+                    ready |= await self._look(caller, waiting)
+                    ask_at = anyio.current_time() + COPY_ASK_S
                 waiting = tuple(rank for rank in waiting if rank not in ready)
         return not waiting
 
+    def _is_ready(self, status: RankStatus | None) -> bool:
+        return status is not None and status.prepared == self.version
+
     async def _look(self, caller: RankCaller, ranks: tuple[int, ...]) -> set[int]:
         """Return the ranks whose copies are complete."""
         ready: set[int] = set()
 
         async def look(rank: int) -> None:
             status = await caller.give(rank, RankAction.READ, 0, 0, ())
-            if status is not None and status.prepared == self.version:
+            if self._is_ready(status):
                 ready.add(rank)
 
         await _together([lambda rank=rank: look(rank) for rank in ranks])  # type: ignore[misc]
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 from anyio.abc import TaskGroup
@@ -25,17 +26,33 @@
     ConfigurationVersion,
     LoadsTold,
     NodeMessage,
+    RankAction,
     RankCounts,
     RankOrder,
     RankStatus,
 )
 from bergamotchute_model.whole_configuration import EngineFigures, WholeConfiguration
+from bergamotchute_policy.even_map_planner import ExpertSets
+from bergamotchute_policy.map_delta import changed_map
 from bergamotchute_wire.link import Link, LinkClosed
 from bergamotchute_wire.outbox import Outbox
 
 STATUS_S = 0.2
 """How often the rank's state and counts are read; both are free on the rank's own VM."""
 
+SWITCH_LOOK_S = 0.04
+"""How often the rank is looked at while it copies experts or is armed; each takes 20 ms or more."""
+
+SWITCH_WATCH_S = 2.0
+"""How long it is; a commander gives up a change that takes longer."""
+
+MAPS_KEPT = 3
+"""Maps that changes may be based on: those in use, under way and given up."""
+
+TOLD_NUMBERS_PER_S = 80_000.0
+"""Counts that all ranks of a group together tell their commander: below a third of a link of
+4 Mbit/s. Groups of 8 ranks tell all of theirs."""
+
 Commands = Callable[[CommanderAssigned], RankCommander]
 
 
@@ -64,6 +81,11 @@
     engine: EngineFigures | None = None
     newest: dict[Address, ConfigurationVersion] = field(default_factory=dict)
     commanding: anyio.CancelScope | None = None
+    rounds: int = 0
+    counts_round: int = -1
+    maps: dict[int, ExpertSets] = field(default_factory=dict)
+    watch_until: float = float("-inf")
+    watching: anyio.Event = field(default_factory=anyio.Event)
     _tasks: TaskGroup | None = field(default=None)
 
     async def run(self) -> None:
@@ -158,13 +180,27 @@
     async def _watch(self) -> None:
         """Read the rank's state and counts, and tell who commands it."""
         while True:
+            next_at = anyio.current_time() + STATUS_S
             try:
                 await self._read_status()
                 await self._read_counts()
                 self._note_silence("")
+                await self._watch_switch(next_at)
             except RankSilent as error:
                 self._note_silence(str(error))
-            await anyio.sleep(STATUS_S)
+            await anyio.sleep_until(next_at)
+            self.rounds += 1
+
+    async def _watch_switch(self, until: float) -> None:
+        """Look more often while the rank copies experts or is armed for a switch."""
+        while anyio.current_time() < until - SWITCH_LOOK_S:
+            if anyio.current_time() < self.watch_until:
+                await anyio.sleep(SWITCH_LOOK_S)
+                await self._read_status()
+                continue
+            self.watching = anyio.Event()
+            with anyio.move_on_after(until - anyio.current_time()):
+                await self.watching.wait()
 
     def _note_silence(self, detail: str) -> None:
         if bool(detail) != self.silent:
@@ -178,20 +214,40 @@
         if status is None:
             return
         self.slots.on_report(status.requests)
-        leader = self.links.leader
-        if leader is not None and (before is None or before.requests != status.requests):
+        if before is None or before.requests != status.requests:
             endpoint = self.gate.connection.address
-            self.links.post(leader, LoadsTold(((endpoint, status.requests),)))
+            self.links.post_any(LoadsTold(((endpoint, status.requests),)))
         if before is None or _place(before) != _place(status):
             for message in self.greeting():
                 self.links.post_all(message)
+        if _switch_state(before) != _switch_state(status):
+            self.watch_until = float("-inf")
+        elif not self._has_turn(self.rounds):
+            return
         if before != status and self.listener is not None:
             self.listener.post(status)
 
+    def _has_turn(self, round_number: int) -> bool:
+        """Return whether this rank tells its commander in a round.
+
+        Ranks of a large group take turns: their requests choose alike, and the commander's link and
+        processor would not carry the counts of all.
+        """
+        if self.status is None or self.counts is None:
+            return True
+        told_per_s = self.status.size * len(self.counts.counts) / STATUS_S
+        turns = max(1, math.ceil(told_per_s / TOLD_NUMBERS_PER_S))
+        return (round_number + self.status.rank) % turns == 0
+
     async def _read_counts(self) -> None:
-        """Tell the commander how often each expert was chosen since the last time."""
+        """Tell the commander how often each expert was chosen in the round that ends."""
+        if not self._has_turn(self.rounds) and not self._has_turn(self.rounds + 1):
+            return
         counts = await self.gate.counts()
         before, self.counts = self.counts, counts
+        before_round, self.counts_round = self.counts_round, self.rounds
+        if before_round != self.rounds - 1 or not self._has_turn(self.rounds):
+            return
         if before is None or len(before.counts) != len(counts.counts) or self.status is None:
             return
         chosen = tuple(now - then for now, then in zip(counts.counts, before.counts, strict=True))
@@ -221,13 +277,45 @@
             self.listener_fence = fence
 
     async def _carry_out(self, outbox: Outbox[NodeMessage], order: RankOrder) -> None:
+        whole = self._whole_order(order)
+        if whole is None:
+            if self.status is not None:
+                outbox.post(
+                    replace(self.status, order=order.order, accepted=False, base_missing=True)
+                )
+            return
         try:
-            status = await self.gate.give(order)
+            status = await self.gate.give(whole)
         except RankSilent as error:
             self._note_silence(str(error))
             return
-        if status is not None:
-            outbox.post(status)
+        if status is None:
+            return
+        outbox.post(status)
+        if order.action in (RankAction.PREPARE, RankAction.ARM) and status.accepted is not False:
+            self.watch_until = anyio.current_time() + SWITCH_WATCH_S
+            self.watching.set()
+
+    def _whole_order(self, order: RankOrder) -> RankOrder | None:
+        """Return an order with its whole map; ``None`` when what it is based on is not known."""
+        if order.action is not RankAction.PREPARE:
+            return order
+        if order.base:
+            base = self.maps.get(order.base)
+            if base is None:
+                return None
+            order = replace(order, experts=changed_map(base, order.changes))
+        self.maps[order.version] = order.experts
+        while len(self.maps) > MAPS_KEPT:
+            del self.maps[next(iter(self.maps))]
+        return order
+
+
+def _switch_state(status: RankStatus | None) -> tuple[object, ...]:
+    """Return what a commander waits for."""
+    if status is None:
+        return ()
+    return status.epoch, status.open, status.map_version, status.prepared, status.armed, status.held
 
 
 def _place(status: RankStatus) -> tuple[str, int, int, bool]:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_commander.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_commander.py
@@ -4,9 +4,10 @@
 
 from collections.abc import Callable, Iterable
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
+import anyio.lowlevel
 
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.ranks.map_switch import (
@@ -30,8 +31,9 @@
 )
 from bergamotchute_model.whole_configuration import EngineFigures
 from bergamotchute_policy.choice_popularity import ChoicePopularity
-from bergamotchute_policy.even_map_planner import ExpertSets, plan_even_map
+from bergamotchute_policy.even_map_planner import EvenMapPlanner, ExpertSets
 from bergamotchute_policy.map_change_choice import busyness, change_bounds, is_worth_changing
+from bergamotchute_policy.map_delta import map_changes
 from bergamotchute_policy.pass_pace import PassPace
 from bergamotchute_wire.link import Dial, DialFailed, Link, LinkClosed
 from bergamotchute_wire.outbox import Outbox, open_outbox
@@ -57,6 +59,12 @@
 
 RELINK_S = 0.2
 
+TELL_BOUND_S = 0.4
+"""Agents tell of a switch within this time, two of their looks; then their ranks are asked."""
+
+MAPS_KEPT = 8
+"""Maps on which changes may be based; agents keep fewer."""
+
 
 @dataclass
 class _Member:
@@ -64,6 +72,7 @@
 
     :param gate: calls the rank from here.
     :param mute_until: the rank is called past its agent until then, on the runtime's clock.
+    :param map_held: the version of the last map that its agent took from this commander.
     """
 
     place: GroupMember
@@ -71,6 +80,7 @@
     outbox: Outbox[NodeMessage] | None = None
     mute_until: float = float("-inf")
     status: RankStatus | None = None
+    map_held: int = 0
 
 
 @dataclass
@@ -95,6 +105,8 @@
     orders: int = 0
     changes: int = 0
     newest_version: int = 0
+    maps: dict[int, ExpertSets] = field(default_factory=dict)
+    unsettled_since: float | None = None
 
     async def run(self) -> None:
         """Command the group until cancelled."""
@@ -120,6 +132,7 @@
     async def _serve(self, member: _Member, link: Link[NodeMessage]) -> None:
         async with open_outbox(link) as outbox:
             member.outbox = outbox
+            member.map_held = 0
             outbox.post(self._next_order(RankAction.READ))
             try:
                 while True:
@@ -169,14 +182,20 @@
     ) -> RankStatus | None:
         """Give an order to a rank; ``None`` when its state behind it is unknown."""
         sent = experts if action is RankAction.PREPARE else ()
-        order = self._next_order(action, version, step, sent)
         member = self.members[rank]
         now = anyio.current_time()
         if member.outbox is not None and member.mute_until <= now:
+            order = self._shortened(member, action, version, step, sent)
             status = await self._give_linked(member, order)
+            if status is not None and status.base_missing:
+                order = self._next_order(action, version, step, sent)
+                status = await self._give_linked(member, order)
             if status is None:
                 member.mute_until = now + MUTE_S
+            elif sent:
+                member.map_held = version
             return status
+        order = self._next_order(action, version, step, sent)
         try:
             status = await member.gate.give(order)
         except RankSilent as error:
@@ -188,6 +207,20 @@
             self._note(member, status)
         return status
 
+    def _shortened(
+        self, member: _Member, action: RankAction, version: int, step: int, experts: ExpertSets
+    ) -> RankOrder:
+        """Return an order that says only what changed since the map that the agent holds."""
+        base = self.maps.get(member.map_held) if experts else None
+        if base is None:
+            return self._next_order(action, version, step, experts)
+        order = self._next_order(action, version, step)
+        return replace(order, base=member.map_held, changes=map_changes(base, experts))
+
+    def told(self, rank: int) -> RankStatus | None:
+        """Return what is known of a rank's state."""
+        return self.members[rank].status
+
     async def _give_linked(self, member: _Member, order: RankOrder) -> RankStatus | None:
         answered, answers = anyio.Event(), list[RankStatus]()
         self.waiting[order.order] = (answered, answers)
@@ -280,9 +313,14 @@
         """Know the map in use; return whether it is known and the same on all ranks."""
         versions = {status.map_version for status in statuses.values()}
         if len(versions) != 1 or any(status.armed for status in statuses.values()):
-            # The pass of a switch is to come, or has come since these ranks were asked.
-            await self._read_anew(statuses)
+            # The pass of a switch is to come, or has come; agents tell of it.
+            now = anyio.current_time()
+            if self.unsettled_since is None:
+                self.unsettled_since = now
+            if now - self.unsettled_since > TELL_BOUND_S:
+                await self._read_anew(statuses)
             return False
+        self.unsettled_since = None
         wanted = (self.epoch, versions.pop())
         if self.experts_of == wanted:
             return True
@@ -307,10 +345,17 @@
             return
         requests = sum(status.requests for status in statuses.values())
         busy = busyness(requests, len(statuses), engine)
-        plan = plan_even_map(self.experts, popularity, change_bounds(engine, busy))
+        planner = EvenMapPlanner(self.experts, popularity, change_bounds(engine, busy))
+        while planner.advance():
+            # The agent answers entries meanwhile.
+            await anyio.lowlevel.checkpoint()
+        plan = planner.plan()
         if not is_worth_changing(plan, busy):
             return
         self.newest_version += 1
+        self.maps[self.newest_version] = plan.experts
+        while len(self.maps) > MAPS_KEPT:
+            del self.maps[next(iter(self.maps))]
         ahead = self.pace.passes_ahead(SWITCH_S)
         switch = MapSwitch(self._own_last(statuses), self.newest_version, plan.experts, ahead)
         began_at = anyio.current_time()
--- a/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
@@ -152,13 +152,48 @@
     """The control VMs' link addresses.
 
     :param leading_term: the term that the sender leads; 0 while it does not lead.
+    :param current: whether the sender leads or has heard of a leader lately.
     """
 
     addresses: tuple[Address, ...]
     leading_term: int
+    current: bool = True
     kind: Literal["control_group"] = "control_group"
 
 
+@dataclass(frozen=True)
+class FollowLoads:
+    """An entry wants to be told the loads of endpoints by this control VM."""
+
+    kind: Literal["follow_loads"] = "follow_loads"
+
+
+@dataclass(frozen=True)
+class ControlPeer:
+    """A control VM tells another one of what it hears.
+
+    :param address: where links of the sender arrive.
+    """
+
+    address: Address
+    kind: Literal["control_peer"] = "control_peer"
+
+
+@dataclass(frozen=True)
+class NodesLinked:
+    """Entries and agents that are linked to the sender, a control VM.
+
+    :param gone: names of those that are not linked any more.
+    :param whole: whether these are all; else what changed.
+    """
+
+    entries: tuple[EntryState, ...]
+    agents: tuple[AgentState, ...]
+    gone: tuple[str, ...]
+    whole: bool
+    kind: Literal["nodes_linked"] = "nodes_linked"
+
+
 @dataclass(frozen=True)
 class RankCounts:
     """How often each expert was chosen by a rank's requests since the last message.
@@ -190,6 +225,7 @@
     :param order: number of the order that this answers; 0 for an unasked status.
     :param accepted: whether that order took effect or had before; ``None`` where the rank gave no
         answer, so that it may still be carried out.
+    :param base_missing: the order was not given, as the map that it is based on is not known here.
     :param detail: the rank's answer, for logs.
     :param experts: the experts of this rank by set, where they were asked for.
     """
@@ -209,6 +245,7 @@
     accepted: bool | None = None
     detail: str = ""
     experts: tuple[tuple[int, ...], ...] = ()
+    base_missing: bool = False
     kind: Literal["rank_status"] = "rank_status"
 
 
@@ -246,6 +283,9 @@
 
     :param order: number of this order, answered in :class:`RankStatus`.
     :param experts: for ``PREPARE``, the experts of every rank: by set, by rank.
+    :param base: for ``PREPARE``, the version that ``changes`` are based on in place of
+        ``experts``; 0 where the whole map is given.
+    :param changes: set, rank and the experts that it holds there in the new map.
     """
 
     order: int
@@ -255,6 +295,8 @@
     version: int = 0
     step: int = 0
     experts: tuple[tuple[tuple[int, ...], ...], ...] = ()
+    base: int = 0
+    changes: tuple[tuple[int, int, tuple[int, ...]], ...] = ()
     kind: Literal["rank_order"] = "rank_order"
 
 
@@ -306,6 +348,9 @@
     | DeparturesRecorded
     | DepartureSeen
     | ControlGroup
+    | ControlPeer
+    | NodesLinked
+    | FollowLoads
     | CommanderAssigned
     | RankPlaces
     | LoadsTold
--- a/packages/bergamotchute-model/src/bergamotchute_model/whole_configuration.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/whole_configuration.py
@@ -83,6 +83,7 @@
     :param placements: experts that a rank can hold in a set.
     :param spare: experts of a set that a rank can copy for one new map.
     :param expert_share: part of a token's work that its experts do.
+    :param expert_copy_s: how long a rank takes to copy one expert, in seconds.
     """
 
     slots: int
@@ -100,6 +101,7 @@
     placements: int = 0
     spare: int = 0
     expert_share: float = 0.0
+    expert_copy_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/even_map_planner.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/even_map_planner.py
@@ -77,26 +77,61 @@
 
     :param popularity: by set, for each expert; any unit.
     """
-    copies = [0] * len(present[0])
-    sets = [
-        _SetPlan(placed, popular, bounds, copies)
-        for placed, popular in zip(present, popularity, strict=True)
-    ]
-    steps = {index: plan.best_step() for index, plan in enumerate(sets)}
-    while True:
-        possible = {index: step for index, step in steps.items() if step is not None}
-        if not possible:
-            break
-        index = max(possible, key=lambda each: possible[each].gain)
-        sets[index].take(possible[index])
-        steps[index] = sets[index].best_step()
-        for other, step in steps.items():
-            if step is not None and not sets[other].allowed(step):
-                steps[other] = sets[other].best_step()
-    planned = tuple(plan.result() for plan in sets)
-    return EvenMapPlan(
-        planned, map_skew(present, popularity), map_skew(planned, popularity), sum(copies)
-    )
+    planner = EvenMapPlanner(present, popularity, bounds)
+    while planner.advance():
+        pass
+    return planner.plan()
+
+
+class EvenMapPlanner:
+    """Plans a map step by step, so that a process with other work can do that in between.
+
+    :param popularity: by set, for each expert; any unit.
+    """
+
+    def __init__(
+        self, present: ExpertSets, popularity: Sequence[Sequence[float]], bounds: PlannerBounds
+    ) -> None:
+        self.present = present
+        self.popularity = popularity
+        self._copies = [0] * len(present[0])
+        self._sets = [
+            _SetPlan(placed, popular, bounds, self._copies)
+            for placed, popular in zip(present, popularity, strict=True)
+        ]
+        self._unseen = list(range(len(self._sets)))
+        self._steps: dict[int, _Step] = {}
+
+    def advance(self) -> bool:
+        """Look at one set, or take the best step; return whether there is more to do."""
+        if self._unseen:
+            self._look(self._unseen.pop())
+            return True
+        if not self._steps:
+            return False
+        index = max(self._steps, key=lambda each: self._steps[each].gain)
+        self._sets[index].take(self._steps.pop(index))
+        self._unseen.append(index)
+        for other, step in list(self._steps.items()):
+            if not self._sets[other].allowed(step):
+                del self._steps[other]
+                self._unseen.append(other)
+        return True
+
+    def _look(self, index: int) -> None:
+        step = self._sets[index].best_step()
+        if step is not None:
+            self._steps[index] = step
+
+    def plan(self) -> EvenMapPlan:
+        """Return what is planned so far."""
+        planned = tuple(each.result() for each in self._sets)
+        return EvenMapPlan(
+            planned,
+            map_skew(self.present, self.popularity),
+            map_skew(planned, self.popularity),
+            sum(self._copies),
+        )
 
 
 @dataclass(frozen=True)
@@ -120,6 +155,8 @@
     """The plan of one set under way.
 
     :param copies: experts new to each rank so far, over all sets; shared by the sets.
+    :param mean: the mean rank's load, in which loads are weighed.
+    :param weight: sum of the weighed loads of all ranks, kept as steps are taken.
     """
 
     present: tuple[tuple[int, ...], ...]
@@ -130,6 +167,8 @@
     holders: dict[int, set[int]] = field(init=False)
     loads: list[float] = field(init=False)
     new_here: list[int] = field(init=False)
+    mean: float = field(init=False)
+    weight: float = field(init=False)
 
     def __post_init__(self) -> None:
         self.held = [set(experts) for experts in self.present]
@@ -139,6 +178,11 @@
                 self.holders.setdefault(expert, set()).add(rank)
         self.loads = _rank_loads(self.present, self.popularity)
         self.new_here = [0] * len(self.held)
+        self.mean = sum(self.loads) / len(self.loads) or 1.0
+        self.weight = sum(map(self._weight, self.loads))
+
+    def _weight(self, load: float) -> float:
+        return max(0.0, load / self.mean) ** SHARPNESS
 
     def result(self) -> tuple[tuple[int, ...], ...]:
         """Return the planned experts of each rank."""
@@ -196,25 +240,43 @@
         return min(spare, key=self._part, default=None)
 
     def _weigh(self, expert: int, rank: int, dropped: int | None, moved_from: int | None) -> _Step:
-        before = _norm(self.loads)
-        after = _norm(self._loads_after(expert, rank, dropped, moved_from))
-        return _Step(expert, rank, dropped, moved_from, before - after)
+        after = self.weight
+        for changed, load in self._loads_after(expert, rank, dropped, moved_from).items():
+            after += self._weight(load) - self._weight(self.loads[changed])
+        gain = self._norm(self.weight) - self._norm(after)
+        return _Step(expert, rank, dropped, moved_from, gain)
+
+    def _norm(self, weight: float) -> float:
+        return self.mean * float(max(0.0, weight) ** (1 / SHARPNESS))
 
     def _loads_after(
         self, expert: int, rank: int, dropped: int | None, moved_from: int | None
-    ) -> list[float]:
-        loads = list(self.loads)
+    ) -> dict[int, float]:
+        """Return the loads of the ranks that a step touches."""
+        loads: dict[int, float] = {}
         old = self.holders[expert]
         new = (old | {rank}) - ({moved_from} if moved_from is not None else set())
-        _shift(loads, self.popularity[expert], old, new)
+        self._shift(loads, self.popularity[expert], old, new)
         if dropped is not None:
             keeping = self.holders[dropped]
-            _shift(loads, self.popularity[dropped], keeping, keeping - {rank})
+            self._shift(loads, self.popularity[dropped], keeping, keeping - {rank})
         return loads
 
+    def _shift(
+        self, loads: dict[int, float], popularity: float, old: set[int], new: set[int]
+    ) -> None:
+        """Move an expert's tokens from its old holders to its new ones."""
+        for rank in old:
+            loads[rank] = loads.get(rank, self.loads[rank]) - popularity / len(old)
+        for rank in new:
+            loads[rank] = loads.get(rank, self.loads[rank]) + popularity / len(new)
+
     def take(self, step: _Step) -> None:
         """Carry out a step."""
-        self.loads = self._loads_after(step.expert, step.rank, step.dropped, step.moved_from)
+        after = self._loads_after(step.expert, step.rank, step.dropped, step.moved_from)
+        for rank, load in after.items():
+            self.weight += self._weight(load) - self._weight(self.loads[rank])
+            self.loads[rank] = load
         if self._is_copy(step.expert, step.rank):
             self.copies[step.rank] += 1
             self.new_here[step.rank] += 1
@@ -234,22 +296,6 @@
             self.new_here[rank] -= 1
 
 
-def _shift(loads: list[float], popularity: float, old: set[int], new: set[int]) -> None:
-    """Move an expert's tokens from its old holders to its new ones."""
-    for rank in old:
-        loads[rank] -= popularity / len(old)
-    for rank in new:
-        loads[rank] += popularity / len(new)
-
-
-def _norm(loads: Sequence[float]) -> float:
-    top = max(loads)
-    if top <= 0:
-        return 0.0
-    weighed = sum((max(0.0, load) / top) ** SHARPNESS for load in loads)
-    return float(top * weighed ** (1 / SHARPNESS))
-
-
 def _rank_loads(placed: Sequence[Sequence[int]], popularity: Sequence[float]) -> list[float]:
     holders: dict[int, int] = {}
     for experts in placed:
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/map_change_choice.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/map_change_choice.py
@@ -26,14 +26,18 @@
 On choices replayed from a crest, the busy figure saves a fifth of the copies for 0.2% of pass time.
 """
 
-BUSY_COPIES = 1
-CALM_COPIES = 5
-"""Experts that a rank copies for one change; each takes 0.15 s at the users' links.
+BUSY_COPYING_S = 0.15
+CALM_COPYING_S = 0.75
+"""How long a rank copies experts for one change; one takes 0.15 s in groups of 8 and 0.02 s in
+groups of 96, whose experts are smaller.
 
-The first copies bring most: on choices replayed from a crest, passes took 16% less time with many
-changes of one copy than with few of five. A calm group changes seldom.
+The first copies bring most: on choices replayed from a crest of 8 ranks, passes took 16% less time
+with many changes of one copy than with few of five. A calm group changes seldom.
 """
 
+COPIES_MAX = 12
+"""Experts that a rank copies for one change at the most; a plan takes time for each."""
+
 
 def busyness(requests: int, ranks: int, engine: EngineFigures) -> float:
     """Return how busy a group is, from 0 to 1.
@@ -48,11 +52,17 @@
     return PlannerBounds(
         placements=engine.placements,
         copies_per_set=engine.spare,
-        copies_per_rank=round(_between(CALM_COPIES, BUSY_COPIES, busy)),
+        copies_per_rank=_copies(engine, _between(CALM_COPYING_S, BUSY_COPYING_S, busy)),
         least_step_gain=_between(CALM_STEP_GAIN, BUSY_STEP_GAIN, busy),
     )
 
 
+def _copies(engine: EngineFigures, copying_s: float) -> int:
+    if engine.expert_copy_s <= 0:
+        return COPIES_MAX
+    return min(COPIES_MAX, max(1, round(copying_s / engine.expert_copy_s)))
+
+
 def is_worth_changing(plan: EvenMapPlan, busy: float) -> bool:
     """Return whether a planned change saves enough."""
     least_gain = _between(CALM_GAIN, BUSY_GAIN, busy)
--- a/tests/policy/test_map_change_choice.py
+++ b/tests/policy/test_map_change_choice.py
@@ -16,7 +16,7 @@
     plan_even_map,
 )
 from bergamotchute_policy.map_change_choice import (
-    CALM_COPIES,
+    COPIES_MAX,
     busyness,
     change_bounds,
     is_worth_changing,
@@ -25,7 +25,22 @@
 from support.expert_demand import EXPERTS, RANKS, SETS, skewed_demand, turned_demand
 
 ENGINE = EngineFigures(
-    6, 247_000, 0.005, 0.0007, 2e-8, 75_000.0, 512, 6, 835.0, 159.0, SETS, EXPERTS, 11, 4, 0.85
+    6,
+    247_000,
+    0.005,
+    0.0007,
+    2e-8,
+    75_000.0,
+    512,
+    6,
+    835.0,
+    159.0,
+    SETS,
+    EXPERTS,
+    11,
+    4,
+    0.85,
+    0.15,
 )
 TURN_S = 4.0
 COPY_S = 0.15
@@ -74,10 +89,19 @@
 def test_at_a_crest_many_small_changes_beat_few_large_ones(seed: int) -> None:
     """Load pattern: two thirds of the demand turn every four seconds in a busy group."""
     small = change_bounds(ENGINE, busy=1.0)
-    large = replace(small, copies_per_rank=CALM_COPIES)
+    large = change_bounds(ENGINE, busy=0.0)
+    assert (small.copies_per_rank, large.copies_per_rank) == (1, 5)
+    large = replace(small, copies_per_rank=large.copies_per_rank)
     assert _mean_pass(seed, small) < 0.95 * _mean_pass(seed, large)
 
 
+def test_a_group_of_small_experts_copies_more_of_them_at_once() -> None:
+    """Load pattern: 96 ranks whose experts take 18 ms each; a change of one would bring little."""
+    engine = replace(ENGINE, expert_copy_s=0.018)
+    assert change_bounds(engine, busy=1.0).copies_per_rank == 8
+    assert change_bounds(engine, busy=0.0).copies_per_rank == COPIES_MAX
+
+
 def test_a_calm_group_changes_only_for_much() -> None:
     demand = skewed_demand(Random(1))
     present = first_map(SETS, RANKS, EXPERTS)
--- /dev/null
+++ b/tests/policy/test_map_delta.py
@@ -0,0 +1,36 @@
+"""Changes of a map turn the one that a rank holds into the planned one."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from bergamotchute_policy.even_map_planner import PlannerBounds, first_map, plan_even_map
+from bergamotchute_policy.map_delta import changed_map, map_changes
+
+
+def _demand(random: Random, sets: int, experts: int) -> list[list[float]]:
+    return [[random.paretovariate(1.2) for _ in range(experts)] for _ in range(sets)]
+
+
+@pytest.mark.parametrize(
+    ("sets", "ranks", "experts", "placements"), [(6, 8, 64, 11), (12, 32, 128, 5), (16, 96, 192, 3)]
+)
+def test_changes_lead_to_the_planned_map_and_are_few(
+    sets: int, ranks: int, experts: int, placements: int
+) -> None:
+    random = Random(ranks)
+    bounds = PlannerBounds(placements, 2, 2, 3e-3)
+    held = first_map(sets, ranks, experts)
+    for _ in range(4):
+        planned = plan_even_map(held, _demand(random, sets, experts), bounds).experts
+        changes = map_changes(held, planned)
+        assert changed_map(held, changes) == planned
+        assert 0 < len(changes) < sets * ranks
+        held = planned
+
+
+def test_changes_of_a_map_of_another_size_are_refused() -> None:
+    with pytest.raises(IndexError):
+        changed_map(first_map(1, 2, 4), ((0, 5, (1,)),))
--- a/tests/ranks/test_map_switch.py
+++ b/tests/ranks/test_map_switch.py
@@ -98,6 +98,9 @@
         await anyio.sleep(2 + 10 * self.random.random())
         self._carry_out(rank, action, version, step, fence)
 
+    def told(self, rank: int) -> RankStatus | None:
+        return None
+
     async def give(
         self, rank: int, action: RankAction, version: int, step: int, experts: ExpertSets
     ) -> RankStatus | None:
