Use a part of a large service at each entry

Cause: 97 entries before 192 endpoints linked to all agents, 18,624 links, 64 of them at once and the same 64 everywhere; each answer to a request weighed all endpoints.

Change: an entry uses 24 endpoints of a service, three quarters near, by a hash of both names, and all while none of these is sound. Services of up to 24 endpoints stay as they are.

Ruled out: parts from a ring of entries, as in the product's own path: entries aren't told of each other here.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_runner.py
@@ -235,6 +235,7 @@
                     refusals = len(search.refused)
                     return _Placed(wish.candidate, told.reservation, refusals, told.waited_s)
                 told.reservation.release()
+                search.on_refused(wish)
                 continue
             if wish.queue:
                 self._turn_away(request, told.requests / max(1, endpoint.slots), told.waited_s)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/slot_reservations.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/slot_reservations.py
@@ -33,9 +33,9 @@
 RECONNECT_MAX_S = 1.0
 """Longest wait between tries to reach an agent."""
 
-EAGER_LINKS = 64
-"""Agents that are linked as soon as they are known, so that the first requests after an outage are
-counted; a fleet with more of them is linked where a request needs it."""
+UNUSED_S = 10.0
+"""How long after its last question a lost link to an agent outside of this entry's part is opened
+again; a request that needs it later opens it too."""
 
 
 @dataclass
@@ -43,11 +43,13 @@
     """The link to one agent.
 
     :param silent_until: it is not asked until then, on the runtime's clock.
+    :param asked_at: when it was asked last.
     :param answers: where the answers to each question go.
     """
 
     outbox: Outbox[NodeMessage] | None = None
     silent_until: float = float("-inf")
+    asked_at: float = float("-inf")
     answers: dict[int, MemoryObjectSendStream[SlotAnswer]] = field(default_factory=dict)
 
 
@@ -95,15 +97,19 @@
 
 @dataclass
 class SlotReservations:
-    """Asks agents for slots, over one link to each that was needed so far.
+    """Asks agents for slots, over links to those of this entry's part and to others as needed.
+
+    The part is linked as soon as it is known, so that the first requests after an outage are counted.
 
     :param agents: the agent beside the endpoint at an address.
+    :param used: the endpoints of this entry's part.
     """
 
     dial: Dial[NodeMessage]
     random: Random
     log: EventLog
     agents: dict[Address, Address] = field(default_factory=dict)
+    used: frozenset[Address] = frozenset()
     links: dict[Address, _AgentLink] = field(default_factory=dict)
     asked: int = 0
     _tasks: TaskGroup | None = None
@@ -119,9 +125,15 @@
     def on_agent(self, endpoint: Address, agent: Address) -> None:
         """Note the agent beside an endpoint."""
         self.agents[endpoint] = agent
-        if len(self.links) < EAGER_LINKS:
+        if endpoint in self.used:
             self._link(agent)
 
+    def use(self, endpoints: frozenset[Address]) -> None:
+        """Link to the agents beside these endpoints."""
+        self.used = endpoints
+        for endpoint in endpoints & self.agents.keys():
+            self._link(self.agents[endpoint])
+
     async def reserve(self, endpoint: Address, question: SlotQuestion) -> SlotTold | None:
         """Ask for a slot, and wait for it if need be.
 
@@ -136,6 +148,7 @@
         if outbox is None or link.silent_until > now:
             return None
         self.asked += 1
+        link.asked_at = now
         number = self.asked
         sender, receiver = anyio.create_memory_object_stream[SlotAnswer](2)
         link.answers[number] = sender
@@ -174,9 +187,9 @@
         return link
 
     async def _keep(self, agent: Address, link: _AgentLink) -> None:
-        """Keep the link to an agent as long as an endpoint stands beside it."""
+        """Keep the link to an agent as long as it may be asked."""
         backoff = Backoff(self.random, max_s=RECONNECT_MAX_S)
-        while agent in self.agents.values():
+        while self._is_wanted(agent, link):
             with suppress(DialFailed, LinkClosed):
                 async with self.dial(agent) as opened:
                     backoff.reset()
@@ -184,6 +197,11 @@
             await anyio.sleep(backoff.next_delay())
         del self.links[agent]
 
+    def _is_wanted(self, agent: Address, link: _AgentLink) -> bool:
+        beside = {endpoint for endpoint, each in self.agents.items() if each == agent}
+        recently = anyio.current_time() - link.asked_at < UNUSED_S
+        return bool(beside & self.used) or (bool(beside) and recently)
+
     async def _serve(self, link: _AgentLink, opened: Link[NodeMessage]) -> None:
         async with open_outbox(opened) as outbox:
             link.outbox = outbox
--- /dev/null
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/endpoint_subset.py
@@ -0,0 +1,47 @@
+"""Which endpoints of a large service an entry sends to.
+
+Load pattern: 97 entries before 192 endpoints. An entry that uses all of them keeps 192 links, and each
+endpoint's agent 97, which cost more than the requests. A part is enough to find a free slot: the
+parts of different entries overlap, so that the load of each spreads over all.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+from xxhash import xxh3_64_intdigest
+
+from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
+
+SUBSET = 24
+"""Endpoints of a service that an entry uses. Twelve entries share each at the size above, and a free
+slot is among 24 with 99.9% while a quarter of the endpoints have one."""
+
+NEAR_PART = 0.75
+"""Part of them that is of the entry's own availability zone, where there are as many."""
+
+
+def choose_subset(
+    entry: str, availability_zone: str, endpoints: Sequence[EndpointHeartbeat], size: int = SUBSET
+) -> list[EndpointHeartbeat]:
+    """Return the endpoints that an entry uses, all of a small service.
+
+    They are chosen by a hash of both names, so one that comes or goes changes one of them.
+
+    :param availability_zone: the entry's own.
+    """
+    if len(endpoints) <= size:
+        return list(endpoints)
+    near = [each for each in endpoints if each.availability_zone == availability_zone]
+    far = [each for each in endpoints if each.availability_zone != availability_zone]
+    near_size = min(len(near), max(round(size * NEAR_PART), size - len(far)))
+    return _lowest(entry, near, near_size) + _lowest(entry, far, size - near_size)
+
+
+def _lowest(
+    entry: str, endpoints: Iterable[EndpointHeartbeat], size: int
+) -> list[EndpointHeartbeat]:
+    def order(endpoint: EndpointHeartbeat) -> tuple[int, str]:
+        return xxh3_64_intdigest(f"{entry} {endpoint.endpoint}".encode()), endpoint.endpoint
+
+    return sorted(endpoints, key=order)[:size]
--- a/tests/direct/test_direct_entry.py
+++ b/tests/direct/test_direct_entry.py
@@ -13,6 +13,7 @@
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.node_composition_root import NodeEnvironment, compose_direct_entry
 from bergamotchute_daemon.node_settings import ListenSettings, NodeSettings
+from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat, EndpointPhase
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.node_messages import (
     AskConfiguration,
@@ -24,6 +25,7 @@
     NodeMessage,
 )
 from bergamotchute_platform.request_format import DIALECT
+from bergamotchute_policy.endpoint_subset import SUBSET
 from bergamotchute_wire.http1_messages import RequestHead
 from bergamotchute_wire.http1_server import CallerRequest
 from support.control_group import heartbeat
@@ -160,6 +162,37 @@
     run_entry(body)
 
 
+def _heartbeats(count: int, phase: EndpointPhase) -> tuple[EndpointHeartbeat, ...]:
+    return tuple(
+        EndpointHeartbeat(
+            f"runner-{number}",
+            1000,
+            1 if phase is EndpointPhase.READY else 2,
+            "model",
+            Address(f"10.1.0.{number}", 80),
+            "north",
+            6,
+            phase,
+        )
+        for number in range(count)
+    )
+
+
+def test_an_entry_uses_a_part_of_a_large_service_and_all_while_that_part_is_lost() -> None:
+    async def body(entry: DirectEntry, _: list[NodeMessage]) -> None:
+        entry.on_message(CONTROL, HeartbeatsHeard(_heartbeats(60, EndpointPhase.READY)))
+        part = entry.endpoints("model")
+        assert len(part) == SUBSET
+        names = {each.endpoint for each in part}
+        quiet = [each for each in _heartbeats(60, EndpointPhase.QUIET) if each.endpoint in names]
+        entry.on_message(CONTROL, HeartbeatsHeard(tuple(quiet)))
+        chosen = entry.runner.placement.choose(entry.endpoints("model"), (), 0.0)
+        assert chosen is not None
+        assert chosen.heartbeat.endpoint not in names
+
+    run_entry(body)
+
+
 def test_a_departure_takes_an_endpoint_out_at_once() -> None:
     async def body(entry: DirectEntry, _: list[NodeMessage]) -> None:
         entry.on_message(CONTROL, HeartbeatsHeard((heartbeat(1),)))
--- a/tests/direct/test_slot_reservations.py
+++ b/tests/direct/test_slot_reservations.py
@@ -29,6 +29,7 @@
     keeper = SlotKeeper()
     address = Address(f"10.0.0.{number}", 7000)
     path.network.serve(f"agent-{number}", address, "/slots", keeper.serve)
+    path.slots.use(path.slots.used | {endpoint.address})
     path.slots.on_agent(endpoint.address, address)
     while path.slots.links[address].outbox is None:
         await anyio.lowlevel.checkpoint()
