Confirm followers together, and link them to one control VM until the group is complete

The leader lost its quorum and no configuration was acknowledged.

Change: one question to the log serves all followers that wait; a follower has one parent until the members it hears of stayed the same for 2 s; it waits 2 s at its first seed before it tries another; only links of followers take turns, fifty a second.

Ruled out: more links at once, as the openings took all of the processor.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_links.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_links.py
@@ -9,13 +9,23 @@
 from bergamotchute_daemon.link_set import LinkSet, Receive
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.node_messages import ControlGroup, FollowLoads, NodeMessage
-from bergamotchute_policy.control_parents import ParentHealth, choose_parents, parent_order
+from bergamotchute_policy.control_parents import (
+    PARENTS,
+    ParentHealth,
+    choose_parents,
+    parent_order,
+)
 
 OPENING_S = 1.0
 """How long a link may take to open before another control VM stands in; a dial takes milliseconds."""
 
-FIRST_OPENING_S = 0.4
-"""The same while no control VM is linked: nothing can be done without one."""
+FIRST_OPENING_S = 2.0
+"""The same for the first link. Hundreds of processes that start together wait this long at the few
+seeds, and each that tries the next seed too makes the others wait longer."""
+
+SETTLED_S = 2.0
+"""A group of control VMs that has named the same members for so long is complete: one that founds
+itself takes in a member a second, and until then all followers would crowd on the first ones."""
 
 LOOK_S = 0.2
 """How often the choice of parents is looked at."""
@@ -32,6 +42,8 @@
     :param wants_loads: whether one of them shall tell the loads of endpoints.
     :param named: what each linked control VM said last of the group.
     :param known: the newest members that any of them named.
+    :param known_at: when these last changed, on the runtime's clock.
+    :param settled: whether they stayed the same for :data:`SETTLED_S` once.
     :param loads_from: which one tells the loads.
     """
 
@@ -42,6 +54,8 @@
     wants_loads: bool = False
     named: dict[Address, ControlGroup] = field(default_factory=dict)
     known: frozenset[Address] = frozenset()
+    known_at: float = 0.0
+    settled: bool = False
     loads_from: Address | None = None
 
     def __post_init__(self) -> None:
@@ -83,10 +97,10 @@
             order += [seed for seed in parent_order(self.name, self.seeds) if seed not in order]
         opening_s = OPENING_S if self.links.outboxes else FIRST_OPENING_S
         now = anyio.current_time()
-        # One is enough to learn the group's members, of which the parents are chosen.
-        options = {} if self.known else {"count": 1}
+        self.settled = self.settled or (bool(self.known) and now - self.known_at >= SETTLED_S)
+        count = PARENTS if self.settled else 1
         self.links.want(
-            choose_parents(order, lambda each: self._health(each, now, opening_s), **options)
+            choose_parents(order, lambda each: self._health(each, now, opening_s), count)
         )
         self._choose_loads()
 
@@ -111,13 +125,11 @@
 
     def _take(self, address: Address, message: NodeMessage) -> None:
         if isinstance(message, ControlGroup):
-            first = not self.known
             self.named[address] = message
-            named = {each for group in self.named.values() for each in group.addresses}
-            if named:
-                self.known = frozenset(named)
-            if first and self.known:
-                self._look()
+            named = frozenset(each for group in self.named.values() for each in group.addresses)
+            if named and named != self.known:
+                self.known = named
+                self.known_at = anyio.current_time()
         self.on_message(address, message)
 
     def _on_closed(self, address: Address) -> None:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
@@ -54,6 +54,7 @@
             tasks.start_soon(self.voter.run)
             tasks.start_soon(self._look)
             tasks.start_soon(self.hub.peers.run)
+            tasks.start_soon(self.hub.confirm_followers)
             tasks.start_soon(self._tell)
 
     async def _tell(self) -> None:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -102,6 +102,7 @@
     loads: dict[Address, int] = field(default_factory=dict)
     loads_of_peers: dict[Address, int] = field(default_factory=dict)
     recording: set[tuple[str, int]] = field(default_factory=set)
+    unconfirmed: anyio.Event = field(default_factory=anyio.Event)
 
     def __post_init__(self) -> None:
         self.peers.greeting = self._greet_peer
@@ -124,8 +125,6 @@
                 with suppress(LinkClosed):
                     while True:
                         message = await link.receive()
-                        if follower.node is None and isinstance(message, EntryState | AgentState):
-                            tasks.start_soon(self._confirm, follower)
                         if isinstance(message, DepartureSeen):
                             tasks.start_soon(self._on_departure_seen, message)
                         else:
@@ -146,18 +145,28 @@
                 self.table.on_hearer_lost(follower.peer, anyio.current_time())
         self.log.emit(events.LINK_CLOSED, peer=peer)
 
-    async def _confirm(self, follower: Follower) -> None:
-        """Tell a follower what is in force, once a quorum confirmed that it is the newest."""
-        while not follower.confirmed:
+    async def confirm_followers(self) -> None:
+        """Tell new followers what is in force, once a quorum confirmed that it is the newest.
+
+        One question to the log serves all that wait for it: while there is no leader, hundreds of
+        questions would keep one from being elected.
+        """
+        while True:
+            await self.unconfirmed.wait()
+            self.unconfirmed = anyio.Event()
+            waiting = [each for each in self.followers if each.node and not each.confirmed]
             try:
                 await self.control.confirm(CONFIRM_S)
             except ControlUnavailable:
+                self.unconfirmed.set()
                 continue
-            follower.confirmed = True
-            if isinstance(follower.node, EntryState):
-                departures = self.voter.state.state.departures.recorded
-                follower.outbox.post(DeparturesRecorded(tuple(departures.items())))
-            self._tell_version(follower)
+            departures = self.voter.state.state.departures.recorded
+            recorded = DeparturesRecorded(tuple(departures.items()))
+            for follower in waiting:
+                follower.confirmed = True
+                if isinstance(follower.node, EntryState):
+                    follower.outbox.post(recorded)
+                self._tell_version(follower)
 
     def _on_message(self, follower: Follower, message: NodeMessage) -> None:
         match message:
@@ -190,6 +199,7 @@
         follower.node = node
         self.nodes.on_own(follower, node)
         if is_new:
+            self.unconfirmed.set()
             self.log.emit(events.LINK_OPENED, peer=node.name)
         if isinstance(node, EntryState):
             if is_new:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_runner.py
@@ -8,7 +8,6 @@
 import time
 import uuid
 from collections.abc import Awaitable, Callable
-from functools import partial
 from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING
@@ -58,9 +57,10 @@
 NODE_TIMING = LinkTiming(heartbeat_s=0.4, quiet_s=0.35, mute_s=1.3)
 """A frozen commander may hold its rank group: it must be replaced within two seconds."""
 
-LINK_PAUSE_S = 0.01
-"""Time between links that a control VM opens: a hundred a second leave half of its processor to the
-log and to endpoints when hundreds of processes start together."""
+LINK_PAUSE_S = 0.02
+"""Time between links of followers that a control VM opens. An opening takes 5 ms of a processor that
+has a third of a core: so many a second leave a part of it to the log and to endpoints when hundreds
+of processes start together."""
 
 EXIT_ENDED = 0
 EXIT_SETTINGS = 2
@@ -149,12 +149,11 @@
     process = compose_control(settings, FileDisk(folder), dial_consensus, environment)
     environment.log.emit(events.PROCESS_STARTED, listen=settings.listen.control)
     routes = {
-        NODES_PATH: LinkRoute(NODE_CODEC, process.hub.serve),
+        NODES_PATH: LinkRoute(NODE_CODEC, process.hub.serve, LINK_PAUSE_S),
         CONSENSUS_PATH: LinkRoute(CONSENSUS_CODEC, process.voter.serve_peer),
     }
     async with anyio.create_task_group() as tasks:
-        serve_links = partial(serve_web_socket_links, pause_s=LINK_PAUSE_S)
-        tasks.start_soon(serve_links, settings.link_address, routes, "", NODE_TIMING)
+        tasks.start_soon(serve_web_socket_links, settings.link_address, routes, "", NODE_TIMING)
         tasks.start_soon(process.run)
         _serve_metrics(tasks, settings, NodeMetrics(process.gauges))
         control = Http1Server(control_handler(process))
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/web_socket_transport.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/web_socket_transport.py
@@ -6,7 +6,7 @@
 import logging
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
 import anyio
@@ -43,10 +43,19 @@
 
     :param codec: the messages that pass.
     :param handler: serves one link until it returns.
+    :param pause_s: time between the openings of two links of this kind, in seconds, for other work.
     """
 
     codec: MessageCodec[Any]
     handler: LinkHandler[Any]
+    pause_s: float = 0.0
+    turn: anyio.Lock = field(default_factory=anyio.Lock)
+
+    async def wait_for_turn(self) -> None:
+        """Wait until a link of this kind may open."""
+        if self.pause_s:
+            async with self.turn:
+                await anyio.sleep(self.pause_s)
 
 
 def web_socket_dial(
@@ -132,7 +141,6 @@
     timing: LinkTiming = LinkTiming(),  # noqa: B008 - it is frozen.
     *,
     on_listening: Callable[[], Awaitable[None]] | None = None,
-    pause_s: float = 0.0,
 ) -> None:
     """Accept links until cancelled.
 
@@ -140,19 +148,12 @@
     :param routes: what to accept, by path.
     :param cluster_token: the secret that a peer must present.
     :param on_listening: told once connections are accepted.
-    :param pause_s: time between the openings of two links, in seconds, for other work.
     """
-    turn = anyio.Lock()
-
-    async def wait_for_turn() -> None:
-        if pause_s:
-            async with turn:
-                await anyio.sleep(pause_s)
 
     async def accept(stream: SocketStream) -> None:
         async with stream:
             try:
-                await _serve_stream(stream, routes, cluster_token, timing, wait_for_turn)
+                await _serve_stream(stream, routes, cluster_token, timing)
             except Exception:
                 # One link's fault must not end the others.
                 _logger.exception("serving a link failed")
@@ -171,14 +172,14 @@
     routes: Mapping[str, LinkRoute],
     cluster_token: str,
     timing: LinkTiming,
-    wait_for_turn: Callable[[], Awaitable[None]],
 ) -> None:
     """Shake hands with one peer and serve its link."""
     protocol = ServerProtocol(max_size=MAX_MESSAGE_BYTES)
     try:
         with anyio.fail_after(HANDSHAKE_S):
             request = await _read_request(stream, protocol)
-            await wait_for_turn()
+            if request is not None and request.path in routes:
+                await routes[request.path].wait_for_turn()
             response = _respond(protocol, request, routes, cluster_token)
             protocol.send_response(response)
             await stream.send(b"".join(protocol.data_to_send()))
