Let requests wait by priority, and by the pace at which slots become free

Waits were as long as an engine of the usual pace allows, so after a turn of the demand or a stall requests were refused late, after up to 1.75 s.

Change: WaitingLine in policy. Urgent requests go first among those that can be in time, then among late ones; each fourth slot goes to the longest wait of the less urgent; these may take half of the line, and the last of them makes room in a full one, told at once. The time between slots is measured while someone waits, and who can't begin before its caller leaves is turned away as that shows.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_runner.py
@@ -223,7 +223,7 @@
             if wish is None:
                 return None
             endpoint = wish.candidate.heartbeat
-            question = SlotQuestion(wish.most, wish.queue, due_at, wait_until)
+            question = SlotQuestion(wish.most, wish.queue, due_at, wait_until, request.priority)
             told = await self.slots.reserve(endpoint.address, question)
             if told is None:
                 if not progress.tries and self.placement.has_too_much(wish.candidate, engine):
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/slot_reservations.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/slot_reservations.py
@@ -87,12 +87,14 @@
     :param queue: it waits for the slot if fewer others do.
     :param due_at: when it must have its slot to be in time, on the runtime's clock.
     :param wait_until: when it stops waiting.
+    :param priority: 0 is the most urgent.
     """
 
     most: int
     queue: int
     due_at: float
     wait_until: float
+    priority: int = 0
 
 
 @dataclass
@@ -153,7 +155,14 @@
         sender, receiver = anyio.create_memory_object_stream[SlotAnswer](2)
         link.answers[number] = sender
         outbox.post(
-            ReserveSlot(number, question.most, question.queue, round(question.due_at - now, 3))
+            ReserveSlot(
+                number,
+                question.most,
+                question.queue,
+                round(question.due_at - now, 3),
+                question.priority,
+                round(question.wait_until - now, 3),
+            )
         )
         reservation: Reservation | None = None
         try:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/slot_keeper.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/slot_keeper.py
@@ -14,6 +14,7 @@
     SlotState,
 )
 from bergamotchute_policy.slot_ledger import SlotLedger
+from bergamotchute_policy.waiting_line import WaitingRequest
 from bergamotchute_wire.link import Link
 from bergamotchute_wire.outbox import Outbox, open_outbox
 
@@ -41,10 +42,19 @@
 
     def _take(self, outbox: Outbox[NodeMessage], message: NodeMessage) -> None:
         if isinstance(message, ReserveSlot):
-            requests = self.ledger.requests + len(self.ledger.waiting)
-            due_at = anyio.current_time() + message.due_s
-            state = self.ledger.reserve(outbox, message.number, message.most, message.queue, due_at)
+            requests = self.ledger.requests + len(self.ledger.line)
+            now = anyio.current_time()
+            request = WaitingRequest(
+                outbox,
+                message.number,
+                message.most,
+                now + message.due_s,
+                message.priority,
+                now + message.patience_s,
+            )
+            state = self.ledger.reserve(request, message.queue, now)
             outbox.post(SlotAnswer(message.number, state, requests))
+            self._serve_waiting()
         elif isinstance(message, ReleaseSlot):
             self.ledger.release(outbox, message.number)
             self._serve_waiting()
@@ -52,6 +62,12 @@
     def _serve_waiting(self) -> None:
         now = anyio.current_time()
         while (served := self.ledger.next_reserved(now)) is not None:
-            requests = self.ledger.requests - 1 + len(self.ledger.waiting)
-            assert isinstance(served.holder, Outbox)
-            served.holder.post(SlotAnswer(served.number, SlotState.RESERVED, requests))
+            self._tell(served, SlotState.RESERVED, self.ledger.requests - 1)
+        for turned_away in self.ledger.take_turned_away(now):
+            self._tell(turned_away, SlotState.REFUSED, self.ledger.requests)
+
+    def _tell(self, request: WaitingRequest, state: SlotState, others: int) -> None:
+        """Tell an entry how the wait of its request ended."""
+        assert isinstance(request.holder, Outbox)
+        requests = others + len(self.ledger.line)
+        request.holder.post(SlotAnswer(request.number, state, requests))
--- a/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
@@ -308,12 +308,16 @@
     :param most: requests there with which the slot is still wanted.
     :param queue: the request waits for a slot if fewer others do.
     :param due_s: in how many seconds it must begin to be in time; below zero for a late one.
+    :param priority: 0 is the most urgent.
+    :param patience_s: in how many seconds it must have begun, as its caller leaves.
     """
 
     number: int
     most: int
     queue: int
     due_s: float
+    priority: int
+    patience_s: float
     kind: Literal["reserve_slot"] = "reserve_slot"
 
 
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/slot_ledger.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/slot_ledger.py
@@ -3,10 +3,6 @@
 Load pattern: many entries send to few endpoints at a crest. Each picks the endpoint that seemed
 emptiest a moment ago, so several pick the same one and their requests wait there while another has
 free slots. Only one count beside the endpoint sees all of them in time.
-
-After an outage more comes than the engines can do. Served in order of arrival, all of it would be
-late. So requests that can still begin in time go first, those due soonest before others; what is
-late already gets the slots that are left, in order of arrival.
 """
 
 from __future__ import annotations
@@ -15,20 +11,7 @@
 from dataclasses import dataclass, field
 
 from bergamotchute_model.node_messages import SlotState
-
-
-@dataclass(frozen=True)
-class WaitingRequest:
-    """A request that waits for a slot.
-
-    :param most: requests at the endpoint with which it takes a slot.
-    :param due_at: when it should begin at the latest to be in time, on the runtime's clock.
-    """
-
-    holder: Hashable
-    number: int
-    most: int
-    due_at: float
+from bergamotchute_policy.waiting_line import WaitingLine, WaitingRequest
 
 
 @dataclass
@@ -40,12 +23,14 @@
 
     :param reserved: the reservations of each holder, by number.
     :param others: requests that the endpoint reported and nobody here reserved.
-    :param waiting: in order of arrival.
+    :param line: who waits.
+    :param turned_away: who waited and is to be told that it gets no slot.
     """
 
     reserved: dict[Hashable, set[int]] = field(default_factory=dict)
     others: int = 0
-    waiting: list[WaitingRequest] = field(default_factory=list)
+    line: WaitingLine = field(default_factory=WaitingLine)
+    turned_away: list[WaitingRequest] = field(default_factory=list)
 
     @property
     def requests(self) -> int:
@@ -55,47 +40,45 @@
     def _reserved(self) -> int:
         return sum(len(numbers) for numbers in self.reserved.values())
 
-    def reserve(
-        self, holder: Hashable, number: int, most: int, queue: int = 0, due_at: float = 0.0
-    ) -> SlotState:
-        """Reserve a slot unless more than ``most`` requests are there.
+    def reserve(self, request: WaitingRequest, queue: int = 0, now: float = 0.0) -> SlotState:
+        """Reserve a slot unless too many requests are there.
 
-        :param queue: the request waits if fewer others do.
+        :param queue: the request waits if fewer others do, or for a less urgent one.
         """
-        if self.requests + len(self.waiting) <= most:
-            self._grant(holder, number)
+        if self.requests + len(self.line) <= request.most:
+            self._grant(request)
             return SlotState.RESERVED
-        if len(self.waiting) < queue:
-            self.waiting.append(WaitingRequest(holder, number, most, due_at))
-            return SlotState.WAITING
-        return SlotState.REFUSED
+        waits, turned_away = self.line.join(request, queue, now)
+        if turned_away is not None:
+            self.turned_away.append(turned_away)
+        return SlotState.WAITING if waits else SlotState.REFUSED
 
-    def _grant(self, holder: Hashable, number: int) -> None:
-        self.reserved.setdefault(holder, set()).add(number)
+    def _grant(self, request: WaitingRequest) -> None:
+        self.reserved.setdefault(request.holder, set()).add(request.number)
 
     def next_reserved(self, now: float) -> WaitingRequest | None:
         """Reserve a slot for the first of the waiting requests that gets one now, if any."""
-        if not self.waiting:
+        first = self.line.first(now)
+        if first is None or self.requests > first.most:
             return None
-        in_time = [each for each in self.waiting if each.due_at > now]
-        first = min(in_time, key=lambda each: each.due_at) if in_time else self.waiting[0]
-        if self.requests > first.most:
-            return None
-        self.waiting.remove(first)
-        self._grant(first.holder, first.number)
+        self.line.serve(first, now)
+        self._grant(first)
         return first
 
+    def take_turned_away(self, now: float) -> list[WaitingRequest]:
+        """Return who waited and gets no slot."""
+        turned_away, self.turned_away = self.turned_away, []
+        return turned_away + self.line.take_hopeless(now)
+
     def release(self, holder: Hashable, number: int) -> None:
         """End a reservation or a wait; one that is not known changes nothing."""
         self.reserved.get(holder, set()).discard(number)
-        self.waiting = [
-            each for each in self.waiting if (each.holder, each.number) != (holder, number)
-        ]
+        self.line.leave(holder, number)
 
     def forget(self, holder: Hashable) -> None:
         """End all reservations and waits of a holder."""
         self.reserved.pop(holder, None)
-        self.waiting = [each for each in self.waiting if each.holder != holder]
+        self.line.leave(holder)
 
     def on_report(self, requests: int) -> None:
         """Take the endpoint's own count, which includes requests that reserved nothing."""
--- a/tests/direct/test_slot_reservations.py
+++ b/tests/direct/test_slot_reservations.py
@@ -116,7 +116,7 @@
                 told.append(await path.slots.reserve(endpoint.address, question(2, 5.0)))
 
             tasks.start_soon(ask)
-            while not keeper.ledger.waiting:
+            while not keeper.ledger.line.waiting:
                 await anyio.lowlevel.checkpoint()
             assert not told
             keeper.on_report(SLOTS)
@@ -135,7 +135,7 @@
         assert told is not None
         assert told.reservation is None
         assert told.waited_s >= 0.09
-        while keeper.ledger.waiting:
+        while keeper.ledger.line.waiting:
             await anyio.lowlevel.checkpoint()
         async with anyio.create_task_group() as tasks:
 
@@ -144,7 +144,7 @@
                 assert await path.slots.reserve(endpoint.address, question(2, 1000.0)) is None
 
             tasks.start_soon(ask)
-            while not keeper.ledger.waiting:
+            while not keeper.ledger.line.waiting:
                 await anyio.lowlevel.checkpoint()
             # The entry hears that it waits within a millisecond.
             await anyio.sleep(0.02)
--- a/tests/policy/test_slot_ledger.py
+++ b/tests/policy/test_slot_ledger.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+from collections.abc import Hashable
 from dataclasses import dataclass, field
 from random import Random
 
@@ -21,6 +22,7 @@
     MOST_ASKS,
     SlotSearch,
 )
+from bergamotchute_policy.waiting_line import WaitingRequest
 
 SLOTS = 6
 ENDPOINTS = 16
@@ -32,9 +34,20 @@
 """Age of what entries hear of the load."""
 
 
+def _reserve(
+    ledger: SlotLedger, holder: Hashable, number: int, most: int, *wait: float
+) -> SlotState:
+    """Reserve a slot.
+
+    :param wait: how many may wait for it, and when it is due.
+    """
+    queue, due_at = wait or (0, 0.0)
+    return ledger.reserve(WaitingRequest(holder, number, most, due_at), int(queue))
+
+
 def test_a_reservation_counts_until_it_is_released() -> None:
     ledger = SlotLedger()
-    assert ledger.reserve("entry-1", 1, SLOTS - 1) is SlotState.RESERVED
+    assert _reserve(ledger, "entry-1", 1, SLOTS - 1) is SlotState.RESERVED
     ledger.on_report(1)
     assert ledger.requests == 1
     ledger.release("entry-1", 1)
@@ -45,16 +58,16 @@
 def test_requests_that_reserved_nothing_count_too() -> None:
     ledger = SlotLedger()
     ledger.on_report(5)
-    assert ledger.reserve("entry-1", 1, SLOTS - 1) is SlotState.RESERVED
-    assert ledger.reserve("entry-2", 1, SLOTS - 1) is SlotState.REFUSED
-    assert ledger.reserve("entry-2", 1, ANY_NUMBER) is SlotState.RESERVED
+    assert _reserve(ledger, "entry-1", 1, SLOTS - 1) is SlotState.RESERVED
+    assert _reserve(ledger, "entry-2", 1, SLOTS - 1) is SlotState.REFUSED
+    assert _reserve(ledger, "entry-2", 1, ANY_NUMBER) is SlotState.RESERVED
     assert ledger.requests == 7
 
 
 def test_the_reservations_of_a_lost_entry_end() -> None:
     ledger = SlotLedger()
     for number in range(4):
-        ledger.reserve("entry-1", number, ANY_NUMBER)
+        _reserve(ledger, "entry-1", number, ANY_NUMBER)
     ledger.forget("entry-1")
     ledger.release("entry-1", 0)
     assert ledger.requests == 0
@@ -66,9 +79,9 @@
     ledger.on_report(SLOTS + 1)
     dues = {1: 9.0, 2: 9.5, 3: 10.4, 4: 10.2}
     for number, due_at in dues.items():
-        assert ledger.reserve("entry-1", number, SLOTS, 4, due_at) is SlotState.WAITING
-    assert ledger.reserve("entry-1", 5, SLOTS, 4, 10.4) is SlotState.REFUSED
-    assert ledger.reserve("entry-1", 6, SLOTS - 1) is SlotState.REFUSED
+        assert _reserve(ledger, "entry-1", number, SLOTS, 4, due_at) is SlotState.WAITING
+    assert _reserve(ledger, "entry-1", 5, SLOTS, 4, 10.4) is SlotState.REFUSED
+    assert _reserve(ledger, "entry-1", 6, SLOTS - 1) is SlotState.REFUSED
     assert ledger.next_reserved(10.0) is None
     order = []
     for _ in dues:
@@ -85,7 +98,7 @@
     ledger = SlotLedger()
     ledger.on_report(SLOTS + 1)
     for holder, number in (("entry-1", 1), ("entry-1", 2), ("entry-2", 1)):
-        ledger.reserve(holder, number, SLOTS, 4, 10.0)
+        _reserve(ledger, holder, number, SLOTS, 4, 10.0)
     ledger.release("entry-1", 1)
     ledger.forget("entry-2")
     ledger.on_report(0)
@@ -125,7 +138,7 @@
     assert wish is not None
     ledger = SlotLedger()
     ledger.on_report(20)
-    assert ledger.reserve("entry-1", 1, wish.most, wish.queue) is SlotState.RESERVED
+    assert _reserve(ledger, "entry-1", 1, wish.most, wish.queue, 0.0) is SlotState.RESERVED
 
 
 def _endpoint(number: int) -> EndpointHeartbeat:
@@ -190,7 +203,7 @@
             ledger = self.ledgers[candidate.heartbeat.endpoint]
             before = ledger.requests
             most = wish.most if self.reserving else ANY_NUMBER
-            if ledger.reserve(entry, number, most) is SlotState.RESERVED:
+            if _reserve(ledger, entry, number, most) is SlotState.RESERVED:
                 break
             placement.on_told(candidate.heartbeat, before, now)
             search.on_refused(wish)
@@ -245,7 +258,7 @@
             arrived_at, number = arrivals.pop(0)
             dues[number] = arrived_at + 0.15
             due_at = dues[number] if by_due else float("-inf")
-            if ledger.reserve("entry", number, SLOTS - 1, 4, due_at) is SlotState.RESERVED:
+            if _reserve(ledger, "entry", number, SLOTS - 1, 4, due_at) is SlotState.RESERVED:
                 heapq.heappush(ends, (now + random.uniform(1.4, 1.8), number))
                 in_time += now <= dues[number]
         while (served := ledger.next_reserved(now)) is not None:
