Change maps while orders get no answer, and send configurations packed

Change: eight sendings; a pass is held as far ahead as arming took lately; the text of a configuration is compressed, once for all followers.

Ruled out: more time for one order, as a rank beside its agent answers in milliseconds or not at all. Tests: tests/ranks/test_map_switch.py (9 of 10 changes come through), test_rank_commander.py, tests/daemon/test_dissemination.py (500 routes in a quarter of their bytes).

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/configuration_follower.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/configuration_follower.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -57,8 +58,8 @@
         if message.version <= self.version:
             return
         try:
-            configuration = self.read(message.text)
-        except ValueError as error:
+            configuration = self.read(zlib.decompress(message.packed))
+        except (ValueError, zlib.error) as error:
             self.log.emit(events.VIEW_UNREADABLE, revision=message.version, detail=str(error))
             return
         self.version = message.version
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Iterable
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -103,6 +104,7 @@
     loads_of_peers: dict[Address, int] = field(default_factory=dict)
     recording: set[tuple[str, int]] = field(default_factory=set)
     unconfirmed: anyio.Event = field(default_factory=anyio.Event)
+    packed: ConfigurationText = field(default_factory=lambda: ConfigurationText(-1, b""))
 
     def __post_init__(self) -> None:
         self.peers.greeting = self._greet_peer
@@ -182,8 +184,7 @@
             case FollowLoads():
                 follower.wants_loads = True
             case AskConfiguration():
-                held = self.voter.state.state.configuration
-                follower.outbox.post(ConfigurationText(held.version, held.text))
+                follower.outbox.post(self._configuration())
             case NodesLinked() if follower.peer is not None:
                 self.nodes.on_theirs(follower.peer, message)
             case HeartbeatsHeard(heartbeats) if follower.peer is not None:
@@ -193,6 +194,13 @@
             case _:
                 self.log.emit(events.LINK_MUTE, peer="unexpected", message=message.kind)
 
+    def _configuration(self) -> ConfigurationText:
+        """Return the configuration in force, packed once for all followers."""
+        held = self.voter.state.state.configuration
+        if self.packed.version != held.version:
+            self.packed = ConfigurationText(held.version, zlib.compress(held.text))
+        return self.packed
+
     def _on_node(self, follower: Follower, node: EntryState | AgentState) -> None:
         """Take what a follower says of itself; give a new one what it can't hear as news."""
         is_new = follower.node is None
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/map_switch.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/map_switch.py
@@ -34,8 +34,9 @@
 PASSES_LATER = (0, 2, 5)
 """How many more passes ahead is held, by try; an earlier one had begun already."""
 
-ORDER_TRIES = 4
-"""Sendings of one order before the switch is given up."""
+ORDER_TRIES = 8
+"""Sendings of one order before the switch is given up. Where a third of the orders get no answer, one
+of 32 ranks answers none of 4 in 38% of the switches, none of 8 in 0.7%."""
 
 DISARM_TRIES = 40
 """Sendings of the order to disarm; without its answer the group must stand still."""
@@ -76,12 +77,14 @@
         all others are: the commander's own, which its successor may be unable to ask.
     :param version: higher than all versions that any of the ranks has had.
     :param passes_ahead: how far ahead the pass is held; enough for :data:`SWITCH_S`.
+    :param on_armed: told how long it took from the hold until all ranks were seen armed, in seconds.
     """
 
     ranks: tuple[int, ...]
     version: int
     experts: ExpertSets
     passes_ahead: int
+    on_armed: Callable[[float], None] = lambda _: None
 
     async def run(self, caller: RankCaller) -> SwitchOutcome:
         """Carry the change out, or undo what was begun of it."""
@@ -94,8 +97,11 @@
 
     async def _arm_and_go(self, caller: RankCaller, step: int) -> SwitchOutcome:
         outcome = SwitchOutcome.SWITCHED
+        begun_at = anyio.current_time()
         armed = await self._arm(caller, step, self.ranks[:-1])
-        if not armed or not await self._arm(caller, step, self.ranks[-1:]):
+        armed = armed and await self._arm(caller, step, self.ranks[-1:])
+        self.on_armed(anyio.current_time() - begun_at)
+        if not armed:
             outcome = SwitchOutcome.NOT_ARMED
             # The last rank first: while another is not armed, a successor takes it to be unarmed.
             last_disarmed = await disarm(caller, self.ranks[-1:], self.version)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_commander.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_commander.py
@@ -59,6 +59,9 @@
 
 RELINK_S = 0.2
 
+LONGEST_SWITCH_S = 1.0
+"""How far ahead a pass is held at the most; demand turns every few seconds."""
+
 TELL_BOUND_S = 0.4
 """Agents tell of a switch within this time, two of their looks; then their ranks are asked."""
 
@@ -107,6 +110,7 @@
     newest_version: int = 0
     maps: dict[int, ExpertSets] = field(default_factory=dict)
     unsettled_since: float | None = None
+    switch_s: float = SWITCH_S
 
     async def run(self) -> None:
         """Command the group until cancelled."""
@@ -356,8 +360,10 @@
         self.maps[self.newest_version] = plan.experts
         while len(self.maps) > MAPS_KEPT:
             del self.maps[next(iter(self.maps))]
-        ahead = self.pace.passes_ahead(SWITCH_S)
-        switch = MapSwitch(self._own_last(statuses), self.newest_version, plan.experts, ahead)
+        ahead = self.pace.passes_ahead(self.switch_s)
+        switch = MapSwitch(
+            self._own_last(statuses), self.newest_version, plan.experts, ahead, self._on_armed
+        )
         began_at = anyio.current_time()
         outcome = await switch.run(self)
         if outcome is SwitchOutcome.SWITCHED:
@@ -377,6 +383,14 @@
             took_ms=round((anyio.current_time() - began_at) * 1000),
         )
 
+    def _on_armed(self, took_s: float) -> None:
+        """Hold the next pass as far ahead as arming takes now.
+
+        Load pattern: orders get no answer and are sent again; a group that waits for them stands still.
+        """
+        longer = max(took_s, (self.switch_s + took_s) / 2)
+        self.switch_s = min(LONGEST_SWITCH_S, max(SWITCH_S, longer))
+
     def _own_last(self, ranks: Iterable[int]) -> tuple[int, ...]:
         """Return the ranks with the one beside this commander at the end."""
         own = self.assignment.commander
--- a/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
@@ -115,10 +115,13 @@
 
 @dataclass(frozen=True)
 class ConfigurationText:
-    """The configuration in force at the sender."""
+    """The configuration in force at the sender.
+
+    :param packed: its text, compressed with zlib: each version goes to each entry whole.
+    """
 
     version: int
-    text: bytes
+    packed: bytes
     kind: Literal["configuration_text"] = "configuration_text"
 
 
--- a/tests/daemon/test_dissemination.py
+++ b/tests/daemon/test_dissemination.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+import zlib
 from collections.abc import Awaitable, Callable
 from random import Random
 
@@ -15,7 +17,9 @@
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.node_messages import (
     AgentState,
+    AskConfiguration,
     CommanderAssigned,
+    ConfigurationText,
     ConfigurationVersion,
     DeparturesRecorded,
     EntryState,
@@ -194,6 +198,24 @@
     run_followed(7, [entry(), agent(0, 1)], body)
 
 
+def test_a_configuration_of_many_routes_goes_to_entries_packed() -> None:
+    """Load pattern: a hundred versions a day, of hundreds of routes, to each of the entries."""
+
+    async def body(group: ControlGroup, node: Node) -> None:
+        routes = [{"name": f"r-{number}", "host": "a.example"} for number in range(500)]
+        content = json.dumps({"version": 5, "routes": routes}).encode()
+        assert await group.processes[0].put_configuration(5, content)
+        await anyio.sleep(0.5)
+        node.links.post_any(AskConfiguration())
+        await anyio.sleep(0.5)
+        told = node.messages(ConfigurationText)[0]
+        assert isinstance(told, ConfigurationText)
+        assert zlib.decompress(told.packed) == content
+        assert len(told.packed) < len(content) / 4
+
+    run_followed(5, [entry()], body)
+
+
 def test_an_endpoint_that_moves_to_another_control_vm_is_not_taken_to_be_quiet() -> None:
     async def body(group: ControlGroup, node: Node) -> None:
         sequence = 0
--- a/tests/direct/test_direct_entry.py
+++ b/tests/direct/test_direct_entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Awaitable, Callable
 from random import Random
 
@@ -36,7 +37,7 @@
 
 
 def text(version: int) -> bytes:
-    return b'{"version": %d, "routes": [], "services": []}' % version
+    return zlib.compress(b'{"version": %d, "routes": [], "services": []}' % version)
 
 
 class Answer:
--- a/tests/ranks/test_map_switch.py
+++ b/tests/ranks/test_map_switch.py
@@ -170,6 +170,16 @@
     assert SwitchOutcome.SWITCHED in outcomes
 
 
+def test_most_changes_come_through_while_a_third_of_the_orders_get_no_answer() -> None:
+    """Load pattern: workers leave orders unanswered for many seconds, and demand goes on turning."""
+    outcomes = [
+        outcome
+        for seed in range(6)
+        for outcome in play(LockStepGroup(Random(seed), late_share=0.35), 60.0)
+    ]
+    assert outcomes.count(SwitchOutcome.SWITCHED) > 0.9 * len(outcomes)
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_lost_answers_never_split_a_group(seed: int) -> None:
     group = LockStepGroup(Random(seed), lost_share=0.4)
--- a/tests/ranks/test_rank_commander.py
+++ b/tests/ranks/test_rank_commander.py
@@ -7,9 +7,11 @@
 
 import anyio
 import anyio.lowlevel
+import pytest
 
 from bergamotchute_daemon.event_log import EventLog
-from bergamotchute_daemon.ranks.rank_commander import RankCommander
+from bergamotchute_daemon.ranks.map_switch import SWITCH_S
+from bergamotchute_daemon.ranks.rank_commander import LONGEST_SWITCH_S, RankCommander
 from bergamotchute_daemon.ranks.rank_gate import RankGate
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.node_messages import (
@@ -121,3 +123,19 @@
         assert agent.orders[0].fence >= before
 
     run_command(body)
+
+
+def test_a_pass_is_held_as_far_ahead_as_arming_takes() -> None:
+    """Load pattern: a third of the orders get no answer and are sent again after 0.15 s."""
+
+    async def body(_: MemoryNetwork, __: Agent, command: Callable[[int], RankCommander]) -> None:
+        commander = command(20_001)
+        commander._on_armed(0.6)
+        assert commander.switch_s == pytest.approx(0.6)
+        commander._on_armed(9.0)
+        assert commander.switch_s == LONGEST_SWITCH_S
+        for _ in range(8):
+            commander._on_armed(0.01)
+        assert commander.switch_s == SWITCH_S
+
+    run_command(body)
