Keep a parent until the one that follows it is sound

Change: sound parents that are not chosen any more stay until as many chosen ones are sound. Test first: tests/daemon/test_dissemination.py (never without a parent while six control VMs join).

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_links.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_links.py
@@ -62,6 +62,11 @@
         self.links.on_message = self._take
         self.links.on_closed = self._on_closed
 
+    @property
+    def linked(self) -> frozenset[Address]:
+        """The control VMs that a link is open to."""
+        return frozenset(self.links.outboxes)
+
     async def run(self) -> None:
         """Keep the links until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -99,11 +104,16 @@
         now = anyio.current_time()
         self.settled = self.settled or (bool(self.known) and now - self.known_at >= SETTLED_S)
         count = PARENTS if self.settled else 1
-        self.links.want(
-            choose_parents(order, lambda each: self._health(each, now, opening_s), count)
-        )
+        chosen = choose_parents(order, lambda each: self._health(each, now, opening_s), count)
+        self.links.want([*chosen, *self._kept(chosen, count)])
         self._choose_loads()
 
+    def _kept(self, chosen: list[Address], count: int) -> list[Address]:
+        """Return sound parents that are kept until enough of the chosen ones are sound."""
+        sound = [address for address, group in self.named.items() if group.current]
+        missing = count - sum(address in chosen for address in sound)
+        return [address for address in sound if address not in chosen][: max(0, missing)]
+
     def _health(self, address: Address, now: float, opening_s: float) -> ParentHealth:
         group = self.named.get(address)
         if group is not None:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -201,7 +201,7 @@
         return {
             "in_flight": float(self.server.in_flight),
             "configuration_version": float(self.follower.version),
-            "control_links": float(len(self.links.links.outboxes)),
+            "control_links": float(len(self.links.linked)),
             "ready": float(self.ready),
             **endpoints,
         }
--- a/tests/daemon/test_dissemination.py
+++ b/tests/daemon/test_dissemination.py
@@ -51,7 +51,7 @@
     @property
     def parents(self) -> list[int]:
         """The numbers of the control VMs that it is linked to."""
-        hosts = [address.host for address in self.links.links.outboxes]
+        hosts = [address.host for address in self.links.linked]
         return [number for number in self.group.processes if host(number) in hosts]
 
     def messages(self, kind: type[NodeMessage]) -> list[NodeMessage]:
@@ -129,6 +129,29 @@
     run_followed(7, [entry()], body)
 
 
+def test_a_follower_is_never_without_a_parent_while_the_group_founds_itself() -> None:
+    """Load pattern: control VMs join one after the other, and each changes who is preferred."""
+
+    async def main(group: ControlGroup) -> None:
+        for number in range(3):
+            group.start(number, found=True)
+        await group.until(lambda: group.voter_count() == 3)
+        nodes = [Node(group, entry(number)) for number in range(1, 9)]
+        async with anyio.create_task_group() as tasks:
+            for node in nodes:
+                tasks.start_soon(node.links.run)
+            await group.until(lambda: all(node.parents for node in nodes))
+            for number in range(3, 9):
+                group.start(number)
+            for _ in range(900):
+                await anyio.sleep(0.01)
+                assert all(node.parents for node in nodes)
+            await group.until(lambda: all(len(node.parents) == PARENTS for node in nodes))
+            tasks.cancel_scope.cancel()
+
+    run_control(main)
+
+
 def test_followers_are_linked_soon_after_all_vms_are_back() -> None:
     """Load pattern: all VMs lose power, and entries are up before control VMs."""
 
