Watch a rank until it has switched, not only until it is armed

Cause, found by reading the change: that an arm took effect ended the close watch, so the commander heard of the switch itself up to 0.2 s later. Test first: tests/ranks/test_large_groups.py.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
@@ -221,7 +221,8 @@
             for message in self.greeting():
                 self.links.post_all(message)
         if _switch_state(before) != _switch_state(status):
-            self.watch_until = float("-inf")
+            if status.armed is None:
+                self.watch_until = float("-inf")
         elif not self._has_turn(self.rounds):
             return
         if before != status and self.listener is not None:
--- a/tests/ranks/test_large_groups.py
+++ b/tests/ranks/test_large_groups.py
@@ -48,6 +48,9 @@
     size: int
     copy_s: float = 0.06
     step: int = 0
+    armed: tuple[int, int] | None = None
+    switch_at: float = float("inf")
+    map_version: int = 0
     prepared: dict[int, ExpertSets] = field(default_factory=dict)
     done_at: dict[int, float] = field(default_factory=dict)
     chosen: int = 0
@@ -61,9 +64,10 @@
         now = anyio.current_time()
         ready = [version for version, at in self.done_at.items() if at <= now]
         prepared = max(ready, default=None)
-        return RankStatus(
-            "g0", self.rank, self.size, 1, True, 2, self.step, 0, prepared, None, None
-        )
+        if self.armed is not None and self.switch_at <= now:
+            self.map_version, self.armed = self.armed[0], None
+        state = (self.step, self.map_version, prepared, self.armed, None)
+        return RankStatus("g0", self.rank, self.size, 1, True, 2, *state)
 
     async def counts(self) -> ChoiceCounts:
         self.chosen += 100
@@ -73,6 +77,9 @@
         if order.action is RankAction.PREPARE:
             self.prepared[order.version] = order.experts
             self.done_at[order.version] = anyio.current_time() + self.copy_s
+        if order.action is RankAction.ARM:
+            self.armed = (order.version, order.step)
+            self.switch_at = anyio.current_time() + self.copy_s
         held = first_map(SETS, self.size, EXPERTS) if order.action is RankAction.LIST else ()
         experts = tuple(one_set[self.rank] for one_set in held)
         status = await self.status()
@@ -240,3 +247,18 @@
         assert not commander.given
 
     run_fleet(32, body)
+
+
+def test_agents_tell_by_themselves_when_their_ranks_have_switched() -> None:
+    async def body(fleet: Fleet, commander: Listening) -> None:
+        for rank in range(fleet.size):
+            await commander.give(rank, RankAction.ARM, 1, 9, ())
+        begun_at = anyio.current_time()
+        while not all(  # noqa: ASYNC110 - what is awaited has no event of its own.
+            (status := commander.told(rank)) is not None and status.map_version == 1
+            for rank in range(fleet.size)
+        ):
+            await anyio.sleep(0.01)
+        assert anyio.current_time() - begun_at < 0.15
+
+    run_fleet(32, body)
