Let an entry use more endpoints once its part of a service is full

Each entry used 24 endpoints whatever their load; the parts of the few entries together were too small.

Change: an entry uses the smallest of its part, a part twice as large, and so on up to all, that has a free slot; its own part while all are full. Test first: tests/direct/test_direct_entry.py (594 requests fill 99 endpoints; the 145th found none).

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -33,7 +33,7 @@
     RankPlaces,
 )
 from bergamotchute_model.whole_configuration import RouteKind, WholeConfiguration
-from bergamotchute_policy.endpoint_subset import choose_subset
+from bergamotchute_policy.endpoint_subset import growing_parts
 from bergamotchute_policy.endpoint_table import EndpointTable
 from bergamotchute_wire.http1_server import AnswerWriter, CallerRequest, Http1Server, ServerLimits
 
@@ -76,7 +76,7 @@
     stopping: bool = False
     by_address: dict[Address, EndpointHeartbeat] = field(default_factory=dict)
     by_service: dict[str, list[EndpointHeartbeat]] = field(default_factory=dict)
-    subsets: dict[str, list[EndpointHeartbeat]] = field(default_factory=dict)
+    parts: dict[str, list[list[EndpointHeartbeat]]] = field(default_factory=dict)
     now: Callable[[], float] = anyio.current_time
 
     async def run(self) -> None:
@@ -154,11 +154,11 @@
         self.by_service = {}
         for heartbeat in newest.values():
             self.by_service.setdefault(heartbeat.service, []).append(heartbeat)
-        self.subsets = {
-            service: choose_subset(self.name, self.availability_zone, endpoints)
+        self.parts = {
+            service: growing_parts(self.name, self.availability_zone, endpoints)
             for service, endpoints in self.by_service.items()
         }
-        used = (each.address for subset in self.subsets.values() for each in subset)
+        used = (each.address for parts in self.parts.values() for each in parts[0])
         self.runner.slots.use(frozenset(used))
         self.runner.endpoints_changed()
 
@@ -176,11 +176,15 @@
         self.links.post_any(DepartureSeen(endpoint.endpoint, endpoint.born_ms))
 
     def endpoints(self, service: str) -> list[EndpointHeartbeat]:
-        """Return the endpoints of a service: this entry's part, or all while none of that is sound."""
-        subset = self.subsets.get(service, [])
-        if self.runner.placement.has_sound(subset, (), self.now()):
-            return subset
-        return self.by_service.get(service, [])
+        """Return the endpoints of a service that this entry uses now.
+
+        These are its part, or the smallest larger one with room. While all are full it is its part.
+        """
+        parts = self.parts.get(service, [])
+        placement, now = self.runner.placement, self.now()
+        roomy = (part for part in parts if placement.has_room(part, now))
+        sound = (part for part in parts if placement.has_sound(part, (), now))
+        return next(roomy, None) or next(sound, None) or self.by_service.get(service, [])
 
     def on_configuration(self, configuration: WholeConfiguration) -> None:
         """Route by a newer configuration."""
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
@@ -144,6 +144,16 @@
         """Return whether an endpoint is left that is ready, not barred and goes on."""
         return any(each.endpoint not in avoided and self._is_sound(each, now) for each in endpoints)
 
+    def has_room(self, endpoints: Iterable[EndpointHeartbeat], now: float) -> bool:
+        """Return whether a sound endpoint seems to have a free slot."""
+        return any(
+            self._is_sound(each, now) and self._fullness(each, now) < 1.0 for each in endpoints
+        )
+
+    def _fullness(self, endpoint: EndpointHeartbeat, now: float) -> float:
+        load = self.load(endpoint)
+        return (load.in_flight + load.others(now)) / max(1, endpoint.slots)
+
     def may_send(self, endpoint: EndpointHeartbeat, now: float) -> bool:
         """Return whether an endpoint takes new requests by its own word."""
         leaving = endpoint.phase is EndpointPhase.LEAVING
@@ -165,8 +175,7 @@
         return endpoint.phase is EndpointPhase.READY and not barred and not stalled
 
     def _rank(self, endpoint: EndpointHeartbeat, now: float) -> tuple[float, float, Candidate]:
-        load = self.load(endpoint)
-        fullness = (load.in_flight + load.others(now)) / max(1, endpoint.slots)
+        fullness = self._fullness(endpoint, now)
         away = endpoint.availability_zone != self.availability_zone
         cost = fullness + (OTHER_ZONE_FULLNESS if away else 0.0)
         return cost, self.random.random(), Candidate(endpoint, fullness)
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/endpoint_subset.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/endpoint_subset.py
@@ -3,6 +3,9 @@
 Load pattern: 97 entries before 192 endpoints. An entry that uses all of them keeps 192 links, and each
 endpoint's agent 97, which cost more than the requests. A part is enough to find a free slot: the
 parts of different entries overlap, so that the load of each spreads over all.
+
+Load pattern: few entries before many endpoints, or much work at one entry. Its part is full while others
+have room; it then uses a part twice as large, and so on up to all.
 """
 
 from __future__ import annotations
@@ -38,6 +41,16 @@
     return _lowest(entry, near, near_size) + _lowest(entry, far, size - near_size)
 
 
+def growing_parts(
+    entry: str, availability_zone: str, endpoints: Sequence[EndpointHeartbeat]
+) -> list[list[EndpointHeartbeat]]:
+    """Return the part that an entry uses, then larger ones around it, the last one with all."""
+    sizes = [SUBSET]
+    while sizes[-1] < len(endpoints):
+        sizes.append(2 * sizes[-1])
+    return [choose_subset(entry, availability_zone, endpoints, size) for size in sizes]
+
+
 def _lowest(
     entry: str, endpoints: Iterable[EndpointHeartbeat], size: int
 ) -> list[EndpointHeartbeat]:
--- a/tests/direct/test_direct_entry.py
+++ b/tests/direct/test_direct_entry.py
@@ -194,6 +194,22 @@
     run_entry(body)
 
 
+def test_a_lone_entry_uses_every_endpoint_of_a_large_service_before_it_refuses() -> None:
+    """Load pattern: two entries before 99 endpoints, whose parts are half of these."""
+
+    async def body(entry: DirectEntry, _: list[NodeMessage]) -> None:
+        entry.on_message(CONTROL, HeartbeatsHeard(_heartbeats(99, EndpointPhase.READY)))
+        placement = entry.runner.placement
+        for sent in range(99 * 6):
+            chosen = placement.choose(entry.endpoints("model"), (), 0.0)
+            assert chosen is not None
+            assert chosen.fullness < 1.0, sent
+            placement.on_sent(chosen.heartbeat)
+        assert len(entry.endpoints("model")) == SUBSET
+
+    run_entry(body)
+
+
 def test_a_departure_takes_an_endpoint_out_at_once() -> None:
     async def body(entry: DirectEntry, _: list[NodeMessage]) -> None:
         entry.on_message(CONTROL, HeartbeatsHeard((heartbeat(1),)))
--- a/tests/policy/test_endpoint_subset.py
+++ b/tests/policy/test_endpoint_subset.py
@@ -6,7 +6,7 @@
 
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat, EndpointPhase
 from bergamotchute_model.identifiers import Address
-from bergamotchute_policy.endpoint_subset import NEAR_PART, SUBSET, choose_subset
+from bergamotchute_policy.endpoint_subset import NEAR_PART, SUBSET, choose_subset, growing_parts
 
 ZONES = ("a", "b", "c", "d", "e")
 ENTRIES = [(f"entry-{number}", ZONES[number % 5]) for number in range(97)]
@@ -50,6 +50,13 @@
         assert len(before - after) == (gone in before)
 
 
+def test_larger_parts_hold_the_smaller_ones_and_end_with_all() -> None:
+    parts = growing_parts("entry-1", "a", ENDPOINTS)
+    assert [len(part) for part in parts] == [24, 48, 96, 192]
+    names = [{each.endpoint for each in part} for part in parts]
+    assert names[0] < names[1] < names[2] < names[3]
+
+
 def test_a_zone_with_few_endpoints_is_made_up_from_others() -> None:
     few = [each for each in ENDPOINTS if each.availability_zone != "a"] + ENDPOINTS[:1]
     assert len(choose_subset("entry-1", "a", few)) == SUBSET
