--- a/tests/ranks/test_map_switch.py
+++ b/tests/ranks/test_map_switch.py
@@ -171,7 +171,7 @@
 
 
 def test_most_changes_come_through_while_a_third_of_the_orders_get_no_answer() -> None:
-    """Load pattern: workers leave orders unanswered for many seconds, and demand goes on turning."""
+    """Load pattern: runners leave orders unanswered for many seconds, and demand goes on turning."""
     outcomes = [
         outcome
         for seed in range(6)
