Ask for loads again after a reset link, and sort a service's endpoints once

Found by reading the change. Fault: an entry whose link to the control VM that tells loads closed and opened again within 0.2 s never asked again, and heard no loads until that link closed; the test in tests/daemon/test_dissemination.py fails without the change. Work done again: each part of a large service was hashed and sorted anew at every change of endpoints; one order now serves all parts, the parts are the same.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_links.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_links.py
@@ -144,3 +144,5 @@
 
     def _on_closed(self, address: Address) -> None:
         self.named.pop(address, None)
+        if address == self.loads_from:
+            self.loads_from = None
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/endpoint_subset.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/endpoint_subset.py
@@ -35,26 +35,39 @@
     """
     if len(endpoints) <= size:
         return list(endpoints)
-    near = [each for each in endpoints if each.availability_zone == availability_zone]
-    far = [each for each in endpoints if each.availability_zone != availability_zone]
-    near_size = min(len(near), max(round(size * NEAR_PART), size - len(far)))
-    return _lowest(entry, near, near_size) + _lowest(entry, far, size - near_size)
+    near, far = _in_order(entry, availability_zone, endpoints)
+    return _part(near, far, size)
 
 
 def growing_parts(
     entry: str, availability_zone: str, endpoints: Sequence[EndpointHeartbeat]
 ) -> list[list[EndpointHeartbeat]]:
     """Return the part that an entry uses, then larger ones around it, the last one with all."""
+    if len(endpoints) <= SUBSET:
+        return [list(endpoints)]
+    near, far = _in_order(entry, availability_zone, endpoints)
     sizes = [SUBSET]
-    while sizes[-1] < len(endpoints):
+    while 2 * sizes[-1] < len(endpoints):
         sizes.append(2 * sizes[-1])
-    return [choose_subset(entry, availability_zone, endpoints, size) for size in sizes]
+    return [*(_part(near, far, size) for size in sizes), list(endpoints)]
 
 
-def _lowest(
-    entry: str, endpoints: Iterable[EndpointHeartbeat], size: int
-) -> list[EndpointHeartbeat]:
+def _in_order(
+    entry: str, availability_zone: str, endpoints: Iterable[EndpointHeartbeat]
+) -> tuple[list[EndpointHeartbeat], list[EndpointHeartbeat]]:
+    """Return the endpoints of an entry's zone and the others, as it prefers them."""
+
     def order(endpoint: EndpointHeartbeat) -> tuple[int, str]:
         return xxh3_64_intdigest(f"{entry} {endpoint.endpoint}".encode()), endpoint.endpoint
 
-    return sorted(endpoints, key=order)[:size]
+    ordered = sorted(endpoints, key=order)
+    near = [each for each in ordered if each.availability_zone == availability_zone]
+    far = [each for each in ordered if each.availability_zone != availability_zone]
+    return near, far
+
+
+def _part(
+    near: list[EndpointHeartbeat], far: list[EndpointHeartbeat], size: int
+) -> list[EndpointHeartbeat]:
+    near_size = min(len(near), max(round(size * NEAR_PART), size - len(far)))
+    return near[:near_size] + far[: size - near_size]
--- a/tests/daemon/test_dissemination.py
+++ b/tests/daemon/test_dissemination.py
@@ -23,6 +23,7 @@
     ConfigurationVersion,
     DeparturesRecorded,
     EntryState,
+    FollowLoads,
     HeartbeatsHeard,
     LoadsTold,
     NodeMessage,
@@ -239,6 +240,23 @@
     run_followed(5, [entry()], body)
 
 
+def test_loads_are_asked_for_again_on_a_link_that_closed_and_opened_at_once() -> None:
+    """A connection is reset; the new link is open before the parents are looked at again."""
+
+    async def body(group: ControlGroup, node: Node) -> None:
+        sent: list[NodeMessage] = []
+        node.links.links.post = lambda _, message: sent.append(message)  # type: ignore[method-assign]
+        parent = node.links.loads_from
+        assert parent is not None
+        told = node.links.named[parent]
+        node.links._on_closed(parent)
+        node.links._take(parent, told)
+        node.links._choose_loads()
+        assert sent == [FollowLoads()]
+
+    run_followed(5, [entry()], body)
+
+
 def test_an_endpoint_that_moves_to_another_control_vm_is_not_taken_to_be_quiet() -> None:
     async def body(group: ControlGroup, node: Node) -> None:
         sequence = 0
