Let voters that all died elect a leader sooner

Cause: after the loss of all VMs nothing is served before a leader confirms the configuration. Ruled out: shorter timeouts altogether, as a third of a core may leave a leader unheard for longer. Change: while no leader was heard since its start, a replica asks again after 0.2 to 0.7 timeouts; others that hear a leader refuse the pre-vote as before. A candidate waits as usual.

--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/_election.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/_election.py
@@ -61,7 +61,7 @@
     the newest log of all that are left, without which no voter wins. It leads only until the voters
     hold that log.
     """
-    state.reset_election_deadline(now)
+    state.set_next_stand(now)
     if not state.membership.voters:
         return
     state.role = ReplicaRole.PRE_CANDIDATE
@@ -74,6 +74,7 @@
 def _stand(state: ReplicaState, now: float) -> None:
     """Begin a new term with this replica's own vote."""
     state.role = ReplicaRole.CANDIDATE
+    state.reset_election_deadline(now)
     state.votes = {state.me.replica}
     state.persist(HardState(state.hard_state.cluster, state.term + 1, state.me.replica))
     _ask_for_votes(state, state.term, pre=False)
--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/replica.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/replica.py
@@ -62,7 +62,7 @@
         now: float,
     ) -> None:
         self.state = ReplicaState(me, settings, random, recovered)
-        self.state.set_first_election_deadline(now)
+        self.state.set_next_stand(now)
 
     @property
     def wakes_at(self) -> float:
--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/replica_state.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/replica_state.py
@@ -25,8 +25,9 @@
 from bergamotchute_consensus.replica_settings import ReplicaSettings
 from bergamotchute_consensus.snapshot import Snapshot
 
-FIRST_TIMEOUT_PART = 0.2
-"""Part of the election timeout that a replica waits at least after its start."""
+FIRST_WAIT_PARTS = (0.2, 0.7)
+"""Parts of the election timeout between which a replica waits that has heard no leader since its
+start. Five replicas that start together draw times that are a vote of 0.1 s apart."""
 
 PATIENT_TIMEOUTS = 4
 """Election timeouts that a replica waits beyond the usual while another one should lead."""
@@ -222,18 +223,24 @@
             return True
         return now - self.leader_heard_at < self.settings.election_timeout_s
 
-    def set_first_election_deadline(self, now: float) -> None:
-        """Wait less than usual after a start: no leader is missed that others still hear.
+    def set_next_stand(self, now: float) -> None:
+        """Wait less than usual while no leader was heard since the start.
 
-        They refuse the pre-vote then; and after the death of all voters every moment counts.
+        Load pattern: all voters died together, and nothing is served before one leads. The first
+        to start finds no quorum yet, so it soon asks again. Others that hear a leader refuse the
+        pre-vote.
         """
-        timeout = self.settings.election_timeout_s
-        self.reset_election_deadline(now)
-        self.election_deadline -= (1.0 - FIRST_TIMEOUT_PART) * timeout
+        if self.leader_heard_at > float("-inf"):
+            self.reset_election_deadline(now)
+        else:
+            self._set_election_deadline(now, *FIRST_WAIT_PARTS)
 
     def reset_election_deadline(self, now: float) -> None:
         """Wait between one and two election timeouts from now, and longer without a vote."""
+        self._set_election_deadline(now, 1.0, 2.0)
+
+    def _set_election_deadline(self, now: float, least: float, most: float) -> None:
         timeout = self.settings.election_timeout_s
-        self.election_deadline = now + self.random.uniform(timeout, 2 * timeout)
+        self.election_deadline = now + self.random.uniform(least, most) * timeout
         if self.membership.voters and not self.membership.is_voter(self.me.replica):
             self.election_deadline += PATIENT_TIMEOUTS * timeout
--- a/tests/consensus/test_failures.py
+++ b/tests/consensus/test_failures.py
@@ -320,3 +320,25 @@
     more = cluster.propose(leader)
     cluster.settle(1.0)
     assert {*tokens, *more} <= cluster.checks.acknowledged
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_voters_that_all_died_elect_one_within_half_an_election_timeout_of_their_quorum(
+    seed: int,
+) -> None:
+    """Load pattern: all VMs lost their power; control VMs come back within half a second."""
+    cluster = Cluster(5, seed)
+    cluster.elect()
+    for node in cluster.nodes:
+        cluster.crash(node, power=True)
+    cluster.tick(1.0)
+    cluster.network = []
+    cluster.start(cluster.nodes[0])
+    for node in cluster.nodes[1:]:
+        cluster.settle(0.1)
+        cluster.start(node)
+        if node is cluster.nodes[2]:
+            quorum_at = cluster.now
+    while cluster.leader is None:
+        cluster.settle(0.05)
+    assert cluster.now - quorum_at <= 0.5 * cluster.settings.election_timeout_s
