End a hold that its agent can't end, and order holds from the commander's VM

Three faults: a frozen VM's rank can't be called, so nobody could end its hold; a rank's report is 200 ms old where another VM asks for it, so a hold that it had accepted seemed not held and was left behind; an order to an agent whose link had closed waited 0.4 s all the same. Ruled out: that the freeze alone stops the group. Change: the hold and its end are ordered from the commander's VM, so the VM that is lost is the commander's and its successor can call the rank that holds. What a rank accepted counts over an older report. A hold without an answer is ended. Orders to a closed link fail at once. A rank whose agent answers holds the pass. What is left of the hold is the time to notice a silent commander.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
@@ -53,6 +53,9 @@
 STOP_MARGIN_S = 1.0
 """What a stop leaves of the time until SIGKILL."""
 
+RANK_IDLE_S = 1.0
+"""How long a connection to a rank of another VM may be idle; endpoints close theirs without notice."""
+
 ELECTION_HEARTBEAT_S = 0.15
 ELECTION_TIMEOUT_S = 0.9
 """Elections end within 2 s: callers of a control VM wait 4 s for an acknowledgement."""
@@ -181,8 +184,12 @@
     from bergamotchute_daemon.ranks.rank_gate import RankGate
     from bergamotchute_wire.kept_connection import KeptConnection
 
+    own_endpoint = Address.parse(settings.endpoint)
+
     def reach(endpoint: Address) -> RankGate:
-        return RankGate(KeptConnection(endpoint), dialect)
+        if endpoint == own_endpoint:
+            return RankGate(KeptConnection(endpoint), dialect)
+        return RankGate(KeptConnection(endpoint, RANK_IDLE_S), dialect, reports_late=True)
 
     def commands(assignment: CommanderAssigned) -> RankCommander:
         return RankCommander(
@@ -198,7 +205,7 @@
     process = RankAgentProcess(
         name=settings.name,
         address=settings.link_address,
-        gate=reach(Address.parse(settings.endpoint)),
+        gate=reach(own_endpoint),
         links=links,
         follower=ConfigurationFollower(
             read=read_configuration,
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/map_switch.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/map_switch.py
@@ -160,6 +160,9 @@
             status = await caller.give(first, RankAction.HOLD, 0, step, ())
             if status is not None and status.held == step:
                 return step
+            if status is None or status.accepted is None:
+                # It may hold the pass, or be about to: nothing else would end that.
+                await release(caller, first, step)
         return None
 
     async def _on_all(
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_commander.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_commander.py
@@ -65,6 +65,11 @@
 TELL_BOUND_S = 0.4
 """Agents tell of a switch within this time, two of their looks; then their ranks are asked."""
 
+CALLED_FROM_HERE = (RankAction.HOLD, RankAction.GO)
+"""Orders that go out from the commander's VM. An agent that is lost right after its rank held a pass
+leaves nobody who can end that if its VM froze; a commander that is lost leaves a rank that its
+successor can call."""
+
 MAPS_KEPT = 8
 """Maps on which changes may be based; agents keep fewer."""
 
@@ -75,6 +80,8 @@
 
     :param gate: calls the rank from here.
     :param mute_until: the rank is called past its agent until then, on the runtime's clock.
+    :param silent_until: it gave no answer to a call past its agent; where that agent answers, only
+        that one calls it until then.
     :param map_held: the version of the last map that its agent took from this commander.
     """
 
@@ -82,9 +89,27 @@
     gate: RankGate
     outbox: Outbox[NodeMessage] | None = None
     mute_until: float = float("-inf")
+    silent_until: float = float("-inf")
     status: RankStatus | None = None
     map_held: int = 0
 
+    def answers(self, now: float) -> bool:
+        """Return whether its agent is linked and answered the last order."""
+        return self.outbox is not None and self.mute_until <= now
+
+
+@dataclass
+class _Answer:
+    """The answer that an order waits for.
+
+    :param outbox: where the order went.
+    :param settled: set once it came, or can't come any more.
+    """
+
+    outbox: Outbox[NodeMessage]
+    settled: anyio.Event = field(default_factory=anyio.Event)
+    status: RankStatus | None = None
+
 
 @dataclass
 class RankCommander:
@@ -100,7 +125,7 @@
     log: EventLog
     engine: Callable[[], EngineFigures | None]
     members: dict[int, _Member] = field(default_factory=dict)
-    waiting: dict[int, tuple[anyio.Event, list[RankStatus]]] = field(default_factory=dict)
+    waiting: dict[int, _Answer] = field(default_factory=dict)
     popularity: ChoicePopularity = field(default_factory=ChoicePopularity)
     pace: PassPace = field(default_factory=PassPace)
     experts: ExpertSets = ()
@@ -136,6 +161,7 @@
     async def _serve(self, member: _Member, link: Link[NodeMessage]) -> None:
         async with open_outbox(link) as outbox:
             member.outbox = outbox
+            member.mute_until = float("-inf")
             member.map_held = 0
             outbox.post(self._next_order(RankAction.READ))
             try:
@@ -143,16 +169,19 @@
                     self._take(member, await link.receive())
             finally:
                 member.outbox = None
+                for answer in self.waiting.values():
+                    if answer.outbox is outbox:
+                        answer.settled.set()
 
     def _take(self, member: _Member, message: NodeMessage) -> None:
         if isinstance(message, RankCounts):
             self.popularity.observe(message, anyio.current_time())
         elif isinstance(message, RankStatus):
             self._note(member, message)
-            if message.order in self.waiting:
-                answered, answers = self.waiting.pop(message.order)
-                answers.append(message)
-                answered.set()
+            answer = self.waiting.pop(message.order, None)
+            if answer is not None:
+                answer.status = message
+                answer.settled.set()
 
     def _note(self, member: _Member, status: RankStatus) -> None:
         member.status = status
@@ -185,24 +214,33 @@
         self, rank: int, action: RankAction, version: int, step: int, experts: ExpertSets
     ) -> RankStatus | None:
         """Give an order to a rank; ``None`` when its state behind it is unknown."""
-        sent = experts if action is RankAction.PREPARE else ()
         member = self.members[rank]
         now = anyio.current_time()
-        if member.outbox is not None and member.mute_until <= now:
-            order = self._shortened(member, action, version, step, sent)
+        if action in CALLED_FROM_HERE and member.silent_until <= now:
+            status = await self._give_directly(rank, self._next_order(action, version, step))
+            if status is not None:
+                return status
+        sent = experts if action is RankAction.PREPARE else ()
+        if not member.answers(now):
+            return await self._give_directly(rank, self._next_order(action, version, step, sent))
+        order = self._shortened(member, action, version, step, sent)
+        status = await self._give_linked(member, order)
+        if status is not None and status.base_missing:
+            order = self._next_order(action, version, step, sent)
             status = await self._give_linked(member, order)
-            if status is not None and status.base_missing:
-                order = self._next_order(action, version, step, sent)
-                status = await self._give_linked(member, order)
-            if status is None:
-                member.mute_until = now + MUTE_S
-            elif sent:
-                member.map_held = version
-            return status
-        order = self._next_order(action, version, step, sent)
+        if status is None:
+            member.mute_until = now + MUTE_S
+        elif sent:
+            member.map_held = version
+        return status
+
+    async def _give_directly(self, rank: int, order: RankOrder) -> RankStatus | None:
+        """Call a rank past its agent."""
+        member = self.members[rank]
         try:
             status = await member.gate.give(order)
         except RankSilent as error:
+            member.silent_until = anyio.current_time() + MUTE_S
             self.log.emit(
                 events.RANK_SILENT, group=self.assignment.group, rank=rank, detail=str(error)
             )
@@ -226,14 +264,14 @@
         return self.members[rank].status
 
     async def _give_linked(self, member: _Member, order: RankOrder) -> RankStatus | None:
-        answered, answers = anyio.Event(), list[RankStatus]()
-        self.waiting[order.order] = (answered, answers)
-        assert member.outbox is not None
+        if member.outbox is None:
+            return None
+        answer = self.waiting[order.order] = _Answer(member.outbox)
         member.outbox.post(order)
         with anyio.move_on_after(ORDER_WAIT_S):
-            await answered.wait()
+            await answer.settled.wait()
         self.waiting.pop(order.order, None)
-        return answers[0] if answers else None
+        return answer.status
 
     async def _command(self) -> None:
         while True:
@@ -362,7 +400,7 @@
             del self.maps[next(iter(self.maps))]
         ahead = self.pace.passes_ahead(self.switch_s)
         switch = MapSwitch(
-            self._own_last(statuses), self.newest_version, plan.experts, ahead, self._on_armed
+            self._order_of_ranks(statuses), self.newest_version, plan.experts, ahead, self._on_armed
         )
         began_at = anyio.current_time()
         outcome = await switch.run(self)
@@ -391,7 +429,13 @@
         longer = max(took_s, (self.switch_s + took_s) / 2)
         self.switch_s = min(LONGEST_SWITCH_S, max(SWITCH_S, longer))
 
-    def _own_last(self, ranks: Iterable[int]) -> tuple[int, ...]:
-        """Return the ranks with the one beside this commander at the end."""
+    def _order_of_ranks(self, ranks: Iterable[int]) -> tuple[int, ...]:
+        """Return the ranks with one first whose agent answers, and the one beside this commander last."""
         own = self.assignment.commander
-        return tuple(sorted(ranks, key=lambda rank: self.members[rank].place.agent == own))
+        now = anyio.current_time()
+
+        def place(rank: int) -> tuple[bool, bool]:
+            member = self.members[rank]
+            return member.place.agent == own, not member.answers(now)
+
+        return tuple(sorted(ranks, key=place))
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_gate.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_gate.py
@@ -26,11 +26,13 @@
 class RankGate:
     """Calls one rank, and refuses orders of commanders that were replaced.
 
+    :param reports_late: the rank is on another VM, where its report is some hundred ms old.
     :param fence: the highest fence seen.
     """
 
     connection: KeptConnection
     dialect: RankDialect
+    reports_late: bool = False
     fence: int = 0
 
     async def status(self) -> RankStatus | None:
@@ -64,6 +66,8 @@
         if order.action is RankAction.LIST:
             body = await self._body(self.dialect.experts_call)
             experts = _readable(self.dialect.read_experts, body)
+        if accepted and self.reports_late:
+            status = _state_behind(order, status)
         return replace(status, order=order.order, accepted=accepted, detail=detail, experts=experts)
 
     async def _order(self, order: RankOrder) -> tuple[bool | None, str]:
@@ -91,6 +95,21 @@
         return body
 
 
+def _state_behind(order: RankOrder, reported: RankStatus) -> RankStatus:
+    """Return the state of a rank that has accepted an order and whose report may be older."""
+    match order.action:
+        case RankAction.ARM:
+            return replace(reported, armed=(order.version, order.step))
+        case RankAction.DISARM:
+            return replace(reported, armed=None)
+        case RankAction.HOLD:
+            return replace(reported, held=order.step)
+        case RankAction.GO:
+            return replace(reported, held=None)
+        case _:
+            return reported
+
+
 Read = TypeVar("Read")
 
 
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/kept_connection.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/kept_connection.py
@@ -31,9 +31,13 @@
     """Makes one call at a time; a call that fails closes the connection.
 
     Calls are never repeated here: who makes them knows what a lost answer means.
+
+    :param idle_s: a connection that was idle for longer is opened anew, in seconds.
     """
 
     address: Address
+    idle_s: float = float("inf")
+    used_at: float = float("-inf")
     stream: ByteStream | None = None
     protocol: h11.Connection | None = None
     lock: anyio.Lock = field(default_factory=anyio.Lock)
@@ -57,6 +61,10 @@
             raise EndpointFailure(str(error) or type(error).__name__, sent) from error
 
     async def _connect(self) -> None:
+        now = anyio.current_time()
+        if now - self.used_at > self.idle_s:
+            await self._close()
+        self.used_at = now
         if self.stream is None:
             self.stream = await anyio.connect_tcp(self.address.host, self.address.port)
             self.protocol = h11.Connection(h11.CLIENT)
