Limit requests by the time of a pass, and let those that can be in time begin before late ones

Cause: while the experts' map fits no demand (after all ranks came back, after a turn of demand, while one rank's VM is frozen and no map can change), a pass with all slots taken lasts over 0.12 s, and each stream of the group is late by its pauses. Change, policy only: an agent times its rank's passes and lets as many requests run as keep a pass below the pause that callers bear, at least half of the slots (pass_limit.py). Entries tell agents the engine's figures once a link. Late requests leave a third of the slots free while others that can be in time came within a second. A request counts from when its caller first asked, as far as its time left tells. Callers are waited for as long as their objectives say (3.2 s at an objective of 0.8 s).

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_request.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_request.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass
 
 from bergamotchute_daemon.direct.dialect import CallerWishes
-from bergamotchute_model.attempt_messages import Headers
+from bergamotchute_model.headers import Headers
+from bergamotchute_model.node_messages import EnginePace
 from bergamotchute_model.whole_configuration import RouteKind, RouteRule, ServiceRule
 from bergamotchute_wire.http1_messages import RequestHead
 
@@ -17,8 +18,11 @@
     :param team: empty for a route open to all.
     :param priority: 0 is the highest.
     :param arrived_at: when it was read whole, on the runtime's clock.
+    :param asked_at: when its caller first asked. One that comes back has less time left than its
+        route allows.
     :param deadline: when its final answer is due, on the runtime's clock.
     :param version: the configuration that decided.
+    :param pace: how the engines of the service work; ``None`` where that is not known.
     """
 
     head: RequestHead
@@ -29,8 +33,10 @@
     team: str
     priority: int
     arrived_at: float
+    asked_at: float
     deadline: float
     version: int
+    pace: EnginePace | None = None
 
     @property
     def is_stream(self) -> bool:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_runner.py
@@ -24,7 +24,7 @@
 from bergamotchute_model.verdict import Verdict
 from bergamotchute_policy.direct_placement import Candidate, DirectPlacement
 from bergamotchute_policy.retry import RetryBudget
-from bergamotchute_policy.slot_search import BEGIN_S, PATIENCE_S, SlotSearch
+from bergamotchute_policy.slot_search import BEGIN_S, SlotSearch, patience_s
 from bergamotchute_wire.byte_budget import ByteBudget, ByteClaim
 from bergamotchute_wire.http1_client import EndpointExchange, open_exchange
 from bergamotchute_wire.http1_messages import AnswerHead, EndpointFailure, without_hop_headers
@@ -216,14 +216,18 @@
         """
         engine = request.service.engine
         search = SlotSearch(self.placement, progress.avoided, engine, progress.tries > 0)
-        due_at = request.arrived_at + request.route.objective_s - BEGIN_S
-        wait_until = min(request.deadline, request.arrived_at + PATIENCE_S) - BEGIN_S
+        route = request.route
+        due_at = request.asked_at + route.objective_s - BEGIN_S
+        patient_s = patience_s(route.objective_s, route.gap_objective_s)
+        wait_until = min(request.deadline, request.arrived_at + patient_s) - BEGIN_S
         while True:
             wish = search.next(self.endpoints(request.service.name), anyio.current_time())
             if wish is None:
                 return None
             endpoint = wish.candidate.heartbeat
-            question = SlotQuestion(wish.most, wish.queue, due_at, wait_until, request.priority)
+            question = SlotQuestion(
+                wish.most, wish.queue, due_at, wait_until, request.priority, request.pace
+            )
             told = await self.slots.reserve(endpoint.address, question)
             if told is None:
                 if not progress.tries and self.placement.has_too_much(wish.candidate, engine):
@@ -567,6 +571,9 @@
             request_id=request.wishes.request_id,
             endpoint=endpoint.endpoint,
             status=status,
+            route=request.route.name,
+            objective_ms=round(request.route.objective_s * 1000),
+            pause_bound_ms=round(request.route.gap_objective_s * 1000),
             attempts=progress.tries,
             events_passed=progress.stream.events,
             first_ms=round((begun_at - request.arrived_at) * 1000),
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/filters.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/filters.py
@@ -60,15 +60,18 @@
     time_left_s = route.timeout_s
     if wishes.time_left_s is not None:
         time_left_s = min(time_left_s, wishes.time_left_s)
+    service = held.draw_service(route, random)
     return DirectRequest(
         head=request.head,
         body=request.body,
         wishes=wishes,
         route=route,
-        service=held.draw_service(route, random),
+        service=service,
         team=team,
         priority=priority,
         arrived_at=now,
+        asked_at=now - (route.timeout_s - time_left_s),
         deadline=now + time_left_s,
         version=held.configuration.version,
+        pace=held.paces.get(service.name),
     )
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/slot_reservations.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/slot_reservations.py
@@ -15,6 +15,7 @@
 from bergamotchute_model import events
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.node_messages import (
+    EnginePace,
     NodeMessage,
     ReleaseSlot,
     ReserveSlot,
@@ -44,12 +45,14 @@
 
     :param silent_until: it is not asked until then, on the runtime's clock.
     :param asked_at: when it was asked last.
+    :param told: what it was told of the engines.
     :param answers: where the answers to each question go.
     """
 
     outbox: Outbox[NodeMessage] | None = None
     silent_until: float = float("-inf")
     asked_at: float = float("-inf")
+    told: EnginePace | None = None
     answers: dict[int, MemoryObjectSendStream[SlotAnswer]] = field(default_factory=dict)
 
 
@@ -88,6 +91,7 @@
     :param due_at: when it must have its slot to be in time, on the runtime's clock.
     :param wait_until: when it stops waiting.
     :param priority: 0 is the most urgent.
+    :param pace: how the engine of the endpoint works; ``None`` where that is not known.
     """
 
     most: int
@@ -95,6 +99,7 @@
     due_at: float
     wait_until: float
     priority: int = 0
+    pace: EnginePace | None = None
 
 
 @dataclass
@@ -154,6 +159,9 @@
         number = self.asked
         sender, receiver = anyio.create_memory_object_stream[SlotAnswer](2)
         link.answers[number] = sender
+        if question.pace is not None and question.pace != link.told:
+            link.told = question.pace
+            outbox.post(question.pace)
         outbox.post(
             ReserveSlot(
                 number,
@@ -214,6 +222,7 @@
     async def _serve(self, link: _AgentLink, opened: Link[NodeMessage]) -> None:
         async with open_outbox(opened) as outbox:
             link.outbox = outbox
+            link.told = None
             try:
                 while True:
                     _take(link, await opened.receive())
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
@@ -213,7 +213,7 @@
         before, self.status = self.status, status
         if status is None:
             return
-        self.slots.on_report(status.requests)
+        self.slots.on_status(status)
         if before is None or before.requests != status.requests:
             endpoint = self.gate.connection.address
             self.links.post_any(LoadsTold(((endpoint, status.requests),)))
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/slot_keeper.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/slot_keeper.py
@@ -7,7 +7,9 @@
 import anyio
 
 from bergamotchute_model.node_messages import (
+    EnginePace,
     NodeMessage,
+    RankStatus,
     ReleaseSlot,
     ReserveSlot,
     SlotAnswer,
@@ -35,6 +37,12 @@
                 self.ledger.forget(outbox)
                 self._serve_waiting()
 
+    def on_status(self, status: RankStatus) -> None:
+        """Take what the rank beside this agent tells of its requests and passes."""
+        now = anyio.current_time()
+        self.ledger.limit.observe(status.epoch, status.step, status.requests, now)
+        self.on_report(status.requests)
+
     def on_report(self, requests: int) -> None:
         """Take the endpoint's own count of its requests."""
         self.ledger.on_report(requests)
@@ -55,6 +63,8 @@
             state = self.ledger.reserve(request, message.queue, now)
             outbox.post(SlotAnswer(message.number, state, requests))
             self._serve_waiting()
+        elif isinstance(message, EnginePace):
+            self.ledger.limit.pace = message
         elif isinstance(message, ReleaseSlot):
             self.ledger.release(outbox, message.number)
             self._serve_waiting()
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/slot_ledger.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/slot_ledger.py
@@ -11,7 +11,14 @@
 from dataclasses import dataclass, field
 
 from bergamotchute_model.node_messages import SlotState
-from bergamotchute_policy.waiting_line import WaitingLine, WaitingRequest
+from bergamotchute_policy.pass_limit import PassLimit
+from bergamotchute_policy.waiting_line import ANY_NUMBER, WaitingLine, WaitingRequest
+
+KEPT_PART = 1 / 3
+KEPT_S = 1.0
+"""Part of the slots that late requests leave free, and for how long after a request came that could
+be in time. Load pattern: the callers of an outage come back together, all of them late; those that
+ask for the first time then find a slot in time."""
 
 
 @dataclass
@@ -24,12 +31,16 @@
     :param reserved: the reservations of each holder, by number.
     :param others: requests that the endpoint reported and nobody here reserved.
     :param line: who waits.
+    :param limit: how many requests keep the engine's passes short enough.
+    :param timely_at: when one asked last that could begin in time, on the runtime's clock.
     :param turned_away: who waited and is to be told that it gets no slot.
     """
 
     reserved: dict[Hashable, set[int]] = field(default_factory=dict)
     others: int = 0
     line: WaitingLine = field(default_factory=WaitingLine)
+    limit: PassLimit = field(default_factory=PassLimit)
+    timely_at: float = float("-inf")
     turned_away: list[WaitingRequest] = field(default_factory=list)
 
     @property
@@ -45,7 +56,9 @@
 
         :param queue: the request waits if fewer others do, or for a less urgent one.
         """
-        if self.requests + len(self.line) <= request.most:
+        if not request.is_late(now):
+            self.timely_at = now
+        if self.requests + len(self.line) <= self._most_others(request, now):
             self._grant(request)
             return SlotState.RESERVED
         waits, turned_away = self.line.join(request, queue, now)
@@ -53,13 +66,22 @@
             self.turned_away.append(turned_away)
         return SlotState.WAITING if waits else SlotState.REFUSED
 
+    def _most_others(self, request: WaitingRequest, now: float) -> int:
+        """Return the other requests with which one gets a slot."""
+        if request.most >= ANY_NUMBER:
+            return request.most
+        limit = self.limit.most_requests()
+        most = request.most if limit is None else min(request.most, limit - 1)
+        keeps_slots = request.is_late(now) and now - self.timely_at < KEPT_S
+        return most - round(KEPT_PART * most) if keeps_slots else most
+
     def _grant(self, request: WaitingRequest) -> None:
         self.reserved.setdefault(request.holder, set()).add(request.number)
 
     def next_reserved(self, now: float) -> WaitingRequest | None:
         """Reserve a slot for the first of the waiting requests that gets one now, if any."""
         first = self.line.first(now)
-        if first is None or self.requests > first.most:
+        if first is None or self.requests > self._most_others(first, now):
             return None
         self.line.serve(first, now)
         self._grant(first)
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/slot_search.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/slot_search.py
@@ -15,6 +15,7 @@
 from bergamotchute_model.whole_configuration import EngineFigures
 from bergamotchute_policy.direct_placement import Candidate, DirectPlacement
 from bergamotchute_policy.engine_model import draft_s
+from bergamotchute_policy.waiting_line import ANY_NUMBER
 
 MOST_ASKS = 4
 """Agents that may refuse before a request waits beside the best endpoint.
@@ -23,7 +24,10 @@
 """
 
 PATIENCE_S = 2.0
-"""Callers leave a stream that does not begin for so long."""
+PATIENCE_OBJECTIVES = 4.0
+PATIENCE_PAUSES = 8.0
+"""Callers leave a stream that does not begin for so long, for so many times their objective, or for
+so many times the longest pause that they bear, whichever is longest."""
 
 BEGIN_S = 0.25
 """From sending a request to its first event while a slot is free, at a busy engine."""
@@ -32,8 +36,10 @@
 """A queue may be as long as an engine begins in this time, so that those who wait begin before
 :data:`PATIENCE_S` also when some that are in time overtake them."""
 
-ANY_NUMBER = 1_000_000
-"""Requests at an endpoint that no engine holds."""
+
+def patience_s(objective_s: float, pause_s: float) -> float:
+    """Return how long a caller waits for a stream's first event, in seconds."""
+    return max(PATIENCE_S, PATIENCE_OBJECTIVES * objective_s, PATIENCE_PAUSES * pause_s)
 
 
 def longest_queue(engine: EngineFigures) -> int:
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/waiting_line.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/waiting_line.py
@@ -34,6 +34,10 @@
 of request may be served less than a quarter as often as all."""
 
 
+ANY_NUMBER = 1_000_000
+"""Requests at an endpoint that no engine holds."""
+
+
 @dataclass(frozen=True)
 class WaitingRequest:
     """A request that waits for a slot.
@@ -51,6 +55,10 @@
     priority: int = 0
     leaves_at: float = float("inf")
 
+    def is_late(self, now: float) -> bool:
+        """Return whether it can't begin in time any more."""
+        return self.due_at <= now
+
 
 @dataclass
 class WaitingLine:
@@ -151,6 +159,6 @@
         return max(sum(self.gaps) / len(self.gaps), present)
 
     def _rank(self, request: WaitingRequest, now: float) -> tuple[bool, int, float]:
-        is_late = request.due_at <= now
+        is_late = request.is_late(now)
         # Among late ones the first to have come goes first; sorting keeps their order.
         return is_late, request.priority, 0.0 if is_late else request.due_at
