Take a hold to last until its rank has accepted the end

Found by reading: an order to end a hold that got no answer was followed by the rank's report, 200 ms old where another VM asks, which may be from before the hold; the group then seemed free and stood still until the next look of its agent. Test: fails before.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_gate.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_gate.py
@@ -66,8 +66,8 @@
         if order.action is RankAction.LIST:
             body = await self._body(self.dialect.experts_call)
             experts = _readable(self.dialect.read_experts, body)
-        if accepted and self.reports_late:
-            status = _state_behind(order, status)
+        if self.reports_late:
+            status = _state_behind(order, accepted, status)
         return replace(status, order=order.order, accepted=accepted, detail=detail, experts=experts)
 
     async def _order(self, order: RankOrder) -> tuple[bool | None, str]:
@@ -95,17 +95,20 @@
         return body
 
 
-def _state_behind(order: RankOrder, reported: RankStatus) -> RankStatus:
-    """Return the state of a rank that has accepted an order and whose report may be older."""
+def _state_behind(order: RankOrder, accepted: bool | None, reported: RankStatus) -> RankStatus:
+    """Return the state of a rank behind an order, where its report may be from before that order.
+
+    A hold that was not seen to end is taken to last.
+    """
     match order.action:
-        case RankAction.ARM:
+        case RankAction.ARM if accepted:
             return replace(reported, armed=(order.version, order.step))
-        case RankAction.DISARM:
+        case RankAction.DISARM if accepted:
             return replace(reported, armed=None)
-        case RankAction.HOLD:
+        case RankAction.HOLD if accepted:
             return replace(reported, held=order.step)
         case RankAction.GO:
-            return replace(reported, held=None)
+            return replace(reported, held=None if accepted else order.step)
         case _:
             return reported
 
--- a/tests/ranks/test_lost_agents.py
+++ b/tests/ranks/test_lost_agents.py
@@ -30,6 +30,7 @@
 )
 from bergamotchute_platform.rank_calls import RANK_DIALECT
 from bergamotchute_policy.even_map_planner import ExpertSets, first_map
+from bergamotchute_wire.http1_messages import EndpointFailure
 from bergamotchute_wire.kept_connection import KeptConnection
 from bergamotchute_wire.link import Link, LinkClosed
 from support.memory_links import MemoryNetwork
@@ -83,6 +84,30 @@
     anyio.run(main)
 
 
+class DeafReporter(LateReporter):
+    """A rank that answers no order, and whose report is from before the hold."""
+
+    async def call(
+        self, method: str, target: str, body: bytes, timeout_s: float
+    ) -> tuple[int, bytes]:
+        if method == "POST":
+            raise EndpointFailure("TimeoutError", True)
+        return 200, (await super().call(method, target, body, timeout_s))[1].replace(b"8", b"null")
+
+
+def test_a_hold_lasts_until_the_rank_has_accepted_its_end() -> None:
+    """Load pattern: orders get no answer, and the report that follows is older than the hold."""
+
+    async def main() -> None:
+        gate = RankGate(DeafReporter(RANKS[0]), RANK_DIALECT, reports_late=True)
+        status = await gate.give(RankOrder(1, 1, 1, RankAction.GO, 0, 20))
+        assert status is not None
+        assert status.accepted is None
+        assert status.held == 20
+
+    anyio.run(main)
+
+
 @dataclass
 class OneRankHolds:
     """A caller of ranks of which the first gives no answer to the order to hold a pass.
