--- a/tests/ranks/test_lost_agents.py
+++ b/tests/ranks/test_lost_agents.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass, replace
 
@@ -163,6 +164,25 @@
             await link.receive()
 
 
+Body = Callable[[MemoryNetwork, RankCommander], Awaitable[None]]
+
+
+def command_beside(agent: Address, body: Body) -> None:
+    """Run a test with a commander and one agent, which answers no order."""
+
+    async def main() -> None:
+        async with anyio.create_task_group() as tasks:
+            network = MemoryNetwork(tasks)
+            network.serve("agent", agent, "/ranks", keep_silent)
+            commander = make_commander(network)
+            tasks.start_soon(commander.run)
+            await anyio.sleep(LINK_S)
+            await body(network, commander)
+            tasks.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 class Counting(LateReporter):
     """A rank that counts the calls which change something."""
 
@@ -179,57 +199,36 @@
 def test_a_hold_is_ordered_from_the_commander_s_vm(action: RankAction) -> None:
     """Load pattern: the VM from which a hold was ordered freezes. Its rank can't be called then."""
 
-    async def main() -> None:
-        async with anyio.create_task_group() as tasks:
-            network = MemoryNetwork(tasks)
-            network.serve("agent", AGENTS[0], "/ranks", keep_silent)
-            commander = make_commander(network)
-            tasks.start_soon(commander.run)
-            await anyio.sleep(LINK_S)
-            rank = Counting(RANKS[0])
-            commander.members[0].gate = RankGate(rank, RANK_DIALECT, reports_late=True)
-            status = await commander.give(0, action, 0, 12, ())
-            assert status is not None
-            assert status.accepted
-            assert rank.orders == 1
-            tasks.cancel_scope.cancel()
+    async def body(_: MemoryNetwork, commander: RankCommander) -> None:
+        rank = Counting(RANKS[0])
+        commander.members[0].gate = RankGate(rank, RANK_DIALECT, reports_late=True)
+        status = await commander.give(0, action, 0, 12, ())
+        assert status is not None
+        assert status.accepted
+        assert rank.orders == 1
 
-    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    command_beside(AGENTS[0], body)
 
 
 def test_an_order_does_not_wait_for_an_agent_whose_link_is_gone() -> None:
-    async def main() -> None:
-        async with anyio.create_task_group() as tasks:
-            network = MemoryNetwork(tasks)
-            network.serve("agent", AGENTS[0], "/ranks", keep_silent)
-            commander = make_commander(network)
-            tasks.start_soon(commander.run)
-            await anyio.sleep(LINK_S)
-
-            async def lose_agent() -> None:
-                await anyio.sleep(0.05)
-                network.stop_serving("agent")
+    async def body(network: MemoryNetwork, commander: RankCommander) -> None:
+        async def lose_agent() -> None:
+            await anyio.sleep(0.05)
+            network.stop_serving("agent")
 
+        async with anyio.create_task_group() as tasks:
             tasks.start_soon(lose_agent)
             begun_at = anyio.current_time()
             assert await commander.give(0, RankAction.ARM, 5, 12, ()) is None
             assert anyio.current_time() - begun_at < ORDER_WAIT_S / 2
-            tasks.cancel_scope.cancel()
 
-    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    command_beside(AGENTS[0], body)
 
 
 def test_a_pass_is_held_by_a_rank_whose_agent_answers() -> None:
     """The commander's own rank stays the last to be armed, whatever its agent does."""
 
-    async def main() -> None:
-        async with anyio.create_task_group() as tasks:
-            network = MemoryNetwork(tasks)
-            network.serve("agent", AGENTS[1], "/ranks", keep_silent)
-            commander = make_commander(network)
-            tasks.start_soon(commander.run)
-            await anyio.sleep(LINK_S)
-            assert commander._order_of_ranks(range(3)) == (1, 0, 2)
-            tasks.cancel_scope.cancel()
+    async def body(_: MemoryNetwork, commander: RankCommander) -> None:
+        assert commander._order_of_ranks(range(3)) == (1, 0, 2)
 
-    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    command_beside(AGENTS[1], body)
