--- a/packages/bergamotchute-wire/src/bergamotchute_wire/message_codec.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/message_codec.py
@@ -4,7 +4,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence
-from functools import cache
+from functools import cache, cached_property
 from typing import Any, Generic, TypeVar, get_args
 
 import cbor2
@@ -39,6 +39,11 @@
         self._messages = messages
         self._encoded: OrderedDict[int, tuple[Message, bytes]] = OrderedDict()
 
+    @cached_property
+    def _kinds(self) -> dict[str, type]:
+        """The types of messages by kind, found at first use."""
+        return _kinds(self._messages)
+
     def encode(self, message: Message) -> bytes:
         """Return the CBOR form of a message."""
         return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
@@ -83,7 +88,9 @@
         if not isinstance(items, list):
             raise MalformedMessageError("not a list of messages")
         try:
-            return [_read_kind(self._messages, item) for item in items]
+            if not self._kinds:
+                return [msgspec.convert(item, self._messages) for item in items]
+            return [_read_kind(self._kinds, item) for item in items]
         except msgspec.ValidationError as error:
             raise MalformedMessageError(str(error)) from error
         except RecursionError as error:
@@ -97,19 +104,21 @@
         raise MalformedMessageError(f"not CBOR: {error}") from error
 
 
-def _read_kind(messages: Any, item: Any) -> Any:
-    """Return the message of one of several kinds; also called for fields that hold one.
+def _read_kind(kinds: dict[str, type], item: Any) -> Any:
+    """Return the message of one of several kinds.
 
     :raises msgspec.ValidationError: when it is none of them.
     """
-    kinds = _kinds(messages)
-    if not kinds:
-        return msgspec.convert(item, messages)
     name = item.get(KIND) if isinstance(item, dict) else None
     kind = kinds.get(name) if isinstance(name, str) else None
     if kind is None:
         raise msgspec.ValidationError("no known kind of message")
-    return msgspec.convert(item, kind, dec_hook=_read_kind)
+    return msgspec.convert(item, kind, dec_hook=_read_field)
+
+
+def _read_field(base: type, item: Any) -> Any:
+    """Return the message in a field whose type is the base class of several kinds."""
+    return _read_kind(_kinds(base), item)
 
 
 @cache
