Limit requests where streams are seen, by the slowest recent passes of the whole group

Cause: the agent of each rank worked out its limit from its own requests and a pass time read each 0.2 s. At a rank with few requests that blamed these for passes that all 63 ranks made long (2 of 5 slots with the group half empty), it read passes of 0.11 s as 0.1 or 0.2, and it followed the present pass: between two shifts of demand all slots filled again, so the next shift made all streams late.

Change: an entry times passes by the pauses in its streams (median of 0.2 s), divides what exceeds an empty pass by the mean requests at the ranks that it knows, and keeps the largest of the last five seconds. The limit is a mean; by a hash, ranks take the whole number above or below it. Where even two fifths of the slots would be too slow there is no limit. A group that opens again is limited as by its initial map. The time to a first event is measured too, in place of 0.25 s. Entries no longer tell agents the engine's timing.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/admitted_request.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/admitted_request.py
@@ -6,7 +6,6 @@
 
 from bergamotchute_daemon.direct.request_format import RequestMetadata
 from bergamotchute_model.headers import Headers
-from bergamotchute_model.node_messages import EngineTiming
 from bergamotchute_model.versioned_configuration import RouteKind, RouteRule, ServiceRule
 from bergamotchute_wire.http1_messages import RequestHead
 
@@ -22,7 +21,6 @@
         has less time left than the route's timeout; the difference is the time since then.
     :param deadline: when the complete response is due, on the runtime's clock.
     :param version: the version of the configuration that admitted the request.
-    :param engine_pace: the pace of the service's engines; ``None`` if unknown.
     """
 
     head: RequestHead
@@ -36,7 +34,6 @@
     first_sent_at: float
     deadline: float
     version: int
-    engine_pace: EngineTiming | None = None
 
     @property
     def is_stream(self) -> bool:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -143,8 +143,7 @@
 
     def _update_rank_place(self, place: RankLocation) -> None:
         self.forwarder.slots.set_agent(place.endpoint, place.agent)
-        groups = self.forwarder.placement.rank_groups
-        if groups.on_group_state(place.endpoint, place.group, place.takes_work):
+        if self.forwarder.placement.on_group_state(place.endpoint, place.group, place.takes_work):
             self.log.emit(events.GROUP_CHANGED, group=place.group, open=place.takes_work)
 
     def _index_endpoints(self) -> None:
@@ -203,6 +202,7 @@
         """Route requests by a newer configuration."""
         is_first = self.routing_table is None
         self.routing_table = RoutingTable(configuration)
+        self.forwarder.placement.engine_timings = self.routing_table.engine_timings
         limits = configuration.limits
         self.server.limits = ServerLimits(
             limits.head_bytes, limits.body_bytes, limits.head_timeout_s, limits.idle_timeout_s
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
@@ -28,7 +28,8 @@
 from bergamotchute_model.verdict import Verdict
 from bergamotchute_policy.direct_placement import DirectPlacement, EndpointCandidate
 from bergamotchute_policy.retry import RetryBudget
-from bergamotchute_policy.slot_search import FIRST_EVENT_S, SlotSearch, patience_s
+from bergamotchute_policy.slot_search import SlotSearch, patience_s
+from bergamotchute_policy.stream_pace import StreamPace
 from bergamotchute_wire.byte_budget import ByteBudget, ByteClaim
 from bergamotchute_wire.http1_client import EndpointExchange, open_exchange
 from bergamotchute_wire.http1_messages import (
@@ -193,6 +194,7 @@
     started_at: float = field(default_factory=anyio.current_time)
     changed: anyio.Event = field(default_factory=anyio.Event)
     retry_budgets: dict[str, RetryBudget] = field(default_factory=dict)
+    stream_paces: dict[str, StreamPace] = field(default_factory=dict)
     held: ByteBudget = field(default_factory=lambda: ByteBudget(MAX_BUFFERED_BYTES))
 
     async def forward_request(self, request: AdmittedRequest, writer: ResponseWriter) -> None:
@@ -244,18 +246,22 @@
             self.placement, progress.failed_endpoints, engine, progress.attempt_count > 0
         )
         route = request.route
-        due_at = request.first_sent_at + route.objective_s - FIRST_EVENT_S
+        first_event_s = self._stream_pace(request).first_event_s
+        due_at = request.first_sent_at + route.objective_s - first_event_s
         caller_patience_s = patience_s(route.objective_s, route.gap_objective_s)
-        wait_until = min(request.deadline, request.arrived_at + caller_patience_s) - FIRST_EVENT_S
+        wait_until = min(request.deadline, request.arrived_at + caller_patience_s) - first_event_s
         while True:
-            target = search.next_slot_request(
-                self.endpoints(request.service.name), anyio.current_time()
-            )
+            endpoints = self.endpoints(request.service.name)
+            target = search.next_slot_request(endpoints, anyio.current_time())
             if target is None:
                 return None
             endpoint = target.candidate.heartbeat
             slot_request = SlotRequest(
-                target.most, target.queue, due_at, wait_until, request.priority, request.engine_pace
+                target.most,
+                target.queue,
+                due_at,
+                wait_until,
+                request.priority,
             )
             outcome = await self.slots.reserve(endpoint.address, slot_request)
             if outcome is None:
@@ -398,7 +404,7 @@
                 self.placement.on_failure(endpoint, now)
             return failure
         if request.is_stream and 200 <= head.status < 300:
-            await self._forward_stream(attempt, head)
+            await self._forward_stream(attempt, head, send_started_at)
         else:
             with self.held.open_claim() as claim:
                 body = await self._read_body(exchange, claim)
@@ -498,9 +504,10 @@
         kept = tuple((name, value) for name, value in headers if name != "content-length")
         await writer.respond(head.status, kept, body)
 
-    async def _forward_stream(self, attempt: _Attempt, head: ResponseHead) -> None:
+    async def _forward_stream(self, attempt: _Attempt, head: ResponseHead, sent_at: float) -> None:
         """Forward complete events as they arrive.
 
+        :param sent_at: when the request was sent to the endpoint, on the runtime's clock.
         :raises EndpointFailure: if the stream breaks off, stalls, or does not continue the events
             that the caller already has.
         """
@@ -516,13 +523,20 @@
             except InvalidEventStream as error:
                 raise EndpointFailure(str(error), True) from error
             if whole:
-                attempt.progress.record_chunk(anyio.current_time())
+                now = anyio.current_time()
+                if attempt.progress.response_started_at is not None:
+                    pause_s = now - attempt.progress.last_chunk_at
+                    self.placement.on_stream_pause(attempt.endpoint, pause_s, now)
+                attempt.progress.record_chunk(now)
                 if not writer.started:
                     await writer.write_head(head.status, without_hop_by_hop_headers(head.headers))
                 await writer.write_chunk(whole)
         if stream.has_partial_event or not writer.started:
             raise EndpointFailure("the stream ended before an event was complete", True)
         await writer.finish()
+        if attempt.progress.sent_count == 1 and attempt.progress.response_started_at is not None:
+            first_event_s = attempt.progress.response_started_at - sent_at
+            self._stream_pace(attempt.request).on_first_event(first_event_s)
 
     def _record_failed_attempt(
         self,
@@ -620,6 +634,10 @@
         pause_s = self.placement.seconds_until_accepting(known, anyio.current_time())
         raise RequestRefused(503, reason, pause_s + MIN_RETRY_AFTER_S + jitter_s)
 
+    def _stream_pace(self, request: AdmittedRequest) -> StreamPace:
+        """Return what this entry observed of the streams of the request's service."""
+        return self.stream_paces.setdefault(request.service.name, StreamPace())
+
     def _retry_budget(self, request: AdmittedRequest) -> RetryBudget:
         """Return the refilled retry budget of the request's service."""
         name = request.service.name
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/filters.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/filters.py
@@ -80,5 +80,4 @@
         first_sent_at=now - (route.timeout_s - time_left_s),
         deadline=now + time_left_s,
         version=held.configuration.version,
-        engine_pace=held.engine_paces.get(service.name),
     )
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/routing_table.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/routing_table.py
@@ -5,7 +5,6 @@
 from collections import defaultdict
 from random import Random
 
-from bergamotchute_model.node_messages import EngineTiming
 from bergamotchute_model.versioned_configuration import (
     RouteKind,
     RouteRule,
@@ -13,7 +12,7 @@
     TeamRule,
     VersionedConfiguration,
 )
-from bergamotchute_policy.engine_model import engine_pace
+from bergamotchute_policy.engine_model import EngineTiming, engine_timing
 
 
 class RoutingTable:
@@ -33,17 +32,17 @@
         self._routes_by_host: dict[str, dict[str, RouteRule]] = defaultdict(dict)
         for route in configuration.routes:
             self._routes_by_host[route.host.lower()][route.path_prefix] = route
-        self.engine_paces = self._compute_engine_paces()
+        self.engine_timings = self._compute_engine_timings()
 
-    def _compute_engine_paces(self) -> dict[str, EngineTiming]:
-        """Return each service's engine pace, for the strictest gap objective of its streams."""
+    def _compute_engine_timings(self) -> dict[str, EngineTiming]:
+        """Return the timing of each service's engines, for its streams' strictest gap objective."""
         gap_objectives_s: dict[str, list[float]] = defaultdict(list)
         for route in self.configuration.routes:
             if route.kind is RouteKind.STREAM and route.gap_objective_s > 0:
                 for share in route.shares:
                     gap_objectives_s[share.service].append(route.gap_objective_s)
         return {
-            name: engine_pace(service.engine, min(gap_objectives_s[name]))
+            name: engine_timing(service.engine, min(gap_objectives_s[name]))
             for name, service in self.services.items()
             if service.engine is not None and gap_objectives_s[name]
         }
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/slot_reservations.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/slot_reservations.py
@@ -15,7 +15,6 @@
 from bergamotchute_model import events
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.node_messages import (
-    EngineTiming,
     NodeMessage,
     ReleaseSlot,
     ReserveSlot,
@@ -51,14 +50,12 @@
 
     :param paused_until: when the agent may be asked again, on the runtime's clock.
     :param last_asked_at: when the agent was asked last, on the runtime's clock.
-    :param sent_pace: the engine pace that was sent on this connection.
     :param answer_senders: delivers the answers to each request, by its number.
     """
 
     outbox: Outbox[NodeMessage] | None = None
     paused_until: float = float("-inf")
     last_asked_at: float = float("-inf")
-    sent_pace: EngineTiming | None = None
     answer_senders: dict[int, MemoryObjectSendStream[SlotAnswer]] = field(default_factory=dict)
 
 
@@ -97,7 +94,6 @@
     :param due_at: when it needs the slot to meet its objective, on the runtime's clock.
     :param wait_until: when it stops waiting, on the runtime's clock.
     :param priority: 0 is the most urgent.
-    :param engine_pace: the pace of the endpoint's engine; ``None`` if unknown.
     """
 
     most: int
@@ -105,7 +101,6 @@
     due_at: float
     wait_until: float
     priority: int = 0
-    engine_pace: EngineTiming | None = None
 
 
 @dataclass
@@ -167,9 +162,6 @@
         number = self.asked_count
         sender, receiver = anyio.create_memory_object_stream[SlotAnswer](2)
         link.answer_senders[number] = sender
-        if slot_request.engine_pace is not None and slot_request.engine_pace != link.sent_pace:
-            link.sent_pace = slot_request.engine_pace
-            outbox.post(slot_request.engine_pace)
         outbox.post(
             ReserveSlot(
                 number,
@@ -232,7 +224,6 @@
     async def _receive_answers(self, link: _AgentLink, connection: Link[NodeMessage]) -> None:
         async with open_outbox(connection) as outbox:
             link.outbox = outbox
-            link.sent_pace = None
             try:
                 while True:
                     _deliver_answer(link, await connection.receive())
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/slot_reservation_server.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/slot_reservation_server.py
@@ -7,7 +7,6 @@
 import anyio
 
 from bergamotchute_model.node_messages import (
-    EngineTiming,
     NodeMessage,
     RankStatus,
     ReleaseSlot,
@@ -41,9 +40,7 @@
                 self._answer_waiting()
 
     def on_rank_status(self, status: RankStatus) -> None:
-        """Update the limit and the ledger from the rank's own count of its requests and passes."""
-        now = anyio.current_time()
-        self.ledger.concurrency_limit.observe(status.epoch, status.step, status.requests, now)
+        """Update the ledger from the rank's own count of its requests."""
         self.on_request_count(status.requests)
 
     def on_request_count(self, requests: int) -> None:
@@ -66,8 +63,6 @@
             state = self.ledger.reserve_slot(request, message.queue, now)
             outbox.post(SlotAnswer(message.number, state, requests))
             self._answer_waiting()
-        elif isinstance(message, EngineTiming):
-            self.ledger.concurrency_limit.pace = message
         elif isinstance(message, ReleaseSlot):
             self.ledger.release_slot(outbox, message.number)
             self._answer_waiting()
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/concurrency_limit.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/concurrency_limit.py
@@ -1,80 +1,108 @@
-"""Concurrency limit of an engine that keeps pauses between stream events within the objective.
+"""Limit of the requests at the ranks of a group that keeps pauses between events within the objective.
 
-After a shift of expert demand, or while a restarted group uses its initial expert map, a forward
-pass takes twice as long as usual. With all slots taken, every stream then has pauses beyond its
-objective, so every request misses it. With some slots left free, passes are short enough, and
-almost as many requests complete per second.
+Load pattern: demand moves to other experts every few seconds, or a restarted group uses its initial
+expert map. Until the map is adapted, a forward pass takes up to twice as long as usual. A stream
+lives for many passes, so with all slots taken nearly every stream meets such a pass and misses its
+objective. With some slots left free, even these passes are short enough, and almost as many
+requests complete per second.
+
+The limit is therefore based on the time that a request added to the slowest recent passes. A limit
+based on the present pass would fill all slots again before the next shift.
+
+All ranks of a group share the duration of their passes, to which the requests of all of them add.
+The time that a request adds is therefore counted for the mean number of requests at a rank. If it
+were counted for the requests of each rank alone, a rank with few requests would seem to be full
+whenever passes are long.
+
+An entry times passes by the pauses between the events of its streams. Pass numbers, which agents
+read a few times a second, are too coarse for passes of a tenth of a second.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from statistics import median
+
+from bergamotchute_policy.engine_model import EngineTiming
 
-from bergamotchute_model.node_messages import EngineTiming
+WINDOW_S = 0.2
+"""Time over which the median of the pauses counts as the duration of a pass; about two passes."""
 
-MIN_TIMING_S = 0.15
-"""Minimum time over which passes are timed, as pass numbers are reported a few times a second."""
+MIN_WINDOW_PAUSES = 4
+"""Fewest pauses in a window; with fewer, one delayed packet would count as a slow pass."""
 
-MAX_PASS_S = 0.25
-"""A longer pass has stalled for another reason, such as a change of the expert map."""
+STALL_PAUSE_RATIO = 2.5
+"""A pause longer than this multiple of the longest one within the objective is a stall, which no
+limit prevents."""
 
-PASS_TO_PAUSE_RATIO = 0.92
+PASS_TO_PAUSE_RATIO = 0.95
 """Share of the longest pause that a pass may take; the rest is for delivery to the caller."""
 
-LIMITING_PASS_RATIO = 0.8
-"""Share of the longest allowed pass from which requests are limited: the time of short passes says
-little about how many requests an engine can run."""
+MIN_SLOT_RATIO = 0.4
+"""Share of the slots below which no limit is set. Where fewer requests would still miss their
+objective, as with a slow rank, a limit only delays more of them."""
 
-MIN_SLOT_RATIO = 0.5
-"""Share of the slots that is always available, so that work completes even at a slow rank."""
+MEMORY_S = 5.0
+"""Time for which a slow pass limits the requests; demand moves to other experts about as often."""
+
+LIMITING_REQUEST_RATIO = 0.3
+"""Share of the slots in use from which a pass tells how much a request adds to it."""
 
 
 @dataclass
 class ConcurrencyLimit:
-    """The concurrency limit of one engine, computed from its recent passes.
-
-    :param pace: the engine's timing figures, as sent by entries; ``None`` before the first.
-    :param epoch: the incarnation of the group whose passes are timed.
-    :param step: number of the newest pass at the last observation.
-    :param requests: requests at the engine at the last observation.
-    :param at: time of the last observation, on the runtime's clock.
-    :param pass_s: mean duration of the latest passes in this epoch; ``None`` while unknown.
-    :param pass_requests: mean number of requests during these passes.
+    """The limit of the requests at each rank of one group, computed from its recent passes.
+
+    :param timing: figures of the engine.
+    :param began_at: when the group was first used, on the runtime's clock; for a while after it the
+        group may use its initial map.
+    :param window_began_at: start of the current window.
+    :param window_pauses_s: pauses in the current window, in seconds.
+    :param added_s: ends of windows, and the time that a request added to a pass then, in seconds.
+        Only those that no later one exceeds are kept.
     """
 
-    pace: EngineTiming | None = None
-    epoch: int = 0
-    step: int = 0
-    requests: int = 0
-    at: float = 0.0
-    pass_s: float | None = None
-    pass_requests: float = 0.0
-
-    def observe(self, epoch: int, step: int, requests: int, now: float) -> None:
-        """Record the number of the engine's newest pass and of its requests."""
-        if epoch != self.epoch:
-            self.epoch, self.pass_s = epoch, None
-        elif now - self.at < MIN_TIMING_S:
+    timing: EngineTiming
+    began_at: float
+    window_began_at: float = 0.0
+    window_pauses_s: list[float] = field(default_factory=list)
+    added_s: deque[tuple[float, float]] = field(default_factory=deque)
+
+    def on_pause(self, pause_s: float, now: float, mean_requests: Callable[[], float]) -> None:
+        """Record a pause between two events of a stream.
+
+        :param mean_requests: returns the mean number of requests at a rank of the group.
+        """
+        if now - self.window_began_at < WINDOW_S:
+            self.window_pauses_s.append(pause_s)
             return
-        elif step > self.step and self.requests and requests:
-            pass_s = (now - self.at) / (step - self.step)
-            if pass_s <= MAX_PASS_S:
-                self.pass_s = pass_s
-                self.pass_requests = (self.requests + requests) / 2
-        self.step, self.requests, self.at = step, requests, now
-
-    def max_requests(self) -> int | None:
-        """Return the maximum number of running requests; ``None`` for no limit but the slots."""
-        pace = self.pace
-        if pace is None:
-            return None
-        max_pass_s = PASS_TO_PAUSE_RATIO * pace.pause_s
-        added_s = pace.added_s
-        if self.pass_s is not None:
-            if self.pass_s < LIMITING_PASS_RATIO * max_pass_s:
-                return None
-            added_s = max(0.0, self.pass_s - pace.empty_pass_s) / self.pass_requests
+        if len(self.window_pauses_s) >= MIN_WINDOW_PAUSES:
+            self._record_pass(median(self.window_pauses_s), mean_requests(), now)
+        self.window_began_at = now
+        self.window_pauses_s = [pause_s]
+
+    def _record_pass(self, pass_s: float, requests: float, now: float) -> None:
+        timing = self.timing
+        if requests < LIMITING_REQUEST_RATIO * timing.slots:
+            return
+        if pass_s > STALL_PAUSE_RATIO * timing.pause_s:
+            return
+        added_s = max(0.0, pass_s - timing.empty_pass_s) / requests
+        while self.added_s and self.added_s[-1][1] <= added_s:
+            self.added_s.pop()
+        self.added_s.append((now, added_s))
+
+    def max_requests(self, now: float) -> float | None:
+        """Return the mean number of requests that may run at a rank; ``None`` for no limit."""
+        timing = self.timing
+        while self.added_s and self.added_s[0][0] < now - MEMORY_S:
+            self.added_s.popleft()
+        added_s = self.added_s[0][1] if self.added_s else 0.0
+        if now - self.began_at < MEMORY_S:
+            added_s = max(added_s, timing.added_s)
         if added_s <= 0.0:
             return None
-        most = int((max_pass_s - pace.empty_pass_s) / added_s)
-        return max(round(MIN_SLOT_RATIO * pace.slots), most)
+        limit = (PASS_TO_PAUSE_RATIO * timing.pause_s - timing.empty_pass_s) / added_s
+        return limit if MIN_SLOT_RATIO * timing.slots <= limit < timing.slots else None
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
@@ -6,14 +6,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from heapq import nsmallest
 from random import Random
 
+from xxhash import xxh3_64_intdigest
+
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat, EndpointPhase
+from bergamotchute_model.identifiers import Address
 from bergamotchute_model.versioned_configuration import EnginePerformance
-from bergamotchute_policy.engine_model import request_duration_s
+from bergamotchute_policy.concurrency_limit import ConcurrencyLimit
+from bergamotchute_policy.engine_model import EngineTiming, request_duration_s
 from bergamotchute_policy.rank_group_tracker import RankGroupTracker
 
 REPORT_HALF_LIFE_S = 1.0
@@ -53,6 +57,9 @@
     :param in_flight: this entry's requests at the endpoint.
     :param reported_others: requests of other entries, from the endpoint's last report.
     :param reported_at: when that report came, on the runtime's clock.
+    :param group: name of the endpoint's rank group; empty for none.
+    :param phase: from 0 to 1, the same at all entries. With a limit of 3.4 requests at a rank, it
+        lets 4 run at four of ten ranks and 3 at the others.
     :param failures: consecutive failures since the last successful answer.
     :param ejected_until: end of the ejection after a failure or refusal, on the runtime's clock.
     :param paused_until: end of the pause that the endpoint asked for, on the runtime's clock.
@@ -62,6 +69,8 @@
     in_flight: int = 0
     reported_others: float = 0.0
     reported_at: float = 0.0
+    group: str = ""
+    phase: float = 0.5
     failures: int = 0
     ejected_until: float = 0.0
     paused_until: float = float("-inf")
@@ -75,7 +84,7 @@
 class EndpointCandidate:
     """An endpoint that may get the request, and its estimated utilization.
 
-    :param fullness: requests at the endpoint, as a share of its slots.
+    :param fullness: requests at the endpoint, as a share of those that may run there.
     :param most: requests at the endpoint up to which it remains the best choice: as long as a slot
         is free, or no other endpoint seems less utilized.
     """
@@ -91,18 +100,26 @@
 
     :param availability_zone: the zone of this entry.
     :param loads: load estimates by endpoint identifier.
+    :param engine_timings: the timing of the engines of each service, by name.
+    :param limits: limits of the requests at a rank, by rank group.
     """
 
     availability_zone: str
     random: Random
     loads: dict[str, EndpointLoadEstimate] = field(default_factory=dict)
+    engine_timings: Mapping[str, EngineTiming] = field(default_factory=dict)
+    limits: dict[str, ConcurrencyLimit] = field(default_factory=dict)
     rank_groups: RankGroupTracker = field(default_factory=RankGroupTracker)
 
     def load(self, endpoint: EndpointHeartbeat) -> EndpointLoadEstimate:
         """Return the load estimate of an endpoint's current incarnation."""
         known = self.loads.get(endpoint.endpoint)
         if known is None or known.born_ms != endpoint.born_ms:
-            known = self.loads[endpoint.endpoint] = EndpointLoadEstimate(endpoint.born_ms)
+            known = self.loads[endpoint.endpoint] = EndpointLoadEstimate(
+                endpoint.born_ms,
+                group=self.rank_groups.group_names.get(endpoint.address, ""),
+                phase=xxh3_64_intdigest(endpoint.endpoint.encode()) / 2**64,
+            )
         return known
 
     def select_endpoint(
@@ -129,8 +146,8 @@
         if not ranked:
             return None
         chosen, next_best = ranked[0][2], ranked[-1][2]
-        slots = chosen.heartbeat.slots
-        return replace(chosen, most=max(slots - 1, int(next_best.fullness * slots)))
+        capacity = self.capacity(chosen.heartbeat, now)
+        return replace(chosen, most=max(capacity - 1, int(next_best.fullness * capacity)))
 
     def is_overloaded(self, candidate: EndpointCandidate, engine: EnginePerformance | None) -> bool:
         """Return whether the chosen endpoint is overloaded, for endpoints without an agent.
@@ -162,7 +179,49 @@
 
     def _fullness(self, endpoint: EndpointHeartbeat, now: float) -> float:
         load = self.load(endpoint)
-        return (load.in_flight + load.estimated_others(now)) / max(1, endpoint.slots)
+        return (load.in_flight + load.estimated_others(now)) / self.capacity(endpoint, now)
+
+    def capacity(self, endpoint: EndpointHeartbeat, now: float) -> int:
+        """Return how many requests may run at an endpoint."""
+        load = self.load(endpoint)
+        limit = self._limit(endpoint, load, now)
+        max_requests = None if limit is None else limit.max_requests(now)
+        if max_requests is None:
+            return max(1, endpoint.slots)
+        return max(1, min(endpoint.slots, int(max_requests + load.phase)))
+
+    def _limit(
+        self, endpoint: EndpointHeartbeat, load: EndpointLoadEstimate, now: float
+    ) -> ConcurrencyLimit | None:
+        """Return the limit of the endpoint's rank group; ``None`` if it needs none."""
+        timing = self.engine_timings.get(endpoint.service)
+        if not load.group or timing is None:
+            return None
+        limit = self.limits.get(load.group)
+        if limit is None or limit.timing != timing:
+            limit = self.limits[load.group] = ConcurrencyLimit(timing, now)
+        return limit
+
+    def on_stream_pause(self, endpoint: EndpointHeartbeat, pause_s: float, now: float) -> None:
+        """Record the pause between two events of a stream from an endpoint."""
+        load = self.load(endpoint)
+        limit = self._limit(endpoint, load, now)
+        if limit is not None:
+            limit.on_pause(pause_s, now, lambda: self._mean_requests(load.group))
+
+    def _mean_requests(self, group: str) -> float:
+        """Return the mean count of requests at the ranks of a group whose load is known."""
+        known = [load for load in self.loads.values() if load.group == group]
+        requests = sum(load.in_flight + load.reported_others for load in known)
+        return requests / len(known) if known else 0.0
+
+    def on_group_state(self, endpoint: Address, group: str, takes_work: bool) -> bool:
+        """Record the group of an endpoint and whether it takes work; return whether this is new."""
+        is_changed = self.rank_groups.on_group_state(endpoint, group, takes_work)
+        if is_changed and takes_work:
+            # A group that opens again begins with its initial map.
+            self.limits.pop(group, None)
+        return is_changed
 
     def accepts_requests(self, endpoint: EndpointHeartbeat, now: float) -> bool:
         """Return whether an endpoint accepts requests: it is not leaving and asked for no pause."""
@@ -204,6 +263,7 @@
     def on_load_reported(self, endpoint: EndpointHeartbeat, requests: int, now: float) -> None:
         """Record the number of requests that an endpoint reports, of all entries."""
         load = self.load(endpoint)
+        load.group = self.rank_groups.group_names.get(endpoint.address, load.group)
         load.reported_others = max(0.0, requests - load.in_flight)
         load.reported_at = now
 
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/slot_ledger.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/slot_ledger.py
@@ -11,7 +11,6 @@
 from dataclasses import dataclass, field
 
 from bergamotchute_model.node_messages import SlotState
-from bergamotchute_policy.concurrency_limit import ConcurrencyLimit
 from bergamotchute_policy.slot_queue import UNLIMITED_REQUESTS, SlotQueue, WaitingRequest
 
 TIMELY_SLOT_RATIO = 1 / 3
@@ -31,7 +30,6 @@
     :param reserved: numbers of the reservations of each holder.
     :param unreserved: requests that the endpoint reported and that have no reservation.
     :param line: the requests that wait for a slot.
-    :param concurrency_limit: limits running requests to keep the engine's passes short enough.
     :param last_timely_at: when a request last arrived that could start in time, on the runtime's
         clock.
     :param rejected: waiting requests that get no slot and have not been notified yet.
@@ -40,7 +38,6 @@
     reserved: dict[Hashable, set[int]] = field(default_factory=dict)
     unreserved: int = 0
     line: SlotQueue = field(default_factory=SlotQueue)
-    concurrency_limit: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)
     last_timely_at: float = float("-inf")
     rejected: list[WaitingRequest] = field(default_factory=list)
 
@@ -72,8 +69,7 @@
         """Return the maximum number of other requests for this one to get a slot."""
         if request.most >= UNLIMITED_REQUESTS:
             return request.most
-        limit = self.concurrency_limit.max_requests()
-        most = request.most if limit is None else min(request.most, limit - 1)
+        most = request.most
         leaves_slots_free = request.is_late(now) and now - self.last_timely_at < TIMELY_SLOT_HOLD_S
         return most - round(TIMELY_SLOT_RATIO * most) if leaves_slots_free else most
 
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/slot_search.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/slot_search.py
@@ -31,9 +31,6 @@
 multiple of their objective for the first event, and a multiple of the longest pause between events
 that their objective allows."""
 
-FIRST_EVENT_S = 0.25
-"""Seconds from sending a request to its first event at a busy engine with a free slot."""
-
 MAX_QUEUE_WAIT_S = 1.2
 """Limits a queue to the requests that an engine starts in this time. Queued requests then start
 before :data:`MIN_PATIENCE_S` even when requests that are still in time overtake them."""
@@ -100,8 +97,10 @@
             return SlotRequest(chosen, UNLIMITED_REQUESTS)
         # Allow one request more than there are slots: the engine starts it in the pass after
         # another request ends. Without it, the value of the served requests was lower on each of
-        # six replayed days of production load.
-        return SlotRequest(chosen, chosen.heartbeat.slots, max_queue_length(self.engine))
+        # six replayed days of production load. A limit that leaves slots free has no such gap.
+        capacity = self.placement.capacity(chosen.heartbeat, now)
+        most = capacity if capacity >= chosen.heartbeat.slots else capacity - 1
+        return SlotRequest(chosen, most, max_queue_length(self.engine))
 
     def on_refused(self, slot_request: SlotRequest) -> None:
         """Record that an agent refused a slot."""
