Read the pace of ranks: slow ones get no requests and few experts

Cause: a rank's report tells its pace, and nobody read it. A pass lasts as long as the slowest rank's part plus the part of the most loaded rank in each set, so one rank that is 4.4 times slower makes all streams of 72 ranks late.

Change: agents tell a notable change of pace at once to the commander and, with their load, to entries, and repeat it each second while the rank is slow. The planner weighs a rank's load by its pace. Entries choose a slow rank only when no other is left, or when over a quarter is slow. A pace that is missing, zero, negative or no number is unknown and counts as usual.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -127,19 +127,26 @@
                     if self.endpoint_table.on_departure(endpoint, born_ms):
                         self.log.emit(events.MEMBER_DRAINING, endpoint=endpoint, born_ms=born_ms)
                 self._index_endpoints()
-            case LoadsReported(loads):
-                self._update_loads(loads)
+            case LoadsReported():
+                self._update_loads(message)
             case RankLocations(places):
                 for place in places:
                     self._update_rank_place(place)
             case _:
                 pass
 
-    def _update_loads(self, loads: tuple[tuple[Address, int], ...]) -> None:
-        for address, requests in loads:
+    def _update_loads(self, report: LoadsReported) -> None:
+        placement, now = self.forwarder.placement, self.now()
+        for address, requests in report.loads:
             heartbeat = self.endpoints_by_address.get(address)
             if heartbeat is not None:
-                self.forwarder.placement.on_load_reported(heartbeat, requests, self.now())
+                placement.on_load_reported(heartbeat, requests, now)
+        for address, pace in report.paces:
+            heartbeat = self.endpoints_by_address.get(address)
+            if heartbeat is not None and placement.on_pace_reported(heartbeat, pace, now):
+                self.log.emit(
+                    events.ENDPOINT_PACE_CHANGED, endpoint=heartbeat.endpoint, pace=round(pace, 2)
+                )
 
     def _update_rank_place(self, place: RankLocation) -> None:
         self.forwarder.slots.set_agent(place.endpoint, place.agent)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -87,6 +87,8 @@
     :param loads: endpoint loads that followers reported since the last
         :meth:`send_changed_loads`.
     :param peer_loads: endpoint loads that other control VMs reported in the same time.
+    :param paces: paces of slow endpoints that followers reported in the same time.
+    :param peer_paces: paces of slow endpoints that other control VMs reported in the same time.
     """
 
     address: Address
@@ -107,6 +109,8 @@
     assigned_term_and_changes: tuple[int, int] = (0, 0)
     loads: dict[Address, int] = field(default_factory=dict)
     peer_loads: dict[Address, int] = field(default_factory=dict)
+    paces: dict[Address, float] = field(default_factory=dict)
+    peer_paces: dict[Address, float] = field(default_factory=dict)
     departures_in_progress: set[tuple[str, int]] = field(default_factory=set)
     confirmation_needed: anyio.Event = field(default_factory=anyio.Event)
     packed: ConfigurationText = field(default_factory=lambda: ConfigurationText(-1, b""))
@@ -186,10 +190,12 @@
             case ControlPeer(address):
                 follower.peer = address
                 self.log.emit(events.LINK_OPENED, peer=str(address))
-            case LoadsReported(loads) if follower.peer is None:
-                self.loads.update(loads)
-            case LoadsReported(loads):
-                self.peer_loads.update(loads)
+            case LoadsReported() if follower.peer is None:
+                self.loads.update(message.loads)
+                self.paces.update(message.paces)
+            case LoadsReported():
+                self.peer_loads.update(message.loads)
+                self.peer_paces.update(message.paces)
             case SubscribeToLoads():
                 follower.is_load_subscriber = True
             case QueryConfiguration():
@@ -249,10 +255,17 @@
         """Send entries and the other control VMs the loads that changed since the last call."""
         local_loads, self.loads = self.loads, {}
         peer_loads, self.peer_loads = self.peer_loads, {}
+        local_paces, self.paces = self.paces, {}
+        peer_paces, self.peer_paces = self.peer_paces, {}
         if local_loads:
-            self.peers.post_all(LoadsReported(tuple(local_loads.items())))
+            self.peers.post_all(
+                LoadsReported(tuple(local_loads.items()), tuple(local_paces.items()))
+            )
         if local_loads or peer_loads:
-            self._post_to_load_subscribers(LoadsReported(tuple((peer_loads | local_loads).items())))
+            loads, paces = peer_loads | local_loads, peer_paces | local_paces
+            self._post_to_load_subscribers(
+                LoadsReported(tuple(loads.items()), tuple(paces.items()))
+            )
 
     def send_node_changes(self) -> None:
         """Send follower changes to the other control VMs, and the addresses of ranks to entries."""
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
@@ -34,6 +34,7 @@
 from bergamotchute_model.packed_map import ExpertPlacement, unpack_changes, unpack_map
 from bergamotchute_model.versioned_configuration import EnginePerformance, VersionedConfiguration
 from bergamotchute_policy.map_delta import apply_map_changes
+from bergamotchute_policy.rank_pace import is_notable_change, pace_weight
 from bergamotchute_wire.link import Link, LinkClosed
 from bergamotchute_wire.outbox import Outbox
 
@@ -47,6 +48,9 @@
 SWITCH_POLL_DURATION_S = 2.0
 """How long the status is read that often; a commander gives up a change that takes longer."""
 
+SLOW_REPORT_INTERVAL_S = 1.0
+"""Longest time between two reports of a slow rank; entries forget a pace after a few seconds."""
+
 MAX_BASE_MAPS = 3
 """Number of maps kept as a base for changes: one in use, one being installed and one given up."""
 
@@ -71,6 +75,8 @@
         endpoint that isn't a rank.
     :param counts: last counts read from the rank, in round ``counts_round``.
     :param assignment: the assignment of a commander with the highest fence received.
+    :param reported_pace: the rank's pace when it was last reported; ``None`` if it is unknown.
+    :param load_reported_at: when the load was last sent to entries, on the runtime's clock.
     :param commander_outbox: outbox to the commander that the rank's state is reported to.
     :param commander_fence: the highest fence in an order received, which selects that commander.
     :param configuration_versions: last configuration version announced, by control VM.
@@ -93,6 +99,8 @@
     status: RankStatus | None = None
     counts: ExpertSelectionCounts | None = None
     assignment: CommanderAssigned | None = None
+    reported_pace: float | None = None
+    load_reported_at: float = float("-inf")
     commander_outbox: Outbox[NodeMessage] | None = None
     commander_fence: int = 0
     is_rank_unresponsive: bool = False
@@ -191,6 +199,7 @@
             "group_open": float(status.open if status else 0),
             "map_version": float(status.map_version if status else 0),
             "requests": float(status.requests if status else 0),
+            "rank_pace": self.reported_pace or 0.0,
             "commanding": float(self.commanding is not None),
             "rank_silent": float(self.is_rank_unresponsive),
         }
@@ -232,20 +241,43 @@
         if status is None:
             return
         self.slots.on_rank_status(status)
-        if previous is None or previous.requests != status.requests:
-            endpoint = self.rank_client.connection.address
-            self.links.post_to_one(LoadsReported(((endpoint, status.requests),)))
+        has_new_pace = self._record_pace(status.pace)
+        is_slow_and_silent = (
+            pace_weight(status.pace) > 1.0
+            and anyio.current_time() - self.load_reported_at >= SLOW_REPORT_INTERVAL_S
+        )
+        has_new_load = previous is None or previous.requests != status.requests
+        if has_new_load or has_new_pace or is_slow_and_silent:
+            self._report_load(status, has_new_pace)
         if previous is None or _group_position(previous) != _group_position(status):
             for message in self.greeting():
                 self.links.post_all(message)
         if _switch_state(previous) != _switch_state(status):
             if status.armed is None:
                 self.switch_poll_until = float("-inf")
-        elif not self._reports_in_round(self.round_number):
+        elif not has_new_pace and not self._reports_in_round(self.round_number):
             return
         if previous != status and self.commander_outbox is not None:
             self.commander_outbox.post(status)
 
+    def _record_pace(self, pace: float | None) -> bool:
+        """Record the rank's pace; return whether it must be reported at once."""
+        if not is_notable_change(self.reported_pace, pace):
+            return False
+        self.log.emit(
+            events.RANK_PACE_CHANGED, pace=pace or 0.0, previous=self.reported_pace or 0.0
+        )
+        self.reported_pace = pace
+        return True
+
+    def _report_load(self, status: RankStatus, has_new_pace: bool) -> None:
+        """Send the load of the rank to entries, with its pace while it is slow or has changed."""
+        endpoint = self.rank_client.connection.address
+        weight = pace_weight(status.pace)
+        paces = ((endpoint, weight),) if has_new_pace or weight > 1.0 else ()
+        self.links.post_to_one(LoadsReported(((endpoint, status.requests),), paces))
+        self.load_reported_at = anyio.current_time()
+
     def _reports_in_round(self, round_number: int) -> bool:
         """Return whether this rank reports to its commander in a round.
 
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_commander.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_commander.py
@@ -41,6 +41,7 @@
 )
 from bergamotchute_policy.map_delta import diff_maps
 from bergamotchute_policy.pass_timer import PassTimer
+from bergamotchute_policy.rank_pace import pace_weight
 from bergamotchute_wire.link import Dial, DialFailed, Link, LinkClosed
 from bergamotchute_wire.outbox import Outbox, open_outbox
 
@@ -446,7 +447,8 @@
         requests = sum(status.requests for status in statuses.values())
         busy = group_load_ratio(requests, len(statuses), engine)
         planning_since = anyio.current_time()
-        planner = EvenMapPlanner(self.experts, popularity, map_change_bounds(engine, busy))
+        weights = self._pace_weights(statuses)
+        planner = EvenMapPlanner(self.experts, popularity, map_change_bounds(engine, busy), weights)
         while planner.plan_next_step():
             # Lets the agent answer entries between two planning steps.
             await anyio.lowlevel.checkpoint()
@@ -479,6 +481,7 @@
             copies=plan.copies,
             busy=round(busy, 2),
             pass_ms=round(self.pace.pass_s * 1000),
+            slow_ranks=sum(weight > 1.0 for weight in weights),
             skew_now=round(plan.skew_now, 3),
             skew_planned=round(plan.skew_planned, 3),
             took_ms=round((anyio.current_time() - started_at) * 1000),
@@ -489,6 +492,17 @@
             arm_ms=switch.stage_ms(SwitchStage.ARM),
         )
 
+    def _pace_weights(self, statuses: dict[int, RankStatus]) -> tuple[float, ...]:
+        """Return the weight of each rank's load; empty if no rank is known to be slow.
+
+        The pace of a rank whose agent is not connected may be outdated and counts as usual.
+        """
+        weights = tuple(
+            pace_weight(statuses[rank].pace if self.members[rank].outbox is not None else None)
+            for rank in sorted(statuses)
+        )
+        return weights if max(weights) > 1.0 else ()
+
     def _adjust_switch_lead(self, took_s: float) -> None:
         """Adjust the lead of the next hold to the time that arming all ranks took.
 
--- a/packages/bergamotchute-model/src/bergamotchute_model/events.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/events.py
@@ -224,6 +224,12 @@
 GROUP_CHANGED = _define_event_kind(
     1506, "group_changed", "An entry heard of a rank group or of its state."
 )
+ENDPOINT_PACE_CHANGED = _define_event_kind(
+    1509, "endpoint_pace", "An entry heard that an endpoint is slow, or no longer slow."
+)
+RANK_PACE_CHANGED = _define_event_kind(
+    1508, "rank_pace", "A rank's part of each pass became slower or faster, or its pace unreadable."
+)
 ORDER_UNREADABLE = _define_event_kind(
     1507, "order_unreadable", "An agent could not read a commander's order.", logging.WARNING
 )
--- a/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
@@ -68,9 +68,11 @@
     """Recent loads of endpoints, as measured on their VMs.
 
     :param loads: address of each endpoint and count of requests that run or wait there.
+    :param paces: address of an endpoint and its pace, for those that are slow or were so recently.
     """
 
     loads: tuple[tuple[Address, int], ...]
+    paces: tuple[tuple[Address, float], ...] = ()
     kind: Literal["loads_told"] = "loads_told"
 
 
@@ -234,6 +236,8 @@
         none.
     :param armed: map version and pass of a scheduled switch; ``None`` if there is none.
     :param held: the pass that the group does not begin while it is held; ``None`` without a hold.
+    :param pace: how many times longer than usual the rank's part of a pass takes; ``None`` if
+        unknown.
     :param order: number of the order that this status answers; 0 for an unsolicited status.
     :param accepted: whether the order took effect, now or earlier; ``None`` if the rank gave no
         answer, so that the order may still be carried out.
@@ -259,6 +263,7 @@
     detail: str = ""
     experts: tuple[tuple[int, ...], ...] = ()
     base_missing: bool = False
+    pace: float | None = None
     kind: Literal["rank_status"] = "rank_status"
 
 
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
@@ -16,9 +16,10 @@
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat, EndpointPhase
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.versioned_configuration import EnginePerformance
-from bergamotchute_policy.concurrency_limit import ConcurrencyLimit
+from bergamotchute_policy.concurrency_limit import ConcurrencyLimit, GroupLoad
 from bergamotchute_policy.engine_model import EngineTiming, request_duration_s
 from bergamotchute_policy.rank_group_tracker import RankGroupTracker
+from bergamotchute_policy.rank_pace import MAX_AVOIDED_SHARE, SLOW_PACE
 
 REPORT_HALF_LIFE_S = 1.0
 """Half-life of a load report's weight, in seconds; a typical request runs for about a second."""
@@ -46,6 +47,9 @@
 are spread around that time.
 """
 
+PACE_TTL_S = 3.0
+"""How long a reported pace counts; agents repeat that of a slow endpoint each second."""
+
 FULL_EJECTION_S = 0.15
 """How long a full endpoint gets no new request: one or a few forward passes of its engine."""
 
@@ -57,6 +61,8 @@
     :param in_flight: this entry's requests at the endpoint.
     :param reported_others: requests of other entries, from the endpoint's last report.
     :param reported_at: when that report came, on the runtime's clock.
+    :param pace: how many times longer than usual its part of a pass takes.
+    :param pace_reported_at: when its pace was last reported, on the runtime's clock.
     :param group: name of the endpoint's rank group; empty for none.
     :param phase: from 0 to 1, the same at all entries. With a limit of 3.4 requests at a rank, it
         lets 4 run at four of ten ranks and 3 at the others.
@@ -69,12 +75,18 @@
     in_flight: int = 0
     reported_others: float = 0.0
     reported_at: float = 0.0
+    pace: float = 1.0
+    pace_reported_at: float = float("-inf")
     group: str = ""
     phase: float = 0.5
     failures: int = 0
     ejected_until: float = 0.0
     paused_until: float = float("-inf")
 
+    def is_slow(self, now: float) -> bool:
+        """Return whether the endpoint's part of each pass recently took much longer than usual."""
+        return self.pace >= SLOW_PACE and now - self.pace_reported_at < PACE_TTL_S
+
     def estimated_others(self, now: float) -> float:
         """Return the requests of other entries, discounted by the age of the report."""
         return float(self.reported_others * 0.5 ** ((now - self.reported_at) / REPORT_HALF_LIFE_S))
@@ -137,7 +149,7 @@
             for each in endpoints
             if each.endpoint not in avoided and self.accepts_requests(each, now)
         ]
-        sound = [each for each in usable if self._is_healthy(each, now)]
+        sound = self._without_slow([each for each in usable if self._is_healthy(each, now)], now)
         ranked = nsmallest(
             2,
             (self._rank_candidate(each, now) for each in sound or usable),
@@ -207,13 +219,14 @@
         load = self.load(endpoint)
         limit = self._limit(endpoint, load, now)
         if limit is not None:
-            limit.on_pause(pause_s, now, lambda: self._mean_requests(load.group))
+            limit.on_pause(pause_s, now, lambda: self._group_load(load.group, now))
 
-    def _mean_requests(self, group: str) -> float:
-        """Return the mean count of requests at the ranks of a group whose load is known."""
+    def _group_load(self, group: str, now: float) -> GroupLoad:
+        """Return the load of a group, from its ranks whose load is known."""
         known = [load for load in self.loads.values() if load.group == group]
         requests = sum(load.in_flight + load.reported_others for load in known)
-        return requests / len(known) if known else 0.0
+        slowest_pace = max((load.pace for load in known if load.is_slow(now)), default=1.0)
+        return GroupLoad(requests / max(1, len(known)), slowest_pace)
 
     def on_group_state(self, endpoint: Address, group: str, takes_work: bool) -> bool:
         """Record the group of an endpoint and whether it takes work; return whether this is new."""
@@ -236,6 +249,14 @@
         known = [each for each in endpoints if each.phase is not EndpointPhase.LEAVING]
         return min((max(0.0, self.load(each).paused_until - now) for each in known), default=0.0)
 
+    def _without_slow(
+        self, endpoints: list[EndpointHeartbeat], now: float
+    ) -> list[EndpointHeartbeat]:
+        """Return the endpoints that are not slow, unless too many are."""
+        fast = [each for each in endpoints if not self.load(each).is_slow(now)]
+        is_enough = len(fast) >= (1.0 - MAX_AVOIDED_SHARE) * len(endpoints)
+        return fast if is_enough else endpoints
+
     def _is_healthy(self, endpoint: EndpointHeartbeat, now: float) -> bool:
         if not self.accepts_requests(endpoint, now):
             return False
@@ -267,6 +288,13 @@
         load.reported_others = max(0.0, requests - load.in_flight)
         load.reported_at = now
 
+    def on_pace_reported(self, endpoint: EndpointHeartbeat, pace: float, now: float) -> bool:
+        """Record the pace of an endpoint; return whether it became slow or usual by it."""
+        load = self.load(endpoint)
+        was_slow = load.is_slow(now)
+        load.pace, load.pace_reported_at = pace, now
+        return load.is_slow(now) != was_slow
+
     def on_success(self, endpoint: EndpointHeartbeat) -> None:
         """Clear the failures and the ejection of an endpoint that answered successfully."""
         load = self.load(endpoint)
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/engine_model.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/engine_model.py
@@ -26,6 +26,7 @@
     :param slots: count of requests that an engine can run concurrently.
     :param empty_pass_s: duration of a pass that reads a prompt of usual length and generates
         nothing, in seconds.
+    :param steps_s: the part of it that the token steps take, which a slow rank lengthens.
     :param added_s: time that each generating request adds to a pass if the expert map does not
         match the demand, in seconds.
     :param pause_s: longest pause between events with which a stream meets its objective, in
@@ -36,6 +37,7 @@
     empty_pass_s: float
     added_s: float
     pause_s: float
+    steps_s: float = 0.0
 
 
 def pass_s(engine: EnginePerformance, requests: float, skew: float = TYPICAL_SKEW) -> float:
@@ -56,7 +58,7 @@
     prefill_s = engine.usual_prompt / engine.prefill_tokens_per_s
     empty_s = pass_s(engine, 0.0) + prefill_s
     added_s = pass_s(engine, 1.0, INITIAL_MAP_SKEW) - pass_s(engine, 0.0)
-    return EngineTiming(engine.slots, empty_s, added_s, pause_s)
+    return EngineTiming(engine.slots, empty_s, added_s, pause_s, pass_s(engine, 0.0))
 
 
 def request_duration_s(engine: EnginePerformance, requests: float) -> float:
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/even_map_planner.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/even_map_planner.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from bergamotchute_model.packed_map import ExpertPlacement
+from bergamotchute_policy.rank_pace import weighted_loads
 
 LOAD_NORM_EXPONENT = 10
 """Exponent of the norm of rank loads; high enough that the most loaded rank dominates."""
@@ -60,28 +61,37 @@
     return tuple(one_set for _ in range(sets))
 
 
-def map_skew(experts: ExpertPlacement, popularity: Sequence[Sequence[float]]) -> float:
-    """Return the ratio of the most loaded rank's load to the mean rank load, each summed over sets.
+def map_skew(
+    experts: ExpertPlacement,
+    popularity: Sequence[Sequence[float]],
+    weights: Sequence[float] = (),
+) -> float:
+    """Return the ratio of the most loaded rank's time to the mean rank load, each summed over sets.
 
     :param popularity: the load of each expert by set, in any unit.
+    :param weights: time that a unit of load takes at each rank; empty if it is 1 at all ranks.
     """
     most = 0.0
     mean_sum = 0.0
     for experts_by_rank, set_popularity in zip(experts, popularity, strict=True):
         loads = _rank_loads(experts_by_rank, set_popularity)
-        most += max(loads)
+        most += max(weighted_loads(loads, weights))
         mean_sum += sum(loads) / len(loads)
     return most / mean_sum if mean_sum else 1.0
 
 
 def plan_even_map(
-    current: ExpertPlacement, popularity: Sequence[Sequence[float]], bounds: MapChangeBounds
+    current: ExpertPlacement,
+    popularity: Sequence[Sequence[float]],
+    bounds: MapChangeBounds,
+    weights: Sequence[float] = (),
 ) -> EvenMapPlan:
     """Return a map with a more even load, making the copies with the largest gain first.
 
     :param popularity: the load of each expert by set, in any unit.
+    :param weights: time that a unit of load takes at each rank; empty if it is 1 at all ranks.
     """
-    planner = EvenMapPlanner(current, popularity, bounds)
+    planner = EvenMapPlanner(current, popularity, bounds, weights)
     while planner.plan_next_step():
         pass
     return planner.plan()
@@ -91,6 +101,7 @@
     """Plans a map in small steps, so that the process can do other work in between.
 
     :param popularity: the load of each expert by set, in any unit.
+    :param weights: time that a unit of load takes at each rank; empty if it is 1 at all ranks.
     :param copies_by_rank: the number of experts new to each rank in the plan so far, over all sets.
     """
 
@@ -99,12 +110,14 @@
         current: ExpertPlacement,
         popularity: Sequence[Sequence[float]],
         bounds: MapChangeBounds,
+        weights: Sequence[float] = (),
     ) -> None:
         self.current = current
         self.popularity = popularity
+        self.weights = weights
         self.copies_by_rank = [0] * len(current[0])
         self._sets = [
-            _SetPlan(experts_by_rank, set_popularity, bounds, self.copies_by_rank)
+            _SetPlan(experts_by_rank, set_popularity, bounds, self.copies_by_rank, weights)
             for experts_by_rank, set_popularity in zip(current, popularity, strict=True)
         ]
         self._unevaluated_sets = list(range(len(self._sets)))
@@ -138,8 +151,8 @@
         planned = tuple(set_plan.result() for set_plan in self._sets)
         return EvenMapPlan(
             planned,
-            map_skew(self.current, self.popularity),
-            map_skew(planned, self.popularity),
+            map_skew(self.current, self.popularity, self.weights),
+            map_skew(planned, self.popularity, self.weights),
             sum(self.copies_by_rank),
         )
 
@@ -167,6 +180,7 @@
 
     :param copies: the number of experts new to each rank so far, over all sets; the list is shared
         by the plans of all sets.
+    :param weights: time that a unit of load takes at each rank; empty if it is 1 at all ranks.
     :param held: the planned experts of each rank.
     :param holders: the ranks that hold each expert.
     :param copies_in_set: the number of experts of this set new to each rank so far.
@@ -179,6 +193,7 @@
     popularity: Sequence[float]
     bounds: MapChangeBounds
     copies: list[int]
+    weights: Sequence[float]
     held: list[set[int]] = field(init=False)
     holders: dict[int, set[int]] = field(init=False)
     loads: list[float] = field(init=False)
@@ -192,9 +207,10 @@
         for rank, experts in enumerate(self.held):
             for expert in experts:
                 self.holders.setdefault(expert, set()).add(rank)
-        self.loads = _rank_loads(self.current, self.popularity)
+        loads = _rank_loads(self.current, self.popularity)
         self.copies_in_set = [0] * len(self.held)
-        self.mean_load = sum(self.loads) / len(self.loads) or 1.0
+        self.mean_load = sum(loads) / len(loads) or 1.0
+        self.loads = weighted_loads(loads, self.weights)
         self.weight = sum(map(self._load_power, self.loads))
 
     def _load_power(self, load: float) -> float:
@@ -291,10 +307,11 @@
         new_holders: set[int],
     ) -> None:
         """Move an expert's load from its old holders to its new ones."""
-        for rank in old_holders:
-            loads[rank] = loads.get(rank, self.loads[rank]) - popularity / len(old_holders)
-        for rank in new_holders:
-            loads[rank] = loads.get(rank, self.loads[rank]) + popularity / len(new_holders)
+        for holders, sign in ((old_holders, -1.0), (new_holders, 1.0)):
+            for rank in holders:
+                weight = self.weights[rank] if self.weights else 1.0
+                change = sign * weight * popularity / len(holders)
+                loads[rank] = loads.get(rank, self.loads[rank]) + change
 
     def apply_step(self, step: _PlanStep) -> None:
         """Apply a step to the plan."""
--- a/tests/adapter/test_heartbeats_and_ranks.py
+++ b/tests/adapter/test_heartbeats_and_ranks.py
@@ -75,6 +75,15 @@
     assert (status.prepared, status.armed, status.held) == (None, None, None)
 
 
+@pytest.mark.parametrize("pace", [None, 0, -1.5, "fast", True, [2], float("nan"), float("inf")])
+def test_a_pace_that_is_no_positive_number_is_unknown(pace: Any) -> None:
+    assert parse_status(json.dumps(REPORT).encode()).pace is None  # type: ignore[union-attr]
+    for report in (REPORT | {"pace": pace}, REPORT | {"pace": 4.37}):
+        status = parse_status(json.dumps(report).encode())
+        assert status is not None
+        assert status.pace == (4.37 if report["pace"] == 4.37 else None)
+
+
 def test_an_endpoint_without_a_group_has_no_rank_status() -> None:
     assert parse_status(b'{"busy": false}') is None
 
--- a/tests/policy/test_worst_load.py
+++ b/tests/policy/test_worst_load.py
@@ -14,6 +14,7 @@
     STALL_PAUSE_RATIO,
     WINDOW_S,
     ConcurrencyLimit,
+    GroupLoad,
 )
 from bergamotchute_policy.direct_placement import DirectPlacement
 from bergamotchute_policy.slot_search import patience_s
@@ -93,7 +94,7 @@
     """Return the limit of a group after a time of equal passes, beyond the use of its first map."""
     limit = ConcurrencyLimit(ENGINE_TIMING, -MEMORY_S)
     for number in range(int(until_s / 0.01)):
-        limit.on_pause(pass_s, 0.01 * number, lambda: requests)
+        limit.on_pause(pass_s, 0.01 * number, lambda: GroupLoad(requests))
     return limit
 
 
@@ -117,7 +118,7 @@
     limit = ConcurrencyLimit(ENGINE_TIMING, -MEMORY_S)
     for number in range(50):
         pause_s = 0.25 if number % 10 == 0 else 0.075
-        limit.on_pause(pause_s, 0.02 * number, lambda: 6.0)
+        limit.on_pause(pause_s, 0.02 * number, lambda: GroupLoad(6.0))
     assert limit.max_requests(1.0) is None
 
 
@@ -141,7 +142,7 @@
     slow_until = limit.added_s[-1][0]
     for number in range(1, 600):
         at = 0.5 + 0.01 * number
-        limit.on_pause(0.06, at, lambda: 5.0)
+        limit.on_pause(0.06, at, lambda: GroupLoad(5.0))
         if not slow_until + MEMORY_S < at <= slow_until + MEMORY_S + 2 * WINDOW_S:
             assert (limit.max_requests(at) is None) == (at > slow_until + MEMORY_S)
 
--- a/tests/ranks/test_large_groups.py
+++ b/tests/ranks/test_large_groups.py
@@ -20,6 +20,7 @@
 from bergamotchute_model.node_messages import (
     CommanderAssigned,
     GroupMember,
+    LoadsReported,
     NodeMessage,
     RankAction,
     RankCounts,
@@ -48,6 +49,7 @@
     :param prepared: the maps that the rank was ordered to prepare, by version.
     :param copied_at: when each copy is complete, by version.
     :param chosen: how often each expert was selected so far.
+    :param pace: the pace that the rank reports.
     """
 
     rank: int
@@ -60,6 +62,7 @@
     prepared: dict[int, ExpertPlacement] = field(default_factory=dict)
     copied_at: dict[int, float] = field(default_factory=dict)
     chosen: int = 0
+    pace: float | None = None
 
     @property
     def connection(self) -> PersistentConnection:
@@ -73,7 +76,7 @@
         if self.armed is not None and self.switch_at <= now:
             self.map_version, self.armed = self.armed[0], None
         state = (self.step, self.map_version, prepared, self.armed, None)
-        return RankStatus("g0", self.rank, self.size, 1, True, 2, *state)
+        return RankStatus("g0", self.rank, self.size, 1, True, 2, *state, pace=self.pace)
 
     async def counts(self) -> ExpertSelectionCounts:
         self.chosen += 100
@@ -120,10 +123,15 @@
 
 
 class _DiscardingLinks:
-    """Links to control VMs that discard every message."""
+    """Links to control VMs that only keep the reported loads."""
+
+    def __init__(self) -> None:
+        self.reports: list[LoadsReported] = []
 
     def post_to_one(self, message: NodeMessage) -> None:
-        """Drop a message."""
+        """Keep a report of loads."""
+        if isinstance(message, LoadsReported):
+            self.reports.append(message)
 
     def post_all(self, message: NodeMessage) -> None:
         """Drop a message."""
@@ -310,3 +318,34 @@
         assert anyio.current_time() - started_at < 0.15
 
     run_agent_group(32, body)
+
+
+def test_a_rank_that_becomes_slow_is_reported_at_once_and_again() -> None:
+    """The commander moves its experts away, and entries send it no requests.
+
+    Load pattern: one rank of a group is slow for some seconds, and its count of requests is constant.
+    """
+
+    async def body(agent_group: AgentGroup, commander: RecordingCommander) -> None:
+        client, process = agent_group.rank_clients[5], agent_group.processes[5]
+        reports = process.links.reports  # type: ignore[attr-defined]
+        assert commander._pace_weights(_statuses(commander)) == ()
+        reports.clear()
+        client.pace = 4.4
+        await anyio.sleep(2 * STATUS_INTERVAL_S)
+        weights = commander._pace_weights(_statuses(commander))
+        assert weights == tuple(4.4 if rank == 5 else 1.0 for rank in range(32))
+        await anyio.sleep(3.0)
+        assert 3 <= len(reports) <= 5
+        assert {report.paces for report in reports} == {((address(5), 4.4),)}
+        reports.clear()
+        client.pace = 1.0
+        await anyio.sleep(2 * STATUS_INTERVAL_S)
+        assert commander._pace_weights(_statuses(commander)) == ()
+        assert [report.paces for report in reports] == [((address(5), 1.0),)]
+
+    run_agent_group(32, body)
+
+
+def _statuses(commander: RecordingCommander) -> dict[int, RankStatus]:
+    return {rank: member.status for rank, member in commander.members.items() if member.status}
--- a/tests/support/lock_step_engines.py
+++ b/tests/support/lock_step_engines.py
@@ -13,7 +13,7 @@
 from random import Random
 
 from bergamotchute_model.node_messages import SlotState
-from bergamotchute_policy.concurrency_limit import ConcurrencyLimit
+from bergamotchute_policy.concurrency_limit import ConcurrencyLimit, GroupLoad
 from bergamotchute_policy.engine_model import EngineTiming
 from bergamotchute_policy.slot_ledger import SlotLedger
 from bergamotchute_policy.slot_queue import WaitingRequest
@@ -123,8 +123,8 @@
         expert_count = EXPERT_SHARE * skew * sum(counts) / len(counts)
         return EMPTY_PASS_S + ADDED_PASS_S_PER_REQUEST * (own_count + expert_count)
 
-    def _mean_requests(self) -> float:
-        return sum(ledger.requests for ledger in self.slot_ledgers) / self.engine_count
+    def _group_load(self) -> GroupLoad:
+        return GroupLoad(sum(each.requests for each in self.slot_ledgers) / self.engine_count)
 
     def _most(self, engine_index: int) -> int:
         """Return how many other requests may be at an engine for one more to run there."""
@@ -139,7 +139,7 @@
             simulated.first_event_s = self.now - simulated.first_asked_at
         else:
             simulated.longest_pause_s = max(simulated.longest_pause_s, pass_s)
-            self.concurrency_limit.on_pause(pass_s, self.now, self._mean_requests)
+            self.concurrency_limit.on_pause(pass_s, self.now, self._group_load)
         simulated.passes_left -= 1
         if not simulated.passes_left:
             assert simulated.engine_index is not None
