A bench of rank groups that answers in seconds; refused callers return later

They returned after 0.3 to 1.2 times a request's time, while a peak load lasts longer.

The bench (python -m tools.measure_groups examples/groups/*.toml) plays a group file with entries, agents' ledgers, the planner and the limit of the product.

--- a/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
@@ -39,7 +39,7 @@
 within theirs.
 """
 
-RETRY_MIN_DURATIONS = 0.3
+RETRY_MIN_DURATIONS = 1.0
 RETRY_SPREAD_DURATIONS = 0.9
 """Minimum delay and random spread of retries after a rejection, in typical request durations.
 
--- /dev/null
+++ b/tools/measure_groups.py
@@ -0,0 +1,153 @@
+"""Measure how a rank group serves its callers under load, with several ways to decide.
+
+``python -m tools.measure_groups FILE...`` plays group files with a few seeds and prints a table. Each
+way replaces one decision of the product; ``present`` replaces none.
+"""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Callable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from unittest.mock import patch
+
+import numpy as np
+
+from tools.group_bench.group_file import read_group_file
+from tools.group_bench.group_simulation import GroupSimulation
+from tools.group_bench.ways import WAYS
+
+PROCESSES = 3
+WINDOW_S = 2.0
+
+
+@dataclass(frozen=True)
+class Figures:
+    """What one run gave.
+
+    :param worth: value earned over value owed.
+    :param worst_kind: the same for the kind where it is least.
+    :param worst_windows: the same for the two worst spans of :data:`WINDOW_S`.
+    :param late_first: share of the requests that were served and whose first event was late.
+    :param late_pause: the same for those with a pause that was too long.
+    :param refused_twice: share of the requests that were refused, came back and got nothing.
+    """
+
+    worth: float
+    worst_kind: float
+    worst_windows: float
+    in_time: float
+    late_first: float
+    late_pause: float
+    served: float
+    refusals: float
+    refused_twice: float
+    longest_ms: float
+    pass_ms: float
+    pass_p90_ms: float
+    skew: float
+    requests: float
+    changes: int
+
+
+@contextmanager
+def replaced(replacements: dict[str, object]) -> Iterator[None]:
+    """Replace attributes of modules, given by their full names."""
+    with ExitStack() as stack:
+        for name, value in replacements.items():
+            stack.enter_context(patch(name, value))
+        yield
+
+
+def measure(path: Path, way: str, seed: int) -> Figures:
+    """Play a file with one way and seed."""
+    with replaced(WAYS[way]):
+        file = read_group_file(path)
+        simulation = GroupSimulation(file, seed)
+        simulation.run()
+    ended = [each for each in simulation.requests if each.first_asked_at < file.seconds - 4.0]
+    windows: dict[int, list[float]] = {}
+    kinds: dict[str, list[float]] = {}
+    for each in ended:
+        for sums in (
+            windows.setdefault(int(each.first_asked_at / WINDOW_S), [0.0, 0.0]),
+            kinds.setdefault(each.kind.name, [0.0, 0.0]),
+        ):
+            sums[0] += each.earned
+            sums[1] += each.owed
+    durations = [each.duration_s * 1000 for each in simulation.passes]
+    return Figures(
+        worth=sum(each.earned for each in ended) / sum(each.owed for each in ended),
+        worst_kind=min(earned / owed for earned, owed in kinds.values()),
+        worst_windows=float(np.mean(sorted(e / o for e, o in windows.values())[:2])),
+        in_time=float(np.mean([each.is_in_time for each in ended])),
+        late_first=float(np.mean([each.is_late_to_begin for each in ended])),
+        late_pause=float(np.mean([each.has_long_pause for each in ended])),
+        served=float(np.mean([each.outcome == "done" for each in ended])),
+        refusals=float(np.mean([each.refusals for each in ended])),
+        refused_twice=float(np.mean([each.outcome == "refused" for each in ended])),
+        longest_ms=1000
+        * float(np.median([each.longest_pause_s for each in ended if each.outcome == "done"])),
+        pass_ms=float(np.mean(durations)),
+        pass_p90_ms=float(np.quantile(durations, 0.9)),
+        skew=float(np.mean([each.skew for each in simulation.passes])),
+        requests=float(np.mean([each.requests for each in simulation.passes])),
+        changes=simulation.commander.changes,
+    )
+
+
+def table(rows: dict[tuple[str, str], list[Figures]]) -> str:
+    """Return the mean of each figure over the seeds, a line for each file and way."""
+    columns: list[tuple[str, Callable[[float], str]]] = [
+        ("worth", "{:.3f}".format),
+        ("worst_kind", "{:.3f}".format),
+        ("worst_windows", "{:.3f}".format),
+        ("in_time", "{:.3f}".format),
+        ("late_first", "{:.3f}".format),
+        ("late_pause", "{:.3f}".format),
+        ("served", "{:.3f}".format),
+        ("refusals", "{:.3f}".format),
+        ("refused_twice", "{:.3f}".format),
+        ("longest_ms", "{:.0f}".format),
+        ("pass_ms", "{:.0f}".format),
+        ("pass_p90_ms", "{:.0f}".format),
+        ("skew", "{:.2f}".format),
+        ("requests", "{:.2f}".format),
+        ("changes", "{:.0f}".format),
+    ]
+    lines = [f"{'file':10} {'way':28} " + " ".join(f"{name[:9]:>9}" for name, _ in columns)]
+    for (file, way), figures in rows.items():
+        means = (
+            write(float(np.mean([getattr(each, name) for each in figures])))
+            for name, write in columns
+        )
+        lines.append(f"{file:10} {way:28} " + " ".join(f"{mean:>9}" for mean in means))
+    return "\n".join(lines)
+
+
+def main() -> None:
+    """Play the files of the command line and print the table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("files", nargs="+", type=Path)
+    parser.add_argument("--way", action="append", choices=sorted(WAYS), help="default: all")
+    parser.add_argument("--seeds", type=int, default=4)
+    parser.add_argument("--processes", type=int, default=PROCESSES)
+    options = parser.parse_args()
+    ways = options.way or list(WAYS)
+    runs = [
+        (path, way, seed) for path in options.files for way in ways for seed in range(options.seeds)
+    ]
+    rows: dict[tuple[str, str], list[Figures]] = {}
+    with ProcessPoolExecutor(options.processes) as pool:
+        for (path, way, _), figures in zip(
+            runs, pool.map(measure, *zip(*runs, strict=True)), strict=True
+        ):
+            rows.setdefault((path.stem, way), []).append(figures)
+    print(table(rows))
+
+
+if __name__ == "__main__":
+    main()
