--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
@@ -345,6 +345,7 @@
             attempt=progress.attempt_count,
             born_ms=endpoint.born_ms,
             fullness=round(chosen.candidate.fullness, 2),
+            capacity=self.placement.capacity(endpoint, anyio.current_time()),
             reserved=chosen.reservation is not None,
             refusals=chosen.refusals,
             waited_ms=round(chosen.waited_s * 1000),
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/map_switch.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/map_switch.py
@@ -102,19 +102,22 @@
     :param ranks: all ranks of the group. The first one holds the pass. The last one, armed once all
         others are, is the commander's own, which its successor may be unable to reach.
     :param version: version of the new map, higher than all versions that any rank has had.
-    :param passes_ahead: number of passes between the current and the held one; these must take at
-        least :data:`MIN_SWITCH_LEAD_S`.
+    :param passes_ahead: returns the number of passes between the current and the held one, given
+        whether ranks left orders of this switch unanswered; these passes must take at least
+        :data:`MIN_SWITCH_LEAD_S`.
     :param on_arming_ended: called with the time from the hold until all ranks confirmed that they
         are armed, or until arming was given up, in seconds.
     :param stages: duration of each stage that has ended, in seconds.
+    :param unanswered: ranks that left an order of this switch unanswered.
     """
 
     ranks: tuple[int, ...]
     version: int
     experts: ExpertPlacement
-    passes_ahead: int
+    passes_ahead: Callable[[bool], int]
     on_arming_ended: Callable[[float], None] = lambda _: None
     stages: dict[SwitchStage, float] = field(default_factory=dict)
+    unanswered: set[int] = field(default_factory=set)
 
     async def run(self, order_sender: RankOrderSender) -> SwitchOutcome:
         """Carry out the change, or undo the part of it that has been done."""
@@ -213,10 +216,11 @@
         """Hold a future pass at the first rank; return its number, or ``None`` if none is held."""
         first_rank = self.ranks[0]
         status = await order_sender.send_order(first_rank, RankAction.READ, 0, 0, ())
+        passes_ahead = self.passes_ahead(bool(self.unanswered))
         for extra_passes in HOLD_EXTRA_PASSES:
             if status is None:
                 return None
-            step = status.step + self.passes_ahead + extra_passes
+            step = status.step + passes_ahead + extra_passes
             status = await order_sender.send_order(first_rank, RankAction.HOLD, 0, step, ())
             if status is not None and status.held == step:
                 return step
@@ -254,6 +258,7 @@
                     results[rank] = is_prepare and was_unanswered
                     return
                 was_unanswered = True
+                self.unanswered.add(rank)
 
         await _run_concurrently([lambda rank=rank: repeat_order(rank) for rank in ranks])  # type: ignore[misc]
         return results
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_commander.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_commander.py
@@ -70,6 +70,9 @@
 
 RECONNECT_DELAY_S = 0.2
 
+UNANSWERED_SWITCH_LEAD_S = 0.6
+"""Lead of a hold while some orders get no answer: three attempts at each order to arm a rank."""
+
 MAX_SWITCH_LEAD_S = 1.0
 """Longest lead of a hold before its pass is due; demand changes every few seconds."""
 
@@ -459,12 +462,11 @@
         self.recent_maps[self.newest_map_version] = plan.experts
         while len(self.recent_maps) > MAX_BASE_MAPS:
             del self.recent_maps[next(iter(self.recent_maps))]
-        passes_ahead = self.pace.passes_ahead(self.switch_lead_s)
         switch = MapSwitch(
             self._switch_order(statuses),
             self.newest_map_version,
             plan.experts,
-            passes_ahead,
+            self._passes_ahead,
             self._adjust_switch_lead,
         )
         started_at = anyio.current_time()
@@ -481,6 +483,7 @@
             copies=plan.copies,
             busy=round(busy, 2),
             pass_ms=round(self.pace.pass_s * 1000),
+            unanswered=len(switch.unanswered),
             slow_ranks=sum(weight > 1.0 for weight in weights),
             skew_now=round(plan.skew_now, 3),
             skew_planned=round(plan.skew_planned, 3),
@@ -503,6 +506,16 @@
         )
         return weights if max(weights) > 1.0 else ()
 
+    def _passes_ahead(self, has_unanswered_orders: bool) -> int:
+        """Return how far ahead a pass is held, in passes.
+
+        If ranks left orders to prepare unanswered, orders to arm them will need repeating too.
+        """
+        lead_s = self.switch_lead_s
+        if has_unanswered_orders:
+            lead_s = max(lead_s, UNANSWERED_SWITCH_LEAD_S)
+        return self.pace.passes_ahead(lead_s)
+
     def _adjust_switch_lead(self, took_s: float) -> None:
         """Adjust the lead of the next hold to the time that arming all ranks took.
 
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/concurrency_limit.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/concurrency_limit.py
@@ -48,6 +48,10 @@
 MEMORY_S = 5.0
 """Time for which a slow pass limits the requests; demand moves to other experts about as often."""
 
+INITIAL_MAP_S = 2.0
+"""Time for which a group that opens is limited as by its initial map; the first changes of the map
+take about as long."""
+
 LIMITING_REQUEST_RATIO = 0.3
 """Share of the slots in use from which a pass tells how much a request adds to it."""
 
@@ -56,11 +60,11 @@
 class GroupLoad:
     """The present load of a rank group, as far as an entry knows it.
 
-    :param mean_requests: mean number of requests at a rank.
+    :param mean_requests: mean number of requests at a rank; ``None`` if too few are known.
     :param slowest_pace: how many times longer than usual the slowest rank's part of a pass takes.
     """
 
-    mean_requests: float
+    mean_requests: float | None
     slowest_pace: float = 1.0
 
 
@@ -105,7 +109,7 @@
             self.slowest_pace = load.slowest_pace
             self.added_s.clear()
             return
-        if requests < LIMITING_REQUEST_RATIO * timing.slots:
+        if requests is None or requests < LIMITING_REQUEST_RATIO * timing.slots:
             return
         if pass_s > STALL_PAUSE_RATIO * timing.pause_s:
             return
@@ -123,7 +127,7 @@
         while self.added_s and self.added_s[0][0] < now - MEMORY_S:
             self.added_s.popleft()
         added_s = self.added_s[0][1] if self.added_s else 0.0
-        if now - self.began_at < MEMORY_S:
+        if now - self.began_at < INITIAL_MAP_S:
             added_s = max(added_s, timing.added_s)
         if added_s <= 0.0:
             return None
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
@@ -27,6 +27,11 @@
 OTHER_ZONE_PENALTY = 0.08
 """Utilization advantage, as a share of slots, that makes an endpoint of another zone preferred."""
 
+LOAD_TTL_S = 1.5
+MIN_RECENT_SHARE = 0.6
+"""Age up to which a reported load counts for the mean of a group, and the share of the known
+endpoints that must have one. The load of a busy endpoint changes several times a second."""
+
 EJECTION_BASE_S = 0.5
 EJECTION_MAX_S = 4.0
 """Initial and maximum time for which a failed endpoint gets no new request."""
@@ -222,11 +227,18 @@
             limit.on_pause(pause_s, now, lambda: self._group_load(load.group, now))
 
     def _group_load(self, group: str, now: float) -> GroupLoad:
-        """Return the load of a group, from its ranks whose load is known."""
+        """Return the load of a group, from its ranks whose load was reported recently.
+
+        While the control VM that forwards reports is frozen, only endpoints that this entry chose
+        for their low load are known, which says nothing about the others.
+        """
         known = [load for load in self.loads.values() if load.group == group]
-        requests = sum(load.in_flight + load.reported_others for load in known)
         slowest_pace = max((load.pace for load in known if load.is_slow(now)), default=1.0)
-        return GroupLoad(requests / max(1, len(known)), slowest_pace)
+        recent = [load for load in known if now - load.reported_at < LOAD_TTL_S]
+        if len(recent) < MIN_RECENT_SHARE * len(known):
+            return GroupLoad(None, slowest_pace)
+        requests = sum(load.in_flight + load.reported_others for load in recent)
+        return GroupLoad(requests / max(1, len(recent)), slowest_pace)
 
     def on_group_state(self, endpoint: Address, group: str, takes_work: bool) -> bool:
         """Record the group of an endpoint and whether it takes work; return whether this is new."""
--- a/tests/policy/test_worst_load.py
+++ b/tests/policy/test_worst_load.py
@@ -10,6 +10,7 @@
 from bergamotchute_model.identifiers import Address
 from bergamotchute_policy import slot_ledger
 from bergamotchute_policy.concurrency_limit import (
+    INITIAL_MAP_S,
     MEMORY_S,
     STALL_PAUSE_RATIO,
     WINDOW_S,
@@ -30,7 +31,7 @@
 )
 
 SEEDS = range(5)
-INITIAL_MAP_S = 1.5
+FIRST_MAP_S = 1.5
 """How long a group uses its initial map after all ranks returned."""
 
 CAPACITY_PER_S = (
@@ -57,9 +58,9 @@
     """All ranks restart with a map not fitted to any demand, and all callers ask at once."""
 
     def simulate(is_limited: bool) -> list[SimulatedRequest]:
-        arrival_times = arrivals(Random(seed), 1.3 * CAPACITY_PER_S, 0.0, INITIAL_MAP_S)
+        arrival_times = arrivals(Random(seed), 1.3 * CAPACITY_PER_S, 0.0, FIRST_MAP_S)
         engines = LockStepEngines(
-            skews=((0.0, INITIAL_SKEW), (INITIAL_MAP_S, 1.2)), is_limited=is_limited
+            skews=((0.0, INITIAL_SKEW), (FIRST_MAP_S, 1.2)), is_limited=is_limited
         )
         return engines.simulate(arrival_times, 8.0)
 
@@ -92,7 +93,7 @@
 
 def observed_limit(pass_s: float, requests: float, until_s: float = 0.5) -> ConcurrencyLimit:
     """Return the limit of a group after a time of equal passes, beyond the use of its first map."""
-    limit = ConcurrencyLimit(ENGINE_TIMING, -MEMORY_S)
+    limit = ConcurrencyLimit(ENGINE_TIMING, -INITIAL_MAP_S)
     for number in range(int(until_s / 0.01)):
         limit.on_pause(pass_s, 0.01 * number, lambda: GroupLoad(requests))
     return limit
@@ -101,7 +102,7 @@
 def test_a_group_is_limited_as_if_by_its_initial_map_at_first() -> None:
     limit = ConcurrencyLimit(ENGINE_TIMING, 10.0)
     assert limit.max_requests(10.0) == pytest.approx(0.074 / 0.0175)
-    assert limit.max_requests(10.0 + MEMORY_S) is None
+    assert limit.max_requests(10.0 + INITIAL_MAP_S) is None
 
 
 def test_a_group_whose_passes_are_short_is_not_limited() -> None:
@@ -115,7 +116,7 @@
 
 def test_one_late_event_does_not_count_as_a_slow_pass() -> None:
     """A lost packet delays the events of one stream."""
-    limit = ConcurrencyLimit(ENGINE_TIMING, -MEMORY_S)
+    limit = ConcurrencyLimit(ENGINE_TIMING, -INITIAL_MAP_S)
     for number in range(50):
         pause_s = 0.25 if number % 10 == 0 else 0.075
         limit.on_pause(pause_s, 0.02 * number, lambda: GroupLoad(6.0))
@@ -147,27 +148,21 @@
             assert (limit.max_requests(at) is None) == (at > slow_until + MEMORY_S)
 
 
+def rank_heartbeat(rank: int) -> EndpointHeartbeat:
+    address = Address(f"10.0.0.{rank}", 80)
+    phase = EndpointPhase.READY
+    return EndpointHeartbeat(f"rank-{rank}", 1, 1, "drafts", address, "a", SLOTS_PER_ENGINE, phase)
+
+
 def test_a_limit_between_two_whole_numbers_is_met_on_average() -> None:
     placement = DirectPlacement("a", Random(1), engine_timings={"drafts": ENGINE_TIMING})
-    ranks = [
-        EndpointHeartbeat(
-            f"rank-{rank}",
-            1,
-            1,
-            "drafts",
-            Address(f"10.0.0.{rank}", 80),
-            "a",
-            SLOTS_PER_ENGINE,
-            EndpointPhase.READY,
-        )
-        for rank in range(200)
-    ]
+    ranks = [rank_heartbeat(rank) for rank in range(200)]
     for rank in ranks:
         placement.on_group_state(rank.address, "group", True)
     capacities = [placement.capacity(rank, 0.0) for rank in ranks]
     assert set(capacities) == {4, 5}
     assert sum(capacities) / 200 == pytest.approx(0.074 / 0.0175, abs=0.1)
-    assert {placement.capacity(rank, MEMORY_S) for rank in ranks} == {SLOTS_PER_ENGINE}
+    assert {placement.capacity(rank, INITIAL_MAP_S) for rank in ranks} == {SLOTS_PER_ENGINE}
     # The group closes and opens again, with its initial map.
     placement.on_group_state(ranks[0].address, "group", False)
     placement.on_group_state(ranks[0].address, "group", True)
@@ -196,3 +191,26 @@
     assert patience_s(0.4, 0.12) == 2.0
     assert patience_s(0.8, 0.12) == 3.2
     assert patience_s(0.4, 0.3) == pytest.approx(2.4)
+
+
+def test_outdated_loads_do_not_count_for_the_mean_of_a_group() -> None:
+    """Too low a mean makes each request seem to add too much to a pass.
+
+    Load pattern: the control VM that forwards loads is frozen while the load rises.
+    """
+    placement = DirectPlacement("a", Random(1), engine_timings={"drafts": ENGINE_TIMING})
+    ranks = [rank_heartbeat(rank) for rank in range(12)]
+    for rank in ranks:
+        placement.on_group_state(rank.address, "group", True)
+        placement.on_load_reported(rank, 1, 0.0)
+    for number in range(1, 500):
+        now = 3.0 + 0.01 * number
+        # The answers of two agents are all that comes.
+        placement.on_load_reported(ranks[number % 2], 1, now)
+        placement.on_stream_pause(ranks[number % 12], 0.1, now)
+    assert placement.limits["group"].max_requests(now) is None
+    for number in range(500):
+        now += 0.01
+        placement.on_load_reported(ranks[number % 12], 3, now)
+        placement.on_stream_pause(ranks[number % 12], 0.1, now)
+    assert placement.limits["group"].max_requests(now) == pytest.approx(0.074 / 0.02, rel=0.1)
--- a/tests/ranks/test_lost_agents.py
+++ b/tests/ranks/test_lost_agents.py
@@ -142,7 +142,7 @@
     order_sender = UnansweredHoldSender()
 
     async def main() -> None:
-        outcome = await MapSwitch((0, 1, 2), 5, initial_map(1, 3, 6), 3).run(order_sender)
+        outcome = await MapSwitch((0, 1, 2), 5, initial_map(1, 3, 6), lambda _: 3).run(order_sender)
         assert outcome is SwitchOutcome.NOT_HELD
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/tests/ranks/test_map_switch.py
+++ b/tests/ranks/test_map_switch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from random import Random
 
@@ -141,7 +142,11 @@
         return replace(self.statuses[rank], accepted=accepted)
 
 
-def run_switches(group: LockStepGroup, seconds: float) -> list[SwitchOutcome]:
+def run_switches(
+    group: LockStepGroup,
+    seconds: float,
+    passes_ahead: Callable[[bool], int] = lambda _: PASSES_AHEAD,
+) -> list[SwitchOutcome]:
     """Switch maps repeatedly, as a commander does, for a time; return the results."""
     outcomes: list[SwitchOutcome] = []
 
@@ -149,7 +154,7 @@
         version = 0
         while True:
             version += 1
-            outcome = await MapSwitch(tuple(range(RANKS)), version, MAP, PASSES_AHEAD).run(group)
+            outcome = await MapSwitch(tuple(range(RANKS)), version, MAP, passes_ahead).run(group)
             outcomes.append(outcome)
             statuses = {rank: group.statuses[rank] for rank in range(RANKS)}
             if not is_consistent(statuses):
@@ -215,7 +220,7 @@
             group.tasks = tasks
             tasks.start_soon(group.run)
             with anyio.move_on_after(dies_at):
-                await MapSwitch(tuple(range(RANKS)), 1, MAP, PASSES_AHEAD).run(group)
+                await MapSwitch(tuple(range(RANKS)), 1, MAP, lambda _: PASSES_AHEAD).run(group)
             await anyio.sleep(0.5)
             statuses = {}
             for rank in range(RANKS):
@@ -248,7 +253,7 @@
             group.tasks = tasks
             tasks.start_soon(group.run)
             with anyio.move_on_after(freezes_at):
-                await MapSwitch(tuple(range(RANKS)), 1, MAP, PASSES_AHEAD).run(group)
+                await MapSwitch(tuple(range(RANKS)), 1, MAP, lambda _: PASSES_AHEAD).run(group)
             await anyio.sleep(0.3)
             while True:
                 others = {}
@@ -276,3 +281,18 @@
     assert SwitchOutcome.NOT_PREPARED not in outcomes
     assert outcomes.count(SwitchOutcome.SWITCHED) > 20
     assert not group.mixed_passes
+
+
+def test_a_later_pass_is_held_when_orders_get_no_answer() -> None:
+    """The group stands still from the held pass until the last rank is armed.
+
+    Load pattern: a quarter of the orders is carried out seconds later, so nearly every
+    switch meets some in its first stage.
+    """
+    held_s = {}
+    for extra_passes in (0, 10):
+        group = LockStepGroup(Random(2), late_share=0.25)
+        outcomes = run_switches(group, 60.0, lambda late, n=extra_passes: PASSES_AHEAD + late * n)  # type: ignore[misc]
+        held_s[extra_passes] = group.held_s / outcomes.count(SwitchOutcome.SWITCHED)
+    assert held_s[10] < 0.5 * held_s[0]
+    assert held_s[10] < PASS_S
