Keep half of the slots, in place of a third, for callers in time

Cause: while more asks than a group of 63 ranks can serve, callers who come back late take the slots that make the next ones late. With a limit of three or four requests a rank, a third of the slots is one slot at most.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
@@ -240,7 +240,7 @@
         previous, self.status = self.status, status
         if status is None:
             return
-        self.slots.on_rank_status(status)
+        self.slots.on_request_count(status.requests)
         has_new_pace = self._record_pace(status.pace)
         is_slow_and_silent = (
             pace_weight(status.pace) > 1.0
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/slot_reservation_server.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/slot_reservation_server.py
@@ -8,7 +8,6 @@
 
 from bergamotchute_model.node_messages import (
     NodeMessage,
-    RankStatus,
     ReleaseSlot,
     ReserveSlot,
     SlotAnswer,
@@ -39,10 +38,6 @@
                 self.ledger.release_holder(outbox)
                 self._answer_waiting()
 
-    def on_rank_status(self, status: RankStatus) -> None:
-        """Update the ledger from the rank's own count of its requests."""
-        self.on_request_count(status.requests)
-
     def on_request_count(self, requests: int) -> None:
         """Update the ledger from the endpoint's own count of its requests."""
         self.ledger.on_request_count(requests)
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/slot_ledger.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/slot_ledger.py
@@ -13,7 +13,7 @@
 from bergamotchute_model.node_messages import SlotState
 from bergamotchute_policy.slot_queue import UNLIMITED_REQUESTS, SlotQueue, WaitingRequest
 
-TIMELY_SLOT_RATIO = 1 / 3
+TIMELY_SLOT_RATIO = 1 / 2
 TIMELY_SLOT_HOLD_S = 1.0
 """Share of the slots that late requests leave free, and how long they do so after the arrival of a
 request that can still start in time. When callers return together after an outage, all of them
