--- a/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
@@ -44,12 +44,13 @@
 within theirs.
 """
 
-RETRY_MIN_DURATIONS = 1.0
-RETRY_SPREAD_DURATIONS = 0.9
+RETRY_MIN_DURATIONS = 0.6
+RETRY_SPREAD_DURATIONS = 1.3
 """Minimum delay and random spread of retries after a rejection, in typical request durations.
 
-A full engine starts all requests of its longest queue within 0.7 request durations; the retries
-are spread around that time.
+A full engine starts all requests of its longest queue within 0.7 request durations, so that the
+first callers return before its slots are idle. A peak load lasts longer than that; callers who come
+back into it are rejected again.
 """
 
 PACE_TTL_S = 3.0
