Share the retry budget among the entries that there are; leave endpoints that answer with errors

Each entry spent its part of the fixed retries as if ten entries shared them ("both known deployments have fewer"); there are 37. What used it up: a tenth of the endpoints failed every request with status 500 while their health check was good, and such an answer did not eject them. They answer fast, so they seemed the least loaded and got 1,866 attempts in ten seconds.

Change: control VMs tell the count of entries, in steps of four, with the control group; an entry divides the fixed part by the highest count it was told, by ten at least. A status of 500 and more ejects the endpoint as other failures do.

Tests: fail without the change (endpoint left alone), or could not be put before (entries that share). The fixture's budget is given for all entries, as before.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
@@ -80,7 +80,12 @@
             term = self.leading_term()
             self.node_hub.assign_commanders(term)
             self.node_hub.send_control_group(
-                ControlGroup(self.control_addresses(), term, self.is_current())
+                ControlGroup(
+                    self.control_addresses(),
+                    term,
+                    self.is_current(),
+                    self.node_hub.linked_nodes.entry_count(),
+                )
             )
 
     def is_current(self) -> bool:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -23,6 +23,7 @@
 from bergamotchute_model.node_messages import (
     ConfigurationText,
     ConfigurationVersion,
+    ControlGroup,
     DepartureSeen,
     DeparturesRecorded,
     EntryState,
@@ -129,6 +130,8 @@
                 self._index_endpoints()
             case LoadsReported():
                 self._update_loads(message)
+            case ControlGroup():
+                self.forwarder.set_entry_count(message.entry_count)
             case RankLocations(places):
                 for place in places:
                     self._update_rank_place(place)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
@@ -74,6 +74,9 @@
 Asking the agents takes a few milliseconds, which is not worth reporting.
 """
 
+MIN_BUDGET_ENTRIES = 10
+"""Entries that share the retry budget until more are known."""
+
 MAX_REFUSED_ATTEMPTS = 3
 """Attempts that may fail, by a refused connection or request, before the caller is refused."""
 
@@ -176,8 +179,10 @@
     :param endpoints: returns the endpoints of a service, from the latest heartbeats.
     :param on_endpoint_leaving: called with an endpoint whose response announces that it is leaving.
     :param retry_ratio: retries allowed per request of a service, in the long run.
-    :param retry_capacity: the largest burst of retries of a service at this entry.
-    :param retry_refill_per_s: retries added to the budget of a service per second at any load.
+    :param retry_capacity: the largest burst of retries of a service, over all entries.
+    :param retry_refill_per_s: retries added to the budget of a service per second at any load, over
+        all entries.
+    :param entry_count: entries that share the budget, as far as this one was told.
     """
 
     request_format: RequestFormat
@@ -191,6 +196,7 @@
     retry_ratio: float
     retry_capacity: float
     retry_refill_per_s: float
+    entry_count: int = MIN_BUDGET_ENTRIES
     started_at: float = field(default_factory=anyio.current_time)
     changed: anyio.Event = field(default_factory=anyio.Event)
     retry_budgets: dict[str, RetryBudget] = field(default_factory=dict)
@@ -410,6 +416,7 @@
             with self.held.open_claim() as claim:
                 body = await self._read_body(exchange, claim)
                 if head.status >= 500:
+                    self.placement.on_failure(endpoint, anyio.current_time())
                     return AttemptFailure(Verdict.MAY_HAVE_RUN, f"status {head.status}", head, body)
                 progress.record_chunk(anyio.current_time())
                 await self._forward_response(writer, head, body)
@@ -639,12 +646,27 @@
         """Return what this entry observed of the streams of the request's service."""
         return self.stream_paces.setdefault(request.service.name, StreamPace())
 
+    def set_entry_count(self, entry_count: int) -> None:
+        """Adjust this entry's part of the shared retry budget to the number of entries.
+
+        The highest count that was told stays: entries that are not linked may still serve callers.
+        """
+        if entry_count <= self.entry_count:
+            return
+        self.entry_count = entry_count
+        for budget in self.retry_budgets.values():
+            budget.set_bounds(
+                self.retry_capacity / entry_count, self.retry_refill_per_s / entry_count
+            )
+
     def _retry_budget(self, request: AdmittedRequest) -> RetryBudget:
         """Return the refilled retry budget of the request's service."""
         name = request.service.name
         if name not in self.retry_budgets:
             self.retry_budgets[name] = RetryBudget(
-                self.retry_ratio, self.retry_capacity, self.retry_refill_per_s
+                self.retry_ratio,
+                self.retry_capacity / self.entry_count,
+                self.retry_refill_per_s / self.entry_count,
             )
         self.retry_budgets[name].refill(anyio.current_time())
         return self.retry_budgets[name]
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
@@ -51,12 +51,6 @@
 RETRY_WINDOW_S = 10.0
 """The window to which :attr:`NodeSettings.retry_slack` refers."""
 
-RETRY_BUDGET_ENTRY_COUNT = 10.0
-"""Entries that share the fixed part of the retry budget.
-
-This is an upper bound: both known deployments have fewer entries.
-"""
-
 STOP_MARGIN_S = 1.0
 """Part of the time between SIGTERM and SIGKILL that a drain leaves unused."""
 
@@ -103,11 +97,8 @@
         log=environment.log,
         metrics=NodeMetrics(lambda: process.gauges()),
         retry_ratio=RETRY_BUDGET_RATIO * settings.retry_ratio,
-        retry_capacity=RETRY_BURST_RATIO * settings.retry_slack / RETRY_BUDGET_ENTRY_COUNT,
-        retry_refill_per_s=RETRY_BURST_RATIO
-        * settings.retry_slack
-        / RETRY_BUDGET_ENTRY_COUNT
-        / RETRY_WINDOW_S,
+        retry_capacity=RETRY_BURST_RATIO * settings.retry_slack,
+        retry_refill_per_s=RETRY_BURST_RATIO * settings.retry_slack / RETRY_WINDOW_S,
     )
     links = _compose_control_links(settings, environment, lambda: process, wants_loads=True)
     server = Http1Server(lambda request, writer: process.handle_request(request, writer))
--- a/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
@@ -166,11 +166,14 @@
 
     :param leading_term: the term in which the sender is leader; 0 if it is not.
     :param current: whether the sender is leader or has recently heard from one.
+    :param entry_count: upper bound of the count of entries that are linked to any control VM; 0 if
+        unknown.
     """
 
     addresses: tuple[Address, ...]
     leading_term: int
     current: bool = True
+    entry_count: int = 0
     kind: Literal["control_group"] = "control_group"
 
 
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/linked_nodes.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/linked_nodes.py
@@ -15,6 +15,10 @@
 Node = EntryState | AgentState
 
 
+ENTRY_COUNT_STEP = 4
+"""Step in which the count of entries is told; each change is sent to all followers."""
+
+
 @dataclass
 class LinkedNodes:
     """Tracks the followers of this control VM and of its peers, the other control VMs.
@@ -93,6 +97,11 @@
         found = {entry.name: entry for entry in entries if entry.name not in closed}
         return tuple(found[name] for name in sorted(found))
 
+    def entry_count(self) -> int:
+        """Return the count of entries, rounded up so that it rarely changes."""
+        names = {node.name for node in self._all_nodes() if isinstance(node, EntryState)}
+        return -(-len(names) // ENTRY_COUNT_STEP) * ENTRY_COUNT_STEP
+
     def _all_nodes(self) -> Iterator[Node]:
         for _, node in self.local_nodes.values():
             yield node
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/retry.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/retry.py
@@ -51,6 +51,12 @@
         self.available_retries = capacity
         self.refilled_at = 0.0
 
+    def set_bounds(self, capacity: float, refill_per_s: float) -> None:
+        """Change the maximum number of saved retries and the refill at any load."""
+        self.capacity = capacity
+        self.refill_per_s = refill_per_s
+        self.available_retries = min(capacity, self.available_retries)
+
     def refill(self, now: float) -> None:
         """Add the retries that are due for the time since the last call.
 
--- a/tests/direct/test_direct_responses.py
+++ b/tests/direct/test_direct_responses.py
@@ -154,6 +154,54 @@
     run_with_entry(body)
 
 
+def test_an_endpoint_that_answers_with_errors_gets_no_requests_for_a_while() -> None:
+    """It answers faster than the others, so it would seem the least loaded and get the most.
+
+    Load pattern: a tenth of the endpoints fails all requests while their health check is good.
+    """
+
+    async def body(path: EntryFixture) -> None:
+        async def fail_at_first_endpoint(request: ReceivedRequest, stream: SocketStream) -> None:
+            await stream.send(answer(request, 500 if request.endpoint == "runner-1" else 200))
+
+        await path.add_endpoint("runner-1", fail_at_first_endpoint)
+        await path.add_endpoint("runner-2", fail_at_first_endpoint)
+        for _ in range(12):
+            assert (await path.send_request("status", "GET")).status == 200
+        failed = [each for each in path.received_requests if each.endpoint == "runner-1"]
+        assert len(failed) <= 1
+
+    run_with_entry(body)
+
+
+def test_the_entries_together_keep_to_the_retry_budget() -> None:
+    """Guards against parts of the budget that were meant for ten entries at 37 of them.
+
+    Load pattern: so many attempts fail that each entry spends its whole part.
+    """
+
+    async def body(path: EntryFixture) -> None:
+        async def fail(request: ReceivedRequest, stream: SocketStream) -> None:
+            await stream.send(answer(request, 500))
+
+        for number in range(3):
+            await path.add_endpoint(f"runner-{number}", fail)
+        path.forwarder.retry_capacity, path.forwarder.retry_ratio = 100.0, 0.0
+        path.forwarder.set_entry_count(40)
+        for _ in range(20):
+            await path.send_request("status", "GET")
+        # Each of 40 entries may send 2.5 retries: 100 together.
+        assert len(path.received_requests) == 20 + 2
+        # More entries were linked; the lower count comes from one that knows few.
+        path.forwarder.set_entry_count(100)
+        path.forwarder.set_entry_count(4)
+        budget = next(iter(path.forwarder.retry_budgets.values()))
+        assert budget.capacity == 1.0
+        assert budget.available_retries <= 1.0
+
+    run_with_entry(body)
+
+
 def test_an_error_response_to_a_non_idempotent_request_is_forwarded() -> None:
     async def body(path: EntryFixture) -> None:
         await path.add_endpoint("runner-1", respond_with(lambda request: answer(request, 500)))
--- a/tests/policy/test_linked_nodes.py
+++ b/tests/policy/test_linked_nodes.py
@@ -91,3 +91,16 @@
     nodes.on_local_state("link", agent(1))
     assert nodes.take_delta() is not None
     assert nodes.take_delta() is None
+
+
+def test_entries_of_all_control_vms_are_counted_once_and_rounded_up() -> None:
+    """Each entry spends its part of the shared retry budget by this count."""
+    nodes, peer = LinkedNodes(), LinkedNodes()
+    assert nodes.entry_count() == 0
+    for number in range(1, 6):
+        nodes.on_local_state(f"link-{number}", entry(number, is_open=number > 2))
+    nodes.on_local_state("link-agent", agent(9))
+    for number in range(5, 11):
+        peer.on_local_state(f"link-{number}", entry(number))
+    nodes.on_peer_update(PEER, peer.whole())
+    assert nodes.entry_count() == 12
--- a/tests/support/entry_fixture.py
+++ b/tests/support/entry_fixture.py
@@ -159,7 +159,7 @@
             log=self.log,
             metrics=NodeMetrics(dict),
             retry_ratio=0.2,
-            retry_capacity=10.0,
+            retry_capacity=100.0,
             retry_refill_per_s=0.0,
         )
         self.server = Http1Server(self._handle)
