Log attempts, size and leader of configurations that the log does not confirm

Cause: configuration_unsure did not tell whether a command had been sent once or five times, how large it was, or whether a leader was known, so that repeated proposals, size, elections and processor time could not be told apart; a read that no quorum confirmed was not logged.

Change: configuration_put tells bytes, attempts and took_ms; configuration_unsure bytes, attempts and leader; configuration_read_unsure (1433) is new. No logic of proposals changes.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_log.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_log.py
@@ -20,7 +20,39 @@
 
 
 class ControlUnavailable(Exception):
-    """The control log could not be reached in time; a command may still be committed."""
+    """The control log could not be reached in time; a command may still be committed.
+
+    :param attempts: how often the request was sent to the leader.
+    :param leader: the leader known at the end; empty if none was.
+    """
+
+    def __init__(self, detail: str, attempts: int, leader: str) -> None:
+        super().__init__(detail)
+        self.attempts = attempts
+        self.leader = leader
+
+
+@dataclass(frozen=True)
+class Answer:
+    """The answer to a request to the control log.
+
+    :param result: the encoded result of a command; empty for a read.
+    :param attempts: how often the request was sent to the leader.
+    """
+
+    result: bytes
+    attempts: int
+
+
+@dataclass(frozen=True)
+class CommittedCommand:
+    """A committed command's result.
+
+    :param attempts: how often the command was sent to the leader.
+    """
+
+    result: CommandResult
+    attempts: int
 
 
 @dataclass
@@ -32,15 +64,15 @@
 
     voter: Voter
 
-    async def commit(self, command: Command, timeout_s: float) -> CommandResult:
+    async def commit(self, command: Command, timeout_s: float) -> CommittedCommand:
         """Commit an idempotent command and return its result.
 
         :param timeout_s: how long to try, in seconds.
         :raises ControlUnavailable: when no attempt was answered in time.
         """
         encoded = COMMAND_CODEC.encode(command)
-        result = await self._request_until_answered(RequestPurpose.COMMAND, encoded, timeout_s)
-        return RESULT_CODEC.decode(result)
+        answer = await self._request_until_answered(RequestPurpose.COMMAND, encoded, timeout_s)
+        return CommittedCommand(RESULT_CODEC.decode(answer.result), answer.attempts)
 
     async def confirm(self, timeout_s: float) -> None:
         """Return once this voter's state holds everything that was committed before the call.
@@ -52,15 +84,21 @@
 
     async def _request_until_answered(
         self, purpose: RequestPurpose, command: bytes, timeout_s: float
-    ) -> bytes:
+    ) -> Answer:
+        attempts = 0
         with anyio.move_on_after(timeout_s):
             while True:
+                attempts += 1
                 with anyio.move_on_after(ATTEMPT_TIMEOUT_S):
-                    answer = await self._request_once(purpose, command)
-                    if answer is not None:
-                        return answer
+                    result = await self._request_once(purpose, command)
+                    if result is not None:
+                        return Answer(result, attempts)
                 await anyio.sleep(RETRY_DELAY_S)
-        raise ControlUnavailable(f"no quorum of the control group answered within {timeout_s} s")
+        raise ControlUnavailable(
+            f"no quorum of the control group answered within {timeout_s} s",
+            attempts,
+            self.voter.leader_address,
+        )
 
     async def _request_once(self, purpose: RequestPurpose, command: bytes) -> bytes | None:
         """Send a request once; return ``None`` when it was refused."""
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
@@ -131,20 +131,41 @@
 
         A version that is not higher than the one in force is committed without effect.
         """
+        began = anyio.current_time()
         try:
-            result = await self.control.commit(PutConfiguration(version, text), COMMIT_TIMEOUT_S)
+            committed = await self.control.commit(PutConfiguration(version, text), COMMIT_TIMEOUT_S)
         except ControlUnavailable as error:
-            self.log.emit(events.CONFIGURATION_UNCONFIRMED, version=version, detail=str(error))
+            self.log.emit(
+                events.CONFIGURATION_UNCONFIRMED,
+                version=version,
+                bytes=len(text),
+                attempts=error.attempts,
+                leader=error.leader,
+                detail=str(error),
+            )
             return False
-        changed = isinstance(result, ConfigurationPut) and result.changed
-        self.log.emit(events.CONFIGURATION_PUT, version=version, changed=changed)
+        result = committed.result
+        self.log.emit(
+            events.CONFIGURATION_PUT,
+            version=version,
+            changed=isinstance(result, ConfigurationPut) and result.changed,
+            bytes=len(text),
+            attempts=committed.attempts,
+            took_ms=round(1000 * (anyio.current_time() - began)),
+        )
         return True
 
     async def read_configuration(self) -> ConfigurationStore | None:
         """Return the newest configuration, or ``None`` when no quorum confirms it in time."""
         try:
             await self.control.confirm(COMMIT_TIMEOUT_S)
-        except ControlUnavailable:
+        except ControlUnavailable as error:
+            self.log.emit(
+                events.CONFIGURATION_READ_UNCONFIRMED,
+                attempts=error.attempts,
+                leader=error.leader,
+                detail=str(error),
+            )
             return None
         return self.voter.state.state.configuration
 
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
@@ -153,6 +153,12 @@
         self.step_listeners: list[Callable[[], None]] = []
         self.leader_last_known_at = float("-inf")
 
+    @property
+    def leader_address(self) -> str:
+        """The address of the leader as known here; empty if none is known."""
+        leader = self.replica.state.leader if self.replica is not None else None
+        return str(leader.address) if leader is not None else ""
+
     def set_seeds(self, voters: tuple[Address, ...]) -> None:
         """Replace the addresses to which this replica introduces itself."""
         self.settings = replace(self.settings, voters=voters)
--- a/packages/bergamotchute-model/src/bergamotchute_model/events.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/events.py
@@ -191,6 +191,12 @@
     "The log could not confirm an operator's configuration in time.",
     logging.WARNING,
 )
+CONFIGURATION_READ_UNCONFIRMED = _define_event_kind(
+    1433,
+    "configuration_read_unsure",
+    "The log could not confirm in time which configuration is the newest.",
+    logging.WARNING,
+)
 CONFIGURATION_REFUSED = _define_event_kind(
     1432, "configuration_refused", "An operator's configuration is invalid.", logging.WARNING
 )
