Let a repeated command join the one in progress

Cause: a call sends its command to the leader again each 0.35 s and gives up after 0.9 s; the operator then calls another VM. Each attempt became a log entry of its own with the whole text, for each follower. Once an attempt takes longer than 0.35 s, the attempts keep the links full by themselves, also after their cause has gone.

Change: a command in progress is joined where it waits, at the VM that forwards it and at the leader, so it enters the log once; it is sent again only when an attempt failed, when the leader changed, or after a time in proportion to its size; it stays in progress after its caller gave up. What the state already holds is acknowledged without an entry.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_log.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_log.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 
 from bergamotchute_consensus.messages import RequestPurpose
 from bergamotchute_daemon._voter_state import COMMAND_CODEC, RESULT_CODEC
 from bergamotchute_daemon.voter import Voter
-from bergamotchute_model.commands import Command, CommandResult
+from bergamotchute_model.commands import AnyCommand, CommandResult
 
 ATTEMPT_TIMEOUT_S = 0.35
 """How long to wait for one attempt; a request forwarded to a leader that died gets no answer."""
 
+MIN_LINK_BYTES_PER_S = 400_000
+"""Transfer rate allowed for before a command is sent again; a large one takes longer to arrive."""
+
 RETRY_DELAY_S = 0.04
 """Delay before the next attempt, for instance while no leader is known."""
 
@@ -33,46 +36,74 @@
 
 
 @dataclass(frozen=True)
-class Answer:
-    """The answer to a request to the control log.
+class CommittedCommand:
+    """A committed command's result.
 
-    :param result: the encoded result of a command; empty for a read.
-    :param attempts: how often the request was sent to the leader.
+    :param attempts: how often the command was sent to the leader.
     """
 
-    result: bytes
+    result: CommandResult
     attempts: int
 
 
-@dataclass(frozen=True)
-class CommittedCommand:
-    """A committed command's result.
+@dataclass
+class _CommandInProgress:
+    """A command that was proposed and whose result is not known yet, and the calls that wait.
 
+    :param answered: set once ``result`` is known.
+    :param callers: count of the calls that wait for the result.
     :param attempts: how often the command was sent to the leader.
+    :param is_sent: whether an attempt is under way that has neither failed nor expired.
+    :param sent_to: the leader's address at the last attempt.
+    :param resend_at: when the attempt counts as lost, in seconds on the runtime's clock.
     """
 
-    result: CommandResult
-    attempts: int
+    command: AnyCommand
+    encoded: bytes
+    answered: anyio.Event = field(default_factory=anyio.Event)
+    result: CommandResult | None = None
+    callers: int = 0
+    attempts: int = 0
+    is_sent: bool = False
+    sent_to: str = ""
+    resend_at: float = 0.0
 
 
 @dataclass
 class ControlLog:
     """Proposes commands to the control log, and confirms that the local state is up to date.
 
-    A command is sent again until its timeout, so only idempotent commands may be committed.
+    A command may be sent again, so only idempotent commands may be committed. While it is in
+    progress, further calls for it wait for the same result, also after the first call gave up.
     """
 
     voter: Voter
+    in_progress: dict[bytes, _CommandInProgress] = field(default_factory=dict)
 
-    async def commit(self, command: Command, timeout_s: float) -> CommittedCommand:
+    def __post_init__(self) -> None:
+        self.voter.step_listeners.append(self._find_results)
+
+    async def commit(self, command: AnyCommand, timeout_s: float) -> CommittedCommand:
         """Commit an idempotent command and return its result.
 
-        :param timeout_s: how long to try, in seconds.
-        :raises ControlUnavailable: when no attempt was answered in time.
+        :param timeout_s: how long to wait, in seconds; the command stays proposed after that.
+        :raises ControlUnavailable: when the command was not committed in time.
         """
+        known = self.voter.state.state.known_result(command)
+        if known is not None:
+            return CommittedCommand(known, 0)
         encoded = COMMAND_CODEC.encode(command)
-        answer = await self._request_until_answered(RequestPurpose.COMMAND, encoded, timeout_s)
-        return CommittedCommand(RESULT_CODEC.decode(answer.result), answer.attempts)
+        waiting = self.in_progress.get(encoded)
+        if waiting is None:
+            waiting = self.in_progress[encoded] = _CommandInProgress(command, encoded)
+        waiting.callers += 1
+        try:
+            with anyio.move_on_after(timeout_s):
+                return await self._send_until_answered(waiting)
+        finally:
+            waiting.callers -= 1
+            self._forget_if_abandoned(waiting)
+        raise self._unavailable(timeout_s, waiting.attempts)
 
     async def confirm(self, timeout_s: float) -> None:
         """Return once this voter's state holds everything that was committed before the call.
@@ -80,36 +111,77 @@
         :param timeout_s: how long to try, in seconds.
         :raises ControlUnavailable: when no quorum confirmed the state in time.
         """
-        await self._request_until_answered(RequestPurpose.READ, b"", timeout_s)
-
-    async def _request_until_answered(
-        self, purpose: RequestPurpose, command: bytes, timeout_s: float
-    ) -> Answer:
         attempts = 0
         with anyio.move_on_after(timeout_s):
             while True:
                 attempts += 1
                 with anyio.move_on_after(ATTEMPT_TIMEOUT_S):
-                    result = await self._request_once(purpose, command)
-                    if result is not None:
-                        return Answer(result, attempts)
+                    if await self._read_once():
+                        return
                 await anyio.sleep(RETRY_DELAY_S)
-        raise ControlUnavailable(
-            f"no quorum of the control group answered within {timeout_s} s",
-            attempts,
-            self.voter.leader_address,
-        )
-
-    async def _request_once(self, purpose: RequestPurpose, command: bytes) -> bytes | None:
-        """Send a request once; return ``None`` when it was refused."""
-        answered = anyio.Event()
-        answers: list[bytes] = []
+        raise self._unavailable(timeout_s, attempts)
+
+    def _unavailable(self, timeout_s: float, attempts: int) -> ControlUnavailable:
+        detail = f"no quorum of the control group answered within {timeout_s} s"
+        return ControlUnavailable(detail, attempts, self.voter.leader_address)
+
+    async def _send_until_answered(self, waiting: _CommandInProgress) -> CommittedCommand:
+        """Send a command again only when its last attempt failed or counts as lost."""
+        while waiting.result is None:
+            leader = self.voter.leader_address
+            is_lost = anyio.current_time() >= waiting.resend_at
+            if not waiting.is_sent or is_lost or leader not in ("", waiting.sent_to):
+                self._send(waiting, leader)
+            with anyio.move_on_after(RETRY_DELAY_S):
+                await waiting.answered.wait()
+        return CommittedCommand(waiting.result, waiting.attempts)
+
+    def _send(self, waiting: _CommandInProgress, leader: str) -> None:
+        waiting.attempts += 1
+        waiting.is_sent = True
+        waiting.sent_to = leader
+        transfer_s = len(waiting.encoded) / MIN_LINK_BYTES_PER_S
+        waiting.resend_at = anyio.current_time() + ATTEMPT_TIMEOUT_S + transfer_s
+        attempt = waiting.attempts
 
         def succeed(_: int, result: bytes) -> None:
-            answers.append(result)
+            self._on_result(waiting, RESULT_CODEC.decode(result))
+
+        def fail(*_: object) -> None:
+            if attempt == waiting.attempts:
+                waiting.is_sent = False
+                self._forget_if_abandoned(waiting)
+
+        self.voter.submit_request(RequestPurpose.COMMAND, waiting.encoded, succeed, fail)
+
+    def _on_result(self, waiting: _CommandInProgress, result: CommandResult) -> None:
+        if waiting.result is None:
+            waiting.result = result
+            waiting.answered.set()
+        self.in_progress.pop(waiting.encoded, None)
+
+    def _forget_if_abandoned(self, waiting: _CommandInProgress) -> None:
+        """Forget a command that nobody waits for and that is not under way either."""
+        if not waiting.callers and not waiting.is_sent:
+            self.in_progress.pop(waiting.encoded, None)
+
+    def _find_results(self) -> None:
+        """Complete commands that the local state holds, even if the leader's answer was lost."""
+        for waiting in list(self.in_progress.values()):
+            result = self.voter.state.state.known_result(waiting.command)
+            if result is not None:
+                self._on_result(waiting, result)
+
+    async def _read_once(self) -> bool:
+        """Send a read once; return whether it was confirmed."""
+        answered = anyio.Event()
+        confirmed: list[int] = []
+
+        def succeed(index: int, _: bytes) -> None:
+            confirmed.append(index)
             answered.set()
 
         fail: Callable[..., None] = lambda *_: answered.set()  # noqa: E731
-        self.voter.submit_request(purpose, command, succeed, fail)
+        self.voter.submit_request(RequestPurpose.READ, b"", succeed, fail)
         await answered.wait()
-        return answers[0] if answers else None
+        return bool(confirmed)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
@@ -54,6 +54,7 @@
 from bergamotchute_daemon._disk_writer import DiskWriter, RunBlocking
 from bergamotchute_daemon._membership_planner import MembershipPlanner
 from bergamotchute_daemon._pending_requests import OnFailure, OnSuccess, PendingRequests
+from bergamotchute_daemon._proposed_commands import ProposedCommands
 from bergamotchute_daemon._voter_peer_links import VoterPeerLinks
 from bergamotchute_daemon._voter_state import COMMAND_CODEC, RESULT_CODEC, VoterState
 from bergamotchute_daemon.event_log import EventLog
@@ -140,6 +141,7 @@
         self.replica_settings = replica_settings or ReplicaSettings()
         self.state = VoterState()
         self.requests = PendingRequests()
+        self.proposed_commands = ProposedCommands()
         self.membership_planner = self._new_membership_planner()
         self.replica: Replica | None = None
         self.disk_writer: DiskWriter | None = None
@@ -224,6 +226,7 @@
         self.pending_proposals.clear()
         self.pending_reads.clear()
         self.held.clear()
+        self.proposed_commands.clear()
         self.requests.fail_all()
 
     def _post_event(self, event: Event) -> None:
@@ -296,8 +299,9 @@
                 self.state.restore(snapshot)
                 self.log.emit(events.SNAPSHOT_INSTALLED, revision=snapshot.index)
                 self.requests.on_applied(self.state.applied_index)
-            case RejectProposal(token, committed_maybe, _, leader):
-                self.requests.fail(token, committed_maybe, leader)
+            case RejectProposal(proposal, committed_maybe, _, leader):
+                for token in self.proposed_commands.take_tokens(proposal):
+                    self.requests.fail(token, committed_maybe, leader)
             case ConfirmRead(token, index):
                 self.requests.allow_read(token, index, self.state.applied_index)
             case RejectRead(token, leader):
@@ -317,7 +321,8 @@
             self.log.emit(events.MEMBERSHIP_CHANGED, revision=action.entry.index)
         if action.token:
             encoded = b"" if result is None else RESULT_CODEC.encode(result)
-            self.requests.succeed(action.token, action.entry.index, encoded)
+            for token in self.proposed_commands.take_tokens(action.token):
+                self.requests.succeed(token, action.entry.index, encoded)
         if self.requests.waiting_reads:
             self.requests.on_applied(action.entry.index)
 
@@ -431,7 +436,8 @@
             status = self.membership_planner.status(replica.state, anyio.current_time())
             self.requests.succeed(token, replica.state.commit_index, STATUS_CODEC.encode(status))
         elif purpose is RequestPurpose.COMMAND:
-            self.pending_proposals.append(Proposal(token, command))
+            if self.proposed_commands.join(command, token):
+                self.pending_proposals.append(Proposal(token, command))
         else:
             self.pending_reads.append(token)
         self.wake_event.set()
--- a/packages/bergamotchute-state/src/bergamotchute_state/control_state.py
+++ b/packages/bergamotchute-state/src/bergamotchute_state/control_state.py
@@ -10,6 +10,8 @@
     AnyCommand,
     ApplyFile,
     CommandResult,
+    ConfigurationPut,
+    DepartureRecorded,
     FenceGranted,
     IssueFence,
     LookUpClaim,
@@ -79,6 +81,18 @@
                 return self.departures.on_record_departure(command)
         assert_never(command)
 
+    def known_result(self, command: AnyCommand) -> CommandResult | None:
+        """Return the result of a command that would change nothing, as far as that is known.
+
+        What a configuration or departure asks for stays true, so it need not be committed again.
+        """
+        match command:
+            case PutConfiguration(version) if version <= self.configuration.version:
+                return ConfigurationPut(False, self.configuration.version)
+            case RecordDeparture(endpoint, born_ms) if self.departures.includes(endpoint, born_ms):
+                return DepartureRecorded()
+        return None
+
     @property
     def view_revision(self) -> int:
         """The revision of the newest change visible in a view; 0 when there is none."""
--- a/packages/bergamotchute-state/src/bergamotchute_state/departure_store.py
+++ b/packages/bergamotchute-state/src/bergamotchute_state/departure_store.py
@@ -27,6 +27,10 @@
     departed_born_ms: dict[str, int] = field(default_factory=dict)
     changes: int = field(default=0, compare=False)
 
+    def includes(self, endpoint: str, born_ms: int) -> bool:
+        """Return whether a departure of this incarnation or a later one is recorded."""
+        return self.departed_born_ms.get(endpoint, -1) >= born_ms
+
     def on_record_departure(self, command: RecordDeparture) -> DepartureRecorded:
         """Record a departure; ignore it unless its incarnation is later than the recorded one."""
         known = self.departed_born_ms.get(command.endpoint, -1)
--- a/tests/support/control_group.py
+++ b/tests/support/control_group.py
@@ -42,6 +42,7 @@
     processes: dict[int, ControlProcess] = field(default_factory=dict)
     scopes: dict[int, anyio.CancelScope] = field(default_factory=dict)
     start_count: int = 0
+    disks_to_lose: int = 1
 
     def settings(self, number: int, found: bool) -> NodeSettings:
         return NodeSettings(
@@ -51,7 +52,7 @@
             link_port=PORT,
             seeds=tuple(f"{host(seed)}:80" for seed in range(SEED_COUNT)),
             found=found,
-            disks_to_lose=1,
+            disks_to_lose=self.disks_to_lose,
             heartbeat_ms=1200,
             stop_s=8,
             retry_ratio=0.2,
--- a/tests/support/memory_links.py
+++ b/tests/support/memory_links.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Sequence
+import math
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any
@@ -14,6 +15,8 @@
 from bergamotchute_model.identifiers import Address
 from bergamotchute_wire.link import Dial, DialFailed, LinkClosed, LinkHandler
 
+FREEZE_CHECK_INTERVAL_S = 0.05
+
 
 class MemoryLink:
     """One end of an in-memory link."""
@@ -49,6 +52,8 @@
             raise LinkClosed(self.closed_reason or "closed by peer") from error
         due_at, message = self.next_message
         await anyio.sleep_until(due_at)
+        while self.local_name in self.network.frozen:  # noqa: ASYNC110 - a set has no event.
+            await anyio.sleep(FREEZE_CHECK_INTERVAL_S)
         self.next_message = None
         return message
 
@@ -71,12 +76,21 @@
     :param delay_s: the delay of each message, in seconds.
     :param silence_timeout_s: the time after which a link that lost a message closes, in seconds.
     :param cut_directions: pairs of sender and receiver whose messages are lost.
+    :param frozen: processes that receive nothing; the messages to them wait.
+    :param bytes_per_s: what each process can send in a second; unlimited by default.
+    :param message_bytes: returns the size of a message, for ``bytes_per_s`` and ``sent_bytes``.
+    :param sent_bytes: the bytes that each process has sent.
     """
 
     tasks: TaskGroup
     delay_s: float = 0.0005
     silence_timeout_s: float = 3.5
     cut_directions: set[tuple[str, str]] = field(default_factory=set)
+    frozen: set[str] = field(default_factory=set)
+    bytes_per_s: float = math.inf
+    message_bytes: Callable[[Any], int] = lambda _: 0
+    sent_bytes: dict[str, int] = field(default_factory=dict)
+    busy_until: dict[str, float] = field(default_factory=dict)
     links: list[MemoryLink] = field(default_factory=list)
     handlers: dict[tuple[Address, str], tuple[str, LinkHandler[Any]]] = field(default_factory=dict)
 
@@ -108,11 +122,19 @@
         if self.is_cut(sender.local_name, sender.peer):
             self.tasks.start_soon(self._close_after_silence, sender, receiver)
         else:
-            self._deliver(receiver, message)
+            self._deliver(receiver, message, self._transmit(sender.local_name, message))
+
+    def _transmit(self, sender: str, message: Any) -> float:
+        """Count a message's bytes; return when its sender has sent them and those before."""
+        size = self.message_bytes(message)
+        self.sent_bytes[sender] = self.sent_bytes.get(sender, 0) + size
+        begin = max(anyio.current_time(), self.busy_until.get(sender, 0.0))
+        self.busy_until[sender] = begin + size / self.bytes_per_s
+        return self.busy_until[sender]
 
-    def _deliver(self, receiver: MemoryLink, message: Any) -> None:
+    def _deliver(self, receiver: MemoryLink, message: Any, sent_at: float) -> None:
         if not receiver.closed_reason:
-            receiver.sender.send_nowait((anyio.current_time() + self.delay_s, message))
+            receiver.sender.send_nowait((sent_at + self.delay_s, message))
 
     async def _close_after_silence(self, sender: MemoryLink, receiver: MemoryLink) -> None:
         await anyio.sleep(self.silence_timeout_s)
