Answer a repeated configuration from the state of the leader

Cause: the leader answers as it commits, a follower applies at the next message; in between, the same configuration asked for again at that VM entered the log a second time (test_call_after_a_call_that_gave_up_proposes_again, failed with links on which the first call is quick enough: 2 large entries in place of 1).

Change: the leader answers a large command from its state when that already holds what the command asks for. Small commands are proposed as before.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/_voter_state.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/_voter_state.py
@@ -21,6 +21,9 @@
 
 SNAPSHOT_ENTRY_COUNT = 10_000
 
+LARGE_COMMAND_BYTES = 4_096
+"""Size from which looking for a known result costs less than another log entry."""
+
 
 @dataclass
 class Follower:
@@ -73,6 +76,12 @@
         command = cast("AnyCommand", COMMAND_CODEC.decode(entry.data))
         return self.state.apply(command, entry.index)
 
+    def known_result(self, encoded: bytes) -> CommandResult | None:
+        """Return the result of a large command that the state already holds, if it does."""
+        if len(encoded) < LARGE_COMMAND_BYTES:
+            return None
+        return self.state.known_result(cast("AnyCommand", COMMAND_CODEC.decode(encoded)))
+
     @property
     def is_snapshot_due(self) -> bool:
         """Whether the log has grown enough since the last snapshot."""
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
@@ -436,7 +436,10 @@
             status = self.membership_planner.status(replica.state, anyio.current_time())
             self.requests.succeed(token, replica.state.commit_index, STATUS_CODEC.encode(status))
         elif purpose is RequestPurpose.COMMAND:
-            if self.proposed_commands.join(command, token):
+            known = self.state.known_result(command)
+            if known is not None:
+                self.requests.succeed(token, self.state.applied_index, RESULT_CODEC.encode(known))
+            elif self.proposed_commands.join(command, token):
                 self.pending_proposals.append(Proposal(token, command))
         else:
             self.pending_reads.append(token)
