Bound the bytes in flight to a follower, and send votes ahead of entries

Cause: a leader sent a follower up to 16 messages of up to 1 MiB without a reply, and one queue a peer held votes, replies and answers behind them.

Ruled out: heartbeats ahead of entries. They prove by their previous index that the entries before them arrived; one that overtakes them is rejected, and the entries are sent again.

--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/_replication.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/_replication.py
@@ -56,13 +56,17 @@
             peer.probe_sent = True
             _send_append(state, member, peer, with_entries=True)
         return
-    while (
-        peer.next_index <= state.log.last_index
-        and len(peer.in_flight) < state.settings.max_in_flight_appends
-    ):
+    while peer.next_index <= state.log.last_index and _may_send_more(state, peer):
         _send_append(state, member, peer, with_entries=True)
 
 
+def _may_send_more(state: ReplicaState, peer: Progress) -> bool:
+    return (
+        len(peer.in_flight) < state.settings.max_in_flight_appends
+        and peer.in_flight_bytes < state.settings.max_in_flight_bytes
+    )
+
+
 def _send_append(state: ReplicaState, member: Member, peer: Progress, with_entries: bool) -> None:
     previous = peer.next_index - 1
     entries = (
@@ -84,8 +88,7 @@
     )
     _send_as_leader(state, member, message)
     if entries and not peer.probing:
-        peer.next_index = entries[-1].index + 1
-        peer.in_flight.append(entries[-1].index)
+        peer.record_sent(entries[-1].index, sum(len(entry.data) for entry in entries))
 
 
 def _send_as_leader(state: ReplicaState, member: Member, message: AppendEntries) -> None:
--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/replica_settings.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/replica_settings.py
@@ -9,6 +9,7 @@
 MAX_APPEND_BYTES = 1_048_576
 SNAPSHOT_CHUNK_BYTES = 262_144
 MAX_IN_FLIGHT_APPENDS = 16
+MAX_IN_FLIGHT_BYTES = 262_144
 TRAILING_ENTRIES = 4_096
 
 
@@ -22,6 +23,8 @@
     :param max_append_bytes: bytes of entries in one message; a single entry may exceed it.
     :param snapshot_chunk_bytes: size of a snapshot chunk, in bytes.
     :param max_in_flight_appends: messages with entries that may await a reply of one replica.
+    :param max_in_flight_bytes: bytes of entries that may await a reply of one replica; heartbeats
+        wait behind them on the link. A single message may exceed it.
     :param trailing_entries: entries retained in memory behind a snapshot, for replicas that lag.
     """
 
@@ -30,4 +33,5 @@
     max_append_bytes: int = MAX_APPEND_BYTES
     snapshot_chunk_bytes: int = SNAPSHOT_CHUNK_BYTES
     max_in_flight_appends: int = MAX_IN_FLIGHT_APPENDS
+    max_in_flight_bytes: int = MAX_IN_FLIGHT_BYTES
     trailing_entries: int = TRAILING_ENTRIES
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/_voter_peer_links.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/_voter_peer_links.py
@@ -8,42 +8,62 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from bergamotchute_consensus.messages import ConsensusMessage
+from bergamotchute_consensus.messages import (
+    AppendEntries,
+    ConsensusMessage,
+    ForwardedRequest,
+    SnapshotChunk,
+)
 from bergamotchute_daemon.backoff import Backoff
 from bergamotchute_model.identifiers import Address
 from bergamotchute_wire.link import Dial, DialFailed, Link, LinkClosed
 
 MAX_QUEUED_MESSAGES = 256
-"""Queue limit for each peer; beyond it the oldest messages are dropped.
+"""Limit of each of a peer's two queues; beyond it the oldest messages are dropped.
 
 The consensus protocol tolerates lost messages, as on any network.
 """
 
 
+def is_bulk(message: ConsensusMessage) -> bool:
+    """Return whether a message may be large, or must stay in order with those that may be.
+
+    A heartbeat that overtook the entries before it would be rejected, and they be sent again.
+    """
+    match message:
+        case AppendEntries() | SnapshotChunk():
+            return True
+        case ForwardedRequest():
+            return bool(message.command or message.packed_command)
+    return False
+
+
 class PeerQueue:
-    """Queue of messages to one peer.
+    """Queue of messages to one peer; votes, replies and answers go ahead of entries.
 
     :param linked: whether a link is open; while none is, only the newest message is kept.
     """
 
     def __init__(self) -> None:
-        self.messages: deque[ConsensusMessage] = deque(maxlen=MAX_QUEUED_MESSAGES)
+        self.urgent: deque[ConsensusMessage] = deque(maxlen=MAX_QUEUED_MESSAGES)
+        self.bulk: deque[ConsensusMessage] = deque(maxlen=MAX_QUEUED_MESSAGES)
         self.wake_event = anyio.Event()
         self.linked = False
 
     def put(self, message: ConsensusMessage) -> None:
         """Queue a message."""
         if not self.linked:
-            self.messages.clear()
-        self.messages.append(message)
+            self.urgent.clear()
+            self.bulk.clear()
+        (self.bulk if is_bulk(message) else self.urgent).append(message)
         self.wake_event.set()
 
     async def next_message(self) -> ConsensusMessage:
         """Wait for the next message and remove it from the queue."""
-        while not self.messages:
+        while not self.urgent and not self.bulk:
             self.wake_event = anyio.Event()
             await self.wake_event.wait()
-        return self.messages.popleft()
+        return (self.urgent or self.bulk).popleft()
 
 
 class VoterPeerLinks:
