--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/_snapshot_transfer.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/_snapshot_transfer.py
@@ -121,7 +121,10 @@
     assert term is not None
     state.snapshot = Snapshot(index, term, state.membership_at(index), data)
     state.persist(snapshot=state.snapshot)
-    keep_from = index - state.settings.trailing_entries
+    keep_from = max(
+        index - state.settings.trailing_entries,
+        state.log.index_before(index, state.settings.trailing_bytes),
+    )
     if keep_from > state.log.base_index:
         state.log.drop_through(keep_from)
     _prune_memberships(state)
--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/replica_log.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/replica_log.py
@@ -58,6 +58,16 @@
             end += 1
         return tuple(self.entries[first:end])
 
+    def index_before(self, index: int, limit_bytes: int) -> int:
+        """Return the index before the longest run of entries to ``index`` within a size limit."""
+        size = 0
+        while index > self.base_index:
+            size += len(self.entry(index).data)
+            if size > limit_bytes:
+                break
+            index -= 1
+        return index
+
     def append(self, entries: Sequence[LogEntry]) -> None:
         """Append entries that follow the last index."""
         self.entries.extend(entries)
--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/replica_settings.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/replica_settings.py
@@ -11,6 +11,7 @@
 MAX_IN_FLIGHT_APPENDS = 16
 MAX_IN_FLIGHT_BYTES = 262_144
 TRAILING_ENTRIES = 4_096
+TRAILING_BYTES = 4 * 1_048_576
 
 
 @dataclass(frozen=True)
@@ -26,6 +27,8 @@
     :param max_in_flight_bytes: bytes of entries that may await a reply of one replica; heartbeats
         wait behind them on the link. A single message may exceed it.
     :param trailing_entries: entries retained in memory behind a snapshot, for replicas that lag.
+    :param trailing_bytes: limit on the size of these entries; a replica that needs earlier ones
+        gets the snapshot.
     """
 
     heartbeat_interval_s: float = HEARTBEAT_INTERVAL_S
@@ -35,3 +38,4 @@
     max_in_flight_appends: int = MAX_IN_FLIGHT_APPENDS
     max_in_flight_bytes: int = MAX_IN_FLIGHT_BYTES
     trailing_entries: int = TRAILING_ENTRIES
+    trailing_bytes: int = TRAILING_BYTES
--- a/tests/consensus/test_replica_basics.py
+++ b/tests/consensus/test_replica_basics.py
@@ -59,6 +59,22 @@
     assert {f"large-{number}" for number in range(5)} <= cluster.completed_tokens
 
 
+def test_large_entries_behind_a_snapshot_fill_the_memory() -> None:
+    # The count of entries kept for replicas that lag was bounded, but not their size.
+    cluster = SimulatedCluster(3)
+    leader = cluster.elect()
+    cluster.drain_messages()
+    data = bytes(500_000)
+    for number in range(60):
+        cluster.step(leader, ProposalsRequested((Proposal(f"large-{number}", data),)))
+        cluster.drain_messages()
+        cluster.snapshot(leader)
+    assert leader.replica is not None
+    log = leader.replica.state.log
+    assert sum(len(entry.data) for entry in log.entries) <= cluster.settings.trailing_bytes
+    assert log.last_index > 60
+
+
 def test_vote_waits_behind_entries_on_a_slow_link() -> None:
     queue = PeerQueue()
     queue.linked = True
