--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
@@ -583,7 +583,9 @@
                     await writer.write_head(head.status, without_hop_by_hop_headers(head.headers))
                 await writer.write_chunk(whole)
         if stream.has_partial_event or not writer.started:
-            raise EndpointFailure("the stream ended before an event was complete", True)
+            raise EndpointFailure(
+                "the stream ended before an event was complete", True, attempt.exchange.has_ended
+            )
         await writer.finish()
         if attempt.progress.sent_count == 1 and attempt.progress.response_started_at is not None:
             first_event_s = attempt.progress.response_started_at - sent_at
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/http1_client.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/http1_client.py
@@ -44,6 +44,7 @@
     is being written to it.
 
     :param stream: a new connection.
+    :ivar has_ended: whether the endpoint has closed the connection.
     """
 
     def __init__(self, stream: ByteStream) -> None:
