Let operators list and clear quarantined prompt parts

GET and DELETE /prompt-parts beside the metrics of entries and control VMs, bergamotchute prompt-parts on the command line; a part that is cleared is cleared at all of them.

--- a/packages/bergamotchute-cli/src/bergamotchute_cli/__main__.py
+++ b/packages/bergamotchute-cli/src/bergamotchute_cli/__main__.py
@@ -11,6 +11,7 @@
 from bergamotchute_cli.diff import add_diff_command
 from bergamotchute_cli.exit_code import ExitCode
 from bergamotchute_cli.losses import add_losses_command
+from bergamotchute_cli.prompt_parts import add_prompt_parts_command
 from bergamotchute_cli.reports import add_report_commands
 from bergamotchute_cli.send import add_send_command
 from bergamotchute_cli.show import add_show_command
@@ -49,6 +50,7 @@
     add_send_command(commands)
     add_timeline_command(commands)
     add_losses_command(commands)
+    add_prompt_parts_command(commands)
     return parser
 
 
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/prompt_guard.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/prompt_guard.py
@@ -90,6 +90,13 @@
             self.post(PromptEvidence(crashes=((crash, 0.0),)))
             self._notify_changed()
 
+    def clear(self, part: PromptPart) -> bool:
+        """Clear a part by order of an operator, also at all others; return whether it was held."""
+        is_known = self.table.clear(part)
+        self.post(PromptEvidence(cleared=(part,)))
+        self._notify_changed()
+        return is_known
+
     def on_evidence(self, evidence: PromptEvidence) -> None:
         """Add what other processes found, and clear the suspects that are known as sound here."""
         suspects = self.table.suspects
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -43,7 +43,7 @@
     RankLocations,
     SubscribeToLoads,
 )
-from bergamotchute_model.prompt_parts import PromptEvidence
+from bergamotchute_model.prompt_parts import PromptEvidence, PromptPart
 from bergamotchute_policy.commander_assigner import CommanderAssigner
 from bergamotchute_policy.endpoint_table import EndpointTable
 from bergamotchute_policy.linked_nodes import LinkedNodes
@@ -254,6 +254,12 @@
         if news is not None:
             self.post_prompt_evidence(news, sender)
 
+    def clear_prompt_part(self, part: PromptPart) -> bool:
+        """Clear a part by order of an operator, also at all others; return whether it was held."""
+        is_known = self.prompt_evidence.clear(part)
+        self.post_prompt_evidence(PromptEvidence(cleared=(part,)))
+        return is_known
+
     def post_prompt_evidence(
         self, evidence: PromptEvidence, sender: Follower | None = None
     ) -> None:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_runner.py
@@ -24,6 +24,7 @@
 )
 from bergamotchute_daemon.node_metrics import NodeMetrics
 from bergamotchute_daemon.node_settings import NodeSettings, NodeSettingsError, SettingsFile
+from bergamotchute_daemon.prompt_part_api import prompt_part_handler
 from bergamotchute_daemon.stdout_log_handler import StdoutLogHandler
 from bergamotchute_model import events
 from bergamotchute_model.identifiers import Address
@@ -126,7 +127,9 @@
     environment.log.emit(events.PROCESS_STARTED, listen=settings.listen.callers)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(process.run)
-        _serve_metrics(tasks, settings, process.forwarder.metrics)
+        guard, metrics = process.forwarder.prompt_guard, process.forwarder.metrics
+        handler = prompt_part_handler(guard.table, guard.clear, metrics.handle_request)
+        _serve_metrics(tasks, settings, handler)
         ready = Http1Server(ready_handler(process))
         tasks.start_soon(ready.serve, Address.parse(settings.listen.ready))
         await _wait_for_stop_signal(tasks, file, process.links.set_seeds, environment.log)
@@ -164,7 +167,11 @@
             serve_web_socket_links, settings.link_address, routes, "", NODE_LINK_TIMING
         )
         tasks.start_soon(process.run)
-        _serve_metrics(tasks, settings, NodeMetrics(process.gauges))
+        hub, metrics = process.node_hub, NodeMetrics(process.gauges)
+        handler = prompt_part_handler(
+            hub.prompt_evidence, hub.clear_prompt_part, metrics.handle_request
+        )
+        _serve_metrics(tasks, settings, handler)
         control = Http1Server(control_handler(process))
         tasks.start_soon(control.serve, Address.parse(settings.listen.control))
         directory = Http1Server(directory_handler(process))
@@ -197,16 +204,16 @@
             serve_web_socket_links, settings.link_address, routes, "", NODE_LINK_TIMING
         )
         tasks.start_soon(process.run)
-        _serve_metrics(tasks, settings, NodeMetrics(process.gauges))
+        _serve_metrics(tasks, settings, NodeMetrics(process.gauges).handle_request)
         await _wait_for_stop_signal(tasks, file, process.links.set_seeds, environment.log)
         await _stop_tasks(tasks, environment.log)
 
 
-def _serve_metrics(tasks: TaskGroup, settings: NodeSettings, metrics: NodeMetrics) -> None:
-    """Serve the metrics if the settings give a port for them."""
+def _serve_metrics(tasks: TaskGroup, settings: NodeSettings, handler: RequestHandler) -> None:
+    """Serve the metrics, and what goes with them, if the settings give a port for them."""
     if settings.metrics_port:
         address = Address(settings.host, settings.metrics_port)
-        tasks.start_soon(Http1Server(metrics.handle_request).serve, address)
+        tasks.start_soon(Http1Server(handler).serve, address)
 
 
 UseSeeds = Callable[[tuple[Address, ...]], None]
--- a/tests/direct/test_prompt_guard.py
+++ b/tests/direct/test_prompt_guard.py
@@ -2,13 +2,21 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import anyio
+import anyio.to_thread
+import httpx
 import pytest
 from anyio.abc import SocketStream
 
+from bergamotchute_cli.__main__ import main
+from bergamotchute_cli.exit_code import ExitCode
+from bergamotchute_daemon.prompt_part_api import prompt_part_handler
 from bergamotchute_model.prompt_parts import Crash, PromptEvidence, PromptPart, QuarantinedPart
 from bergamotchute_platform.request_format import REQUEST_FORMAT
 from bergamotchute_wire.http1_messages import RequestHead
+from bergamotchute_wire.http1_server import Http1Server
 from support.entry_fixture import (
     EndpointScript,
     EntryFixture,
@@ -154,3 +162,40 @@
         assert len(read) == 1999
     else:
         assert read == parts
+
+
+def test_operator_can_not_see_or_clear_a_quarantined_part(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    async def body(entry: EntryFixture) -> None:
+        await entry.add_endpoint("runner-1", crash_on_deadly(entry))
+        guard = entry.forwarder.prompt_guard
+        quarantined = QuarantinedPart(DEADLY, 60.0, 1, (("runner-8", 1), ("runner-9", 1)))
+        told = Crash("model", "runner-9", 7, ("bb02",))
+        guard.on_evidence(PromptEvidence(crashes=((told, 0.0),), quarantined=(quarantined,)))
+        metrics = entry.forwarder.metrics.handle_request
+        server = Http1Server(prompt_part_handler(guard.table, guard.clear, metrics))
+        address = await entry._listen(server._accept)
+        async with httpx.AsyncClient(base_url=f"http://{address}") as client:
+            listed = (await client.get("/prompt-parts")).json()
+            assert [each["part"] for each in listed["quarantined"]] == ["dead"]
+            assert [each["part"] for each in listed["suspects"]] == ["bb02"]
+            assert (await client.delete("/prompt-parts?service=model")).status_code == 400
+            assert (await client.post("/prompt-parts")).status_code == 405
+            assert (await client.get("/metrics")).status_code == 200
+            run = partial(anyio.to_thread.run_sync, main)
+            assert await run(["prompt-parts", str(address)]) == ExitCode.OK
+            assert await run(["prompt-parts", str(address), "--clear", "model", "bb02"]) == 0
+            assert await run(["prompt-parts", str(address), "--clear", "model", "bb02"]) == 1
+            assert await run(["prompt-parts", "127.0.0.1:1"]) == ExitCode.UNREACHABLE
+            cleared = "/prompt-parts?service=model&part=dead"
+            assert (await client.delete(cleared)).status_code == 200
+            assert (await client.delete(cleared)).status_code == 404
+            assert not (await client.get("/prompt-parts")).json()["quarantined"]
+        assert PromptEvidence(cleared=(DEADLY,)) in entry.posted_evidence
+
+    run_with_entry(body)
+    printed = capsys.readouterr().out
+    assert "quarantined" in printed
+    assert "runner-8 runner-9" in printed
+    assert "cleared bb02" in printed
