Send the text of a configuration once over each link

Change: a control VM sends the text of a version once over a link; a follower asks one control VM for one text at a time, and again when that text turns out to be older than what it was told meanwhile.

Both tests fail on the commit before.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/configuration_follower.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/configuration_follower.py
@@ -4,7 +4,7 @@
 
 import zlib
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 
@@ -31,6 +31,8 @@
     :param post: sends a message to one control VM.
     :param post_all: sends a message to every linked control VM.
     :param on_configuration: called with each newer configuration.
+    :param awaited: when the text was last requested from each control VM that has not sent it, on
+        the runtime's clock.
     """
 
     read: Callable[[bytes], VersionedConfiguration]
@@ -41,22 +43,36 @@
     version: int = 0
     requested_version: int = 0
     requested_at: float = float("-inf")
+    awaited: dict[Address, float] = field(default_factory=dict)
 
     def on_version(self, address: Address, message: ConfigurationVersion) -> None:
         """Request the text of a newer version, unless it was requested recently."""
         if message.version <= self.version:
             return
-        is_recent = anyio.current_time() - self.requested_at < REQUEST_RETRY_DELAY_S
+        now = anyio.current_time()
+        is_recent = now - self.requested_at < REQUEST_RETRY_DELAY_S
         if message.version <= self.requested_version and is_recent:
             return
         self.requested_version = max(self.requested_version, message.version)
-        self.requested_at = anyio.current_time()
+        if now - self.awaited.get(address, float("-inf")) >= REQUEST_RETRY_DELAY_S:
+            self._request(address)
+
+    def _request(self, address: Address) -> None:
+        self.requested_at = self.awaited[address] = anyio.current_time()
         self.post(address, QueryConfiguration())
 
-    def on_text(self, message: ConfigurationText) -> None:
-        """Put a newer configuration in force; ignore an older one."""
-        if message.version <= self.version:
-            return
+    def on_text(self, address: Address, message: ConfigurationText) -> None:
+        """Put a newer configuration in force; ignore an older one.
+
+        Versions that were reported while this text was on its way are requested now, as one.
+        """
+        self.awaited.pop(address, None)
+        if message.version > self.version:
+            self._use(message)
+        if message.version < self.requested_version and self.version < self.requested_version:
+            self._request(address)
+
+    def _use(self, message: ConfigurationText) -> None:
         try:
             configuration = self.read(zlib.decompress(message.packed))
         except (ValueError, zlib.error) as error:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -126,7 +126,7 @@
             case ConfigurationVersion():
                 self.follower.on_version(address, message)
             case ConfigurationText():
-                self.follower.on_text(message)
+                self.follower.on_text(address, message)
             case HeartbeatsReceived(heartbeats):
                 for heartbeat in heartbeats:
                     apply_heartbeat(self.endpoint_table, heartbeat, self.log)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -69,7 +69,8 @@
     """A process connected over a link.
 
     :param confirmed: whether a quorum confirmed the local state since the link opened.
-    :param version: the newest configuration version sent to the follower.
+    :param version: the newest configuration version reported to the follower.
+    :param sent_text_version: the version whose text was last sent to the follower.
     :param node: the state that the follower reported; ``None`` before its first report.
     :param peer: the address of a control VM; ``None`` for an entry or agent.
     :param is_load_subscriber: whether the follower receives the loads of endpoints.
@@ -79,6 +80,7 @@
     outbox: Outbox[NodeMessage]
     confirmed: bool = False
     version: int = 0
+    sent_text_version: int = 0
     node: EntryState | AgentState | None = None
     peer: Address | None = None
     is_load_subscriber: bool = False
@@ -211,7 +213,7 @@
             case SubscribeToLoads():
                 follower.is_load_subscriber = True
             case QueryConfiguration():
-                follower.outbox.post(self._packed_configuration())
+                self._send_configuration(follower)
             case NodesLinked() if follower.peer is not None:
                 self.linked_nodes.on_peer_update(follower.peer, message)
             case HeartbeatsReceived(heartbeats) if follower.peer is not None:
@@ -223,6 +225,13 @@
             case _:
                 self.log.emit(events.LINK_SILENT, peer="unexpected", message=message.kind)
 
+    def _send_configuration(self, follower: Follower) -> None:
+        """Send a follower the text, unless its link carries the same one already."""
+        version = self.voter.state.state.configuration.version
+        if version > follower.sent_text_version:
+            follower.sent_text_version = version
+            follower.outbox.post(self._packed_configuration())
+
     def _packed_configuration(self) -> ConfigurationText:
         """Return the current configuration, compressed once for all followers."""
         held = self.voter.state.state.configuration
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
@@ -147,7 +147,7 @@
                 self.configuration_versions[address] = message
                 self._request_configuration()
             case ConfigurationText():
-                self.follower.on_text(message)
+                self.follower.on_text(address, message)
             case CommanderAssigned():
                 self._on_assigned(address, message)
             case _:
--- a/tests/daemon/test_dissemination.py
+++ b/tests/daemon/test_dissemination.py
@@ -10,6 +10,7 @@
 
 import anyio
 
+from bergamotchute_daemon.configuration_follower import ConfigurationFollower
 from bergamotchute_daemon.control_links import ControlLinks
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.link_set import LinkSet
@@ -31,6 +32,7 @@
     SubscribeToLoads,
 )
 from bergamotchute_model.prompt_parts import Crash, PromptEvidence
+from bergamotchute_model.versioned_configuration import VersionedConfiguration
 from bergamotchute_policy.control_parents import PARENT_COUNT
 from support.control_group import (
     FOLLOWING_ENTRY,
@@ -377,3 +379,45 @@
             tasks.cancel_scope.cancel()
 
     run_control(body)
+
+
+def test_storm_of_configurations_sends_each_text_to_each_follower() -> None:
+    # Each version was requested at once, while earlier texts still waited on the follower's link.
+    async def body(group: ControlGroup, node: Node) -> None:
+        parent = group.processes[node.parents[0]]
+        follower = next(each for each in parent.node_hub.followers if each.node is not None)
+        posted: list[NodeMessage] = []
+        follower.outbox.post = posted.append  # type: ignore[method-assign]
+        for version in range(3, 13):
+            assert await parent.put_configuration(version, str(version).encode())
+            await anyio.sleep(0.5)
+            for _ in range(4):
+                parent.node_hub._on_message(follower, QueryConfiguration())
+        texts = [message for message in posted if isinstance(message, ConfigurationText)]
+        assert [text.version for text in texts] == list(range(3, 13))
+
+    run_with_followers(7, [entry()], body)
+
+
+def test_follower_asks_again_while_the_text_is_on_its_way() -> None:
+    async def main() -> None:
+        asked: list[Address] = []
+        used: list[int] = []
+        follower = ConfigurationFollower(
+            read=lambda text: VersionedConfiguration(int(text)),
+            post=lambda address, _: asked.append(address),
+            post_all=lambda _: None,
+            on_configuration=lambda configuration: used.append(configuration.version),
+            log=EventLog("entry", "entry", "life", lambda: 0),
+        )
+        parent = Address("10.0.0.1", PORT)
+        for version in range(1, 11):
+            follower.on_version(parent, ConfigurationVersion(version))
+        assert asked == [parent]
+        follower.on_text(parent, ConfigurationText(2, zlib.compress(b"2")))
+        assert asked == [parent, parent], "later versions are asked for once, as one"
+        follower.on_text(parent, ConfigurationText(10, zlib.compress(b"10")))
+        assert asked == [parent, parent]
+        assert used == [2, 10]
+
+    anyio.run(main)
