Use a larger subset when the last free slot is at a slow rank

Cause, listed by reading: has_free_slot counted slow endpoints, which select_endpoint avoids, so an entry kept to a small subset of which every other endpoint was full.

Change: both look at the same endpoints. The test fails on the commit before.

--- a/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
@@ -155,7 +155,7 @@
             for each in endpoints
             if each.endpoint not in avoided and self.accepts_requests(each, now)
         ]
-        sound = self._without_slow([each for each in usable if self._is_healthy(each, now)], now)
+        sound = self._preferred(usable, now)
         ranked = nsmallest(
             2,
             (self._rank_candidate(each, now) for each in sound or usable),
@@ -190,10 +190,14 @@
         )
 
     def has_free_slot(self, endpoints: Iterable[EndpointHeartbeat], now: float) -> bool:
-        """Return whether a healthy endpoint seems to have a free slot."""
-        return any(
-            self._is_healthy(each, now) and self._fullness(each, now) < 1.0 for each in endpoints
-        )
+        """Return whether an endpoint that would be chosen seems to have a free slot."""
+        return any(self._fullness(each, now) < 1.0 for each in self._preferred(endpoints, now))
+
+    def _preferred(
+        self, endpoints: Iterable[EndpointHeartbeat], now: float
+    ) -> list[EndpointHeartbeat]:
+        """Return the healthy endpoints, without the slow ones unless these are too many."""
+        return self._without_slow([each for each in endpoints if self._is_healthy(each, now)], now)
 
     def _fullness(self, endpoint: EndpointHeartbeat, now: float) -> float:
         load = self.load(endpoint)
--- a/tests/policy/test_slow_ranks.py
+++ b/tests/policy/test_slow_ranks.py
@@ -105,3 +105,12 @@
     for endpoint in endpoints[:slow_count]:
         placement.on_pace_reported(endpoint, 4.4, 0.0)
     assert _chosen(placement, endpoints, 0.0) == "rank-0"
+
+
+def test_last_free_slot_at_a_slow_rank_keeps_a_full_subset_in_use() -> None:
+    placement, endpoints = DirectPlacement("a", Random(1)), _endpoints(8)
+    for endpoint in endpoints[1:]:
+        placement.on_load_reported(endpoint, 5, 0.0)
+    assert placement.has_free_slot(endpoints, 0.0)
+    placement.on_pace_reported(endpoints[0], 4.4, 0.0)
+    assert not placement.has_free_slot(endpoints, 0.0)
