--- a/Makefile
+++ b/Makefile
@@ -104,3 +104,9 @@
 .PHONY: measure-experts
 measure-experts: env
 	OMP_NUM_THREADS=1 OPENBLAS_NUM_THREADS=1 $(BIN)/python -m tools.measure_experts
+
+# Two builds beside each other: make upgrade-play FROM=COMMIT
+.PHONY: upgrade-play
+upgrade-play: env
+	$(BIN)/python -m tools.upgrade_play $(FROM)
+	$(BIN)/python -m tools.upgrade_play $(FROM) --new-first
