--- a/tests/state/test_claims_checker_finds_faults.py
+++ b/tests/state/test_claims_checker_finds_faults.py
@@ -90,8 +90,8 @@
             BrokenMachine,
             settings=settings(
                 derandomize=True,
-                max_examples=200,
-                stateful_step_count=40,
+                max_examples=400,
+                stateful_step_count=80,
                 deadline=None,
                 phases=[Phase.generate],
                 report_multiple_bugs=False,
