--- a/Makefile
+++ b/Makefile
@@ -110,3 +110,10 @@
 upgrade-play: env
 	$(BIN)/python -m tools.upgrade_play $(FROM)
 	$(BIN)/python -m tools.upgrade_play $(FROM) --new-first
+
+# Faults from outside on real processes: make soak SEEDS=50 SEED=1
+SEEDS ?= 1
+SEED ?= 1
+.PHONY: soak
+soak: env
+	$(BIN)/python -m tools.soak --seeds $(SEEDS) --seed $(SEED)
--- /dev/null
+++ b/tests/proof/test_soak_checks_find_faults.py
@@ -0,0 +1,102 @@
+"""The checks of the soak find what breaks each promise."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+from tools.soak.history import (
+    STREAM_EVENTS,
+    CallerAnswer,
+    ConfigurationRead,
+    History,
+    VersionInForce,
+    find_violations,
+    plain_body,
+    stream_event,
+)
+
+ORDER = CallerAnswer("o1", "order", 1.0, 200, True, "seal", plain_body("o1"))
+STREAM_BODY = b"".join(stream_event("s1", number) for number in range(1, STREAM_EVENTS + 1))
+STREAM = CallerAnswer("s1", "stream", 1.0, 200, True, "seal", STREAM_BODY)
+REFUSED = CallerAnswer("o2", "order", 1.0, 503, True, "", b"full")
+
+
+def sound_history() -> History:
+    return History(
+        answers=[ORDER, STREAM, REFUSED],
+        runs=Counter({"o1": 1, "s1": 2}),
+        acknowledged={3: 1.0, 5: 2.0},
+        refused_versions={4},
+        reads=[ConfigurationRead(1.5, 3), ConfigurationRead(2.5, 5)],
+        in_force=[VersionInForce("entry-0", 1, 3), VersionInForce("entry-0", 1, 5)],
+        final_version=5,
+    )
+
+
+def test_sound_history_breaks_a_promise() -> None:
+    assert not find_violations(sound_history())
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        CallerAnswer("o1", "order", 1.0, 200, True, "seal", plain_body("o2")),
+        CallerAnswer("o1", "order", 1.0, 200, True, "", plain_body("o1")),
+        CallerAnswer("s1", "stream", 1.0, 200, True, "seal", STREAM_BODY[:-1]),
+        CallerAnswer("s1", "stream", 1.0, 200, True, "seal", STREAM_BODY * 2),
+    ],
+)
+def test_foreign_or_partial_answer_is_missed(answer: CallerAnswer) -> None:
+    history = sound_history()
+    history.answers.append(answer)
+    assert len(find_violations(history)) == 1
+
+
+def test_repeated_order_is_missed() -> None:
+    history = sound_history()
+    history.runs["o1"] = 2
+    assert len(find_violations(history)) == 1
+
+
+def test_refused_order_that_ran_is_missed() -> None:
+    history = sound_history()
+    history.runs["o2"] = 1
+    assert len(find_violations(history)) == 1
+
+
+def test_old_read_is_missed() -> None:
+    history = sound_history()
+    history.reads.append(ConfigurationRead(2.6, 3))
+    assert len(find_violations(history)) == 1
+
+
+def test_regression_of_an_entry_is_missed() -> None:
+    history = sound_history()
+    history.in_force.append(VersionInForce("entry-0", 1, 3))
+    assert len(find_violations(history)) == 1
+    history.in_force[-1] = VersionInForce("entry-0", 2, 3)
+    assert not find_violations(history), "a new process may begin with an older version"
+
+
+def test_invalid_version_is_missed() -> None:
+    history = sound_history()
+    history.in_force.append(VersionInForce("entry-0", 2, 4))
+    history.acknowledged[4] = 2.9
+    assert len(find_violations(history)) == 2
+
+
+@pytest.mark.parametrize("final_version", [None, 3])
+def test_lost_configuration_is_missed(final_version: int | None) -> None:
+    history = sound_history()
+    history.final_version = final_version
+    assert len(find_violations(history)) == 1
+
+
+def test_deadly_requests_after_the_fifth_crash_are_missed() -> None:
+    history = sound_history()
+    history.crashes = [1.0, 2.0, 3.0, 4.0, 5.0]
+    history.deadly_arrivals = [*history.crashes, 7.0, 8.1, 9.0, 10.0]
+    assert not find_violations(history)
+    history.deadly_arrivals.append(11.0)
+    assert len(find_violations(history)) == 1
--- /dev/null
+++ b/tools/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Real processes on loopback under a series of faults, with checks of what callers see."""
--- /dev/null
+++ b/tools/soak/__main__.py
@@ -0,0 +1,160 @@
+"""Soak real processes with faults: ``python -m tools.soak [--seeds N] [--seed S] [--seconds T]``.
+
+Exit status 0 if no promise was broken, 1 otherwise. The logs of a seed that broke one are kept.
+"""
+
+from __future__ import annotations
+
+import argparse
+import shutil
+import sys
+import tempfile
+import time
+from collections import Counter
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+
+import anyio
+
+from tools.node_processes import Build, NodeProcesses
+from tools.soak.clients import Caller, Operator
+from tools.soak.endpoints import StandInEndpoint
+from tools.soak.faults import CONTROL_COUNT, ENTRY_COUNT, Faults
+from tools.soak.history import History, find_violations
+
+ENDPOINT_COUNT = 5
+CALLER_COUNT = 10
+START_TIMEOUT_S = 20.0
+RECOVERY_S = 12.0
+CALM_S = 4.0
+FINAL_READ_TIMEOUT_S = 10.0
+
+
+@dataclass(frozen=True)
+class Report:
+    """The outcome of one seed.
+
+    :param served_share: share of the requests after the recovery that were served.
+    """
+
+    seed: int
+    requests: int
+    served_share: float
+    injected: Counter[str]
+    violations: list[str]
+
+
+async def soak(seed: int, duration_s: float, nodes: NodeProcesses) -> Report:
+    """Run one seed; the processes must be ended by the caller."""
+    random, history, build = Random(seed), History(), Build()
+    control_hosts = [nodes.control_host(number) for number in range(CONTROL_COUNT)]
+    entry_hosts = [nodes.entry_host(number) for number in range(ENTRY_COUNT)]
+    for number in range(CONTROL_COUNT):
+        nodes.start_control(number, build, found=True)
+    for number in range(ENTRY_COUNT):
+        nodes.start_entry(number, build)
+    incarnations = dict.fromkeys(entry_hosts, 1)
+    operator = Operator(control_hosts, entry_hosts, history, Random(seed), incarnations)
+    with anyio.fail_after(START_TIMEOUT_S):
+        while not await operator.put_next():  # noqa: ASYNC110 - an answer has no event.
+            await anyio.sleep(0.2)
+    async with anyio.create_task_group() as tasks:
+        endpoints = [
+            StandInEndpoint(
+                f"runner-{number}",
+                f"127.0.{nodes.network + 2}.{number + 1}",
+                "work",
+                control_hosts,
+                history,
+                Random(seed + number),
+                tasks,
+            )
+            for number in range(ENDPOINT_COUNT)
+        ]
+        for endpoint in endpoints:
+            await endpoint.start()
+        callers = [
+            Caller(f"caller-{number}", control_hosts, history, Random(seed + number))
+            for number in range(CALLER_COUNT)
+        ]
+        for caller in callers:
+            tasks.start_soon(caller.run)
+        tasks.start_soon(_watch, operator)
+        faults = Faults(nodes, build, operator, callers, endpoints, random)
+        await faults.run(duration_s)
+        await anyio.sleep(RECOVERY_S)
+        recovered_at = time.monotonic()
+        await anyio.sleep(CALM_S)
+        with anyio.move_on_after(FINAL_READ_TIMEOUT_S):
+            while history.final_version is None:
+                history.final_version = await operator.read()
+        tasks.cancel_scope.cancel()
+    late = [answer for answer in history.answers if answer.sent_at > recovered_at]
+    served = sum(answer.status == 200 and answer.is_whole for answer in late)
+    return Report(
+        seed,
+        len(history.answers),
+        served / max(1, len(late)),
+        faults.injected,
+        find_violations(history),
+    )
+
+
+async def _watch(operator: Operator) -> None:
+    """Put, read and probe all the time."""
+    while True:
+        await operator.put_next(patience_s=3.0)
+        for _ in range(3):
+            await operator.read()
+            await operator.probe_entries()
+            await anyio.sleep(0.2)
+
+
+def run_seed(seed: int, duration_s: float, logs: Path, network: int) -> Report:
+    """Run one seed with processes of its own; keep their logs if a promise was broken.
+
+    :param network: the third number of the loopback addresses; the next two are used as well.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        nodes = NodeProcesses(Path(folder), network)
+        try:
+            report = anyio.run(soak, seed, duration_s, nodes)
+        finally:
+            nodes.kill_all()
+        if report.violations:
+            shutil.copytree(folder, logs / f"seed-{seed}", dirs_exist_ok=True)
+    return report
+
+
+def main() -> int:
+    """Run the seeds and return the exit status."""
+    parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
+    parser.add_argument("--seed", type=int, default=1, help="the first seed")
+    parser.add_argument("--seeds", type=int, default=1, help="how many seeds")
+    parser.add_argument("--seconds", type=float, default=20.0, help="faults for so long")
+    parser.add_argument("--network", type=int, default=10, help="for several runs at once")
+    parser.add_argument("--logs", type=Path, default=Path("target/soak"))
+    options = parser.parse_args()
+    totals: Counter[str] = Counter()
+    broken = 0
+    print(f"{'seed':>6} {'requests':>9} {'faults':>7} {'served after':>13}  broken promises")
+    for seed in range(options.seed, options.seed + options.seeds):
+        report = run_seed(seed, options.seconds, options.logs, options.network)
+        totals += report.injected
+        broken += bool(report.violations)
+        print(
+            f"{seed:>6} {report.requests:>9} {report.injected.total():>7}"
+            f" {report.served_share:>13.3f}  {len(report.violations)}",
+            flush=True,
+        )
+        for line in report.violations[:10]:
+            print(f"       {line}", flush=True)
+    for kind, count in sorted(totals.items()):
+        print(f"{count:>6} x {kind}")
+    print(f"{options.seeds} seeds, {broken} with a broken promise")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/soak/history.py
@@ -0,0 +1,179 @@
+"""What callers, operators and endpoints saw in a run, and the promises that it breaks.
+
+The checks use no code of the product.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses by which an entry says that a request has not run and never will."""
+
+STREAM_EVENTS = 8
+"""Events of a whole stream."""
+
+
+@dataclass(frozen=True)
+class CallerAnswer:
+    """What a caller got for one request.
+
+    :param status: 0 when the connection ended without a response.
+    :param is_whole: whether the response was complete.
+    :param seal: the endpoint's signature; empty without one.
+    """
+
+    request_id: str
+    route: str
+    sent_at: float
+    status: int
+    is_whole: bool
+    seal: str
+    body: bytes
+
+
+@dataclass(frozen=True)
+class ConfigurationRead:
+    """One answer to a read of the configuration.
+
+    :param asked_at: when the read was sent, in seconds.
+    """
+
+    asked_at: float
+    version: int
+
+
+@dataclass(frozen=True)
+class VersionInForce:
+    """The version by which one entry routes, as a probe showed.
+
+    :param incarnation: counts the starts of the entry's process.
+    """
+
+    entry: str
+    incarnation: int
+    version: int
+
+
+@dataclass
+class History:
+    """All observations of one run, in their order.
+
+    :param runs: how often each request ran, by request and endpoint.
+    :param acknowledged: when each version was acknowledged.
+    :param refused_versions: versions that are invalid and must not be acknowledged.
+    """
+
+    answers: list[CallerAnswer] = field(default_factory=list)
+    runs: Counter[str] = field(default_factory=Counter)
+    acknowledged: dict[int, float] = field(default_factory=dict)
+    refused_versions: set[int] = field(default_factory=set)
+    reads: list[ConfigurationRead] = field(default_factory=list)
+    in_force: list[VersionInForce] = field(default_factory=list)
+    final_version: int | None = None
+    deadly_arrivals: list[float] = field(default_factory=list)
+    crashes: list[float] = field(default_factory=list)
+
+
+def plain_body(request_id: str) -> bytes:
+    """Return the body that an endpoint gives to a plain request."""
+    return f"answer to {request_id}".encode()
+
+
+def stream_event(request_id: str, number: int) -> bytes:
+    """Return one event of the stream that an endpoint gives to a request."""
+    return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+
+
+def find_violations(history: History) -> list[str]:
+    """Return each broken promise in a line."""
+    checks = (
+        find_foreign_answers,
+        find_repeated_runs,
+        find_false_refusals,
+        find_old_reads,
+        find_regressions,
+        find_lost_configurations,
+        find_surplus_crashes,
+    )
+    return [line for check in checks for line in check(history)]
+
+
+def find_foreign_answers(history: History) -> Iterator[str]:
+    """Find successes that are not the caller's own whole answer."""
+    for answer in history.answers:
+        if answer.status != 200 or not answer.is_whole:
+            continue
+        expected = plain_body(answer.request_id)
+        if answer.route == "stream":
+            numbers = range(1, STREAM_EVENTS + 1)
+            expected = b"".join(stream_event(answer.request_id, number) for number in numbers)
+        if answer.body != expected or not answer.seal:
+            yield f"{answer.request_id}: a success with a foreign, partial or unsigned answer"
+
+
+def find_repeated_runs(history: History) -> Iterator[str]:
+    """Find requests that may run once and ran more often."""
+    for answer in history.answers:
+        if answer.route == "order" and history.runs[answer.request_id] > 1:
+            yield f"{answer.request_id}: ran {history.runs[answer.request_id]} times"
+
+
+def find_false_refusals(history: History) -> Iterator[str]:
+    """Find requests that ran although their caller was told that they had not."""
+    for answer in history.answers:
+        is_promise = answer.status in NOT_RUN_STATUSES and answer.route == "order"
+        if is_promise and history.runs[answer.request_id]:
+            yield f"{answer.request_id}: ran, and status {answer.status} said that it had not"
+
+
+def find_old_reads(history: History) -> Iterator[str]:
+    """Find reads that returned a version older than one acknowledged before."""
+    for read in history.reads:
+        older = [
+            version
+            for version, at in history.acknowledged.items()
+            if at < read.asked_at and version > read.version
+        ]
+        if older:
+            yield f"a read returned version {read.version} after {max(older)} was acknowledged"
+
+
+def find_regressions(history: History) -> Iterator[str]:
+    """Find entries that went back to an older version, and invalid versions in force."""
+    newest: dict[tuple[str, int], int] = {}
+    for seen in history.in_force:
+        key = (seen.entry, seen.incarnation)
+        if seen.version < newest.get(key, 0):
+            yield f"{seen.entry} went back from version {newest[key]} to {seen.version}"
+        newest[key] = max(newest.get(key, 0), seen.version)
+    for version in history.refused_versions & {seen.version for seen in history.in_force}:
+        yield f"version {version} is invalid and was in force"
+    for version in history.refused_versions & history.acknowledged.keys():
+        yield f"version {version} is invalid and was acknowledged"
+
+
+def find_lost_configurations(history: History) -> Iterator[str]:
+    """Find acknowledged versions that the last read does not hold."""
+    newest = max(history.acknowledged, default=0)
+    if newest and history.final_version is None:
+        yield f"no control VM returned a configuration at the end; {newest} was acknowledged"
+    elif newest > (history.final_version or 0):
+        yield f"version {newest} was acknowledged; the last read returned {history.final_version}"
+
+
+STABLE_WINDOW_S = 3.0
+MAX_DEADLY_ARRIVALS = 3
+LAST_FREE_CRASH = 5
+
+
+def find_surplus_crashes(history: History) -> Iterator[str]:
+    """Find more than three deadly requests at endpoints, long after the fifth crash."""
+    if len(history.crashes) < LAST_FREE_CRASH:
+        return
+    after = history.crashes[LAST_FREE_CRASH - 1] + STABLE_WINDOW_S
+    late = sum(at > after for at in history.deadly_arrivals)
+    if late > MAX_DEADLY_ARRIVALS:
+        yield f"{late} deadly requests reached endpoints after the fifth crash"
