--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_log.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_log.py
@@ -25,7 +25,7 @@
 class ControlUnavailable(Exception):
     """The control log could not be reached in time; a command may still be committed.
 
-    :param attempts: how often the request was sent to the leader.
+    :param attempts: how often the request was tried, also while no leader was known.
     :param leader: the leader known at the end; empty if none was.
     """
 
@@ -39,7 +39,7 @@
 class CommittedCommand:
     """A committed command's result.
 
-    :param attempts: how often the command was sent to the leader.
+    :param attempts: how often the command was tried, also while no leader was known.
     """
 
     result: CommandResult
@@ -52,7 +52,7 @@
 
     :param answered: set once ``result`` is known.
     :param callers: count of the calls that wait for the result.
-    :param attempts: how often the command was sent to the leader.
+    :param attempts: how often the command was tried, also while no leader was known.
     :param is_sent: whether an attempt is under way that has neither failed nor expired.
     :param sent_to: the leader's address at the last attempt.
     :param resend_at: when the attempt counts as lost, in seconds on the runtime's clock.
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -82,6 +82,7 @@
             tasks.start_soon(caller.run)
         tasks.start_soon(_watch, operator)
         faults = Faults(nodes, build, operator, callers, endpoints, random)
+        tasks.start_soon(faults.restart_endpoints)
         await faults.run(duration_s)
         await anyio.sleep(RECOVERY_S)
         recovered_at = time.monotonic()
--- a/tools/soak/endpoints.py
+++ b/tools/soak/endpoints.py
@@ -45,22 +45,31 @@
     running: int = 0
     listener: Listener[SocketStream] | None = None
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    stopped: anyio.Event | None = None
 
     async def start(self) -> None:
         """Listen and send heartbeats, as a new incarnation."""
+        if self.stopped is not None:
+            await self.stopped.wait()
+        self.stopped = anyio.Event()
         self.born_ms = time.time_ns() // 1_000_000
         self.sequence, self.running, self.is_leaving = 0, 0, False
         self.scope = anyio.CancelScope()
         self.listener = await anyio.create_tcp_listener(local_host=self.host, local_port=9000)
-        self.tasks.start_soon(self._run, self.listener, self.scope)
-
-    async def _run(self, listener: Listener[SocketStream], scope: anyio.CancelScope) -> None:
-        with scope:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._send_heartbeats)
-                await listener.serve(self._serve, tasks)
-        with anyio.CancelScope(shield=True):
-            await listener.aclose()
+        self.tasks.start_soon(self._run, self.listener, self.scope, self.stopped)
+
+    async def _run(
+        self, listener: Listener[SocketStream], scope: anyio.CancelScope, stopped: anyio.Event
+    ) -> None:
+        try:
+            with scope:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._send_heartbeats)
+                    await listener.serve(self._serve, tasks)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await listener.aclose()
+            stopped.set()
 
     def crash(self) -> None:
         """End all connections and refuse new ones."""
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -18,6 +18,8 @@
 CONTROL_COUNT = 5
 ENTRY_COUNT = 3
 MAX_OVERLAPPING = 2
+DEADLY_PROMPTS_S = 6.0
+ENDPOINT_RESTART_S = 0.5
 
 
 @dataclass
@@ -68,6 +70,15 @@
                 if limiter.available_tokens:
                     tasks.start_soon(inject, self.random.choice(sorted(kinds)))
 
+    async def restart_endpoints(self) -> None:
+        """Start the endpoints again that deadly prompts crashed, until cancelled."""
+        while True:
+            await anyio.sleep(ENDPOINT_RESTART_S)
+            for endpoint in self.endpoints:
+                if endpoint.scope.cancel_called and self._reserve(endpoint.name):
+                    await endpoint.start()
+                    self._release(endpoint.name)
+
     def _control(self) -> str:
         return f"control-{self.random.randrange(CONTROL_COUNT)}"
 
@@ -153,13 +164,7 @@
     async def _send_deadly_prompts(self) -> None:
         for caller in self.callers:
             caller.deadly_share = 0.05
-        for _ in range(60):
-            await anyio.sleep(0.1)
-            for endpoint in self.endpoints:
-                if endpoint.scope.cancel_called and self._reserve(endpoint.name):
-                    await anyio.sleep(0.3)
-                    await endpoint.start()
-                    self._release(endpoint.name)
+        await anyio.sleep(DEADLY_PROMPTS_S)
         for caller in self.callers:
             caller.deadly_share = 0.0
 
