--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/prompt_evidence_table.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/prompt_evidence_table.py
@@ -13,6 +13,9 @@
 
 MAX_LOGGED_PARTS = 8
 
+UPDATE_INTERVAL_S = 0.05
+"""Time between two looks through all suspects, which each request would repeat otherwise."""
+
 
 @dataclass
 class PromptEvidenceTable:
@@ -28,6 +31,7 @@
     crash_count: int = 0
     quarantine_count: int = 0
     clearance_count: int = 0
+    updated_at: float = float("-inf")
 
     def merge(self, evidence: PromptEvidence) -> PromptEvidence | None:
         """Add the evidence of another process; return what is news here, if anything."""
@@ -76,8 +80,14 @@
         return is_news
 
     def update(self) -> None:
-        """Quarantine the parts that the evidence suffices for."""
+        """Quarantine the parts that the evidence suffices for.
+
+        Between two updates a request with such a part is still held.
+        """
         now = anyio.current_time()
+        if now - self.updated_at < UPDATE_INTERVAL_S:
+            return
+        self.updated_at = now
         for part in self.suspects.update(now):
             quarantine = self.suspects.quarantines[part]
             self.quarantine_count += 1
--- a/tests/direct/test_prompt_guard.py
+++ b/tests/direct/test_prompt_guard.py
@@ -199,3 +199,18 @@
     assert "quarantined" in printed
     assert "runner-8 runner-9" in printed
     assert "cleared bb02" in printed
+
+
+def test_each_request_looks_through_all_suspects() -> None:
+    async def body(entry: EntryFixture) -> None:
+        table = entry.forwarder.prompt_guard.table
+        looks: list[float] = []
+        update = table.suspects.update
+        table.suspects.update = lambda now: looks.append(now) or update(now)  # type: ignore[method-assign, func-returns-value]
+        told = Crash("model", "runner-9", 7, ("bb02",))
+        table.record_crash(told, 0.0, "link")
+        for _ in range(100):
+            table.update()
+        assert len(looks) == 1
+
+    run_with_entry(body)
