--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -1,6 +1,7 @@
 """Soak real processes with faults: ``python -m tools.soak [--seeds N] [--seed S] [--seconds T]``.
 
-Exit status 0 if no promise was broken, 1 otherwise. The logs of a seed that broke one are kept.
+Exit status 0 if no promise was broken, 1 otherwise. The logs of a seed that broke one, or that did
+not recover fully, are kept.
 """
 
 from __future__ import annotations
@@ -16,6 +17,7 @@
 from random import Random
 
 import anyio
+import httpx
 
 from tools.node_processes import Build, NodeProcesses
 from tools.soak.clients import Caller, Operator
@@ -30,17 +32,22 @@
 CALM_S = 4.0
 FINAL_READ_TIMEOUT_S = 10.0
 
+KEPT_LOGS_SHARE = 0.95
+"""Share of requests served after recovery below which the logs of a run are kept."""
+
 
 @dataclass(frozen=True)
 class Report:
     """The outcome of one seed.
 
     :param served_share: share of the requests after the recovery that were served.
+    :param not_served: how these requests ended otherwise, by status; 0 for no whole response.
     """
 
     seed: int
     requests: int
     served_share: float
+    not_served: Counter[int]
     injected: Counter[str]
     violations: list[str]
 
@@ -92,11 +99,16 @@
                 history.final_version = await operator.read()
         tasks.cancel_scope.cancel()
     late = [answer for answer in history.answers if answer.sent_at > recovered_at]
-    served = sum(answer.status == 200 and answer.is_whole for answer in late)
+    not_served = Counter(
+        answer.status if answer.is_whole else 0
+        for answer in late
+        if answer.status != httpx.codes.OK or not answer.is_whole
+    )
     return Report(
         seed,
         len(history.answers),
-        served / max(1, len(late)),
+        1.0 - not_served.total() / max(1, len(late)),
+        not_served,
         faults.injected,
         find_violations(history),
     )
@@ -113,7 +125,7 @@
 
 
 def run_seed(seed: int, duration_s: float, logs: Path, network: int) -> Report:
-    """Run one seed with processes of its own; keep their logs if a promise was broken.
+    """Run one seed with processes of its own; keep their logs if there is something to explain.
 
     :param network: the third number of the loopback addresses; the next two are used as well.
     """
@@ -123,7 +135,7 @@
             report = anyio.run(soak, seed, duration_s, nodes)
         finally:
             nodes.kill_all()
-        if report.violations:
+        if report.violations or report.served_share < KEPT_LOGS_SHARE:
             shutil.copytree(folder, logs / f"seed-{seed}", dirs_exist_ok=True)
     return report
 
@@ -149,6 +161,8 @@
             f" {report.served_share:>13.3f}  {len(report.violations)}",
             flush=True,
         )
+        for status, count in sorted(report.not_served.items()):
+            print(f"       after recovery: {count} x status {status}", flush=True)
         for line in report.violations[:10]:
             print(f"       {line}", flush=True)
     for kind, count in sorted(totals.items()):
