--- a/tools/soak/clients.py
+++ b/tools/soak/clients.py
@@ -16,7 +16,6 @@
 from tools.soak.history import CallerAnswer, ConfigurationRead, History, VersionInForce
 
 HOST = "soak.example"
-KEY = "soak-key"
 REQUEST_TIMEOUT_S = 2.0
 DIRECTORY_LIFETIME_S = 2.0
 CONTROL_TIMEOUT_S = 1.0
@@ -48,7 +47,6 @@
         "version": version,
         "routes": routes,
         "services": [{"name": "work", "maxConns": 100}, {"name": "nowhere", "maxConns": 1}],
-        "tenants": [{"name": "team", "apiKeys": [KEY]}],
     }
 
 
@@ -99,7 +97,6 @@
         middle = f"{DEADLY_PART}:95," if is_deadly else ""
         headers = {
             "host": HOST,
-            "x-api-key": KEY,
             "bergamotchute-request-id": request_id,
             "bergamotchute-deadline-remaining": str(int(1000 * REQUEST_TIMEOUT_S)),
             PROMPT_HEADER: f"aa01:40,{middle}{self.count:x}:231",
@@ -196,7 +193,6 @@
     async def _is_routed(self, host: str, version: int) -> bool:
         headers = {
             "host": HOST,
-            "x-api-key": KEY,
             "bergamotchute-request-id": f"probe-{host}-{version}-{time.monotonic_ns()}",
             "bergamotchute-deadline-remaining": "900",
         }
