--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/prompt_evidence_table.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/prompt_evidence_table.py
@@ -58,7 +58,7 @@
             for (endpoint, born_ms), known in self.suspects.crashes.items()
         )
         quarantined = tuple(
-            QuarantinedPart(part, each.until - now, each.strikes, each.crashes)
+            QuarantinedPart(part, each.until - now, each.quarantine_count, each.crashes)
             for part, each in self.suspects.quarantines.items()
         )
         return PromptEvidence(crashes, quarantined=quarantined)
@@ -96,7 +96,7 @@
                 service=part.service,
                 part=part.part,
                 crashes=",".join(endpoint for endpoint, _ in quarantine.crashes),
-                strikes=quarantine.strikes,
+                quarantine_count=quarantine.quarantine_count,
                 quarantine_s=round(quarantine.until - now),
                 told_by="evidence",
             )
@@ -135,7 +135,7 @@
         return self.suspects.probed_at.get(part) != before
 
     def _record_quarantine(self, told: QuarantinedPart, now: float) -> bool:
-        quarantine = Quarantine(now, now + told.left_s, told.strikes, told.crashes)
+        quarantine = Quarantine(now, now + told.left_s, told.quarantine_count, told.crashes)
         is_news = self.suspects.record_quarantine(told.part, quarantine)
         if is_news:
             self.quarantine_count += 1
@@ -144,7 +144,7 @@
                 service=told.part.service,
                 part=told.part.part,
                 crashes=",".join(endpoint for endpoint, _ in told.crashes),
-                strikes=told.strikes,
+                quarantine_count=told.quarantine_count,
                 quarantine_s=round(told.left_s),
                 told_by="link",
             )
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/prompt_part_api.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/prompt_part_api.py
@@ -57,7 +57,7 @@
                 "service": part.service,
                 "part": part.part,
                 "left_s": round(quarantine.until - now, 1),
-                "strikes": quarantine.strikes,
+                "quarantine_count": quarantine.quarantine_count,
                 "crashes": [endpoint for endpoint, _ in quarantine.crashes],
             }
             for part, quarantine in suspects.quarantines.items()
--- a/packages/bergamotchute-model/src/bergamotchute_model/prompt_parts.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/prompt_parts.py
@@ -36,13 +36,13 @@
     """A part whose requests are rejected.
 
     :param left_s: the rest of its quarantine, in seconds.
-    :param strikes: how often it was quarantined.
+    :param quarantine_count: how often it was quarantined.
     :param crashes: the endpoints that it crashed, with their incarnations.
     """
 
     part: PromptPart
     left_s: float
-    strikes: int
+    quarantine_count: int
     crashes: tuple[tuple[str, int], ...]
 
 
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/crash_suspects.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/crash_suspects.py
@@ -62,13 +62,13 @@
 
     :param since: when it was quarantined, on the runtime's clock.
     :param until: when one request may prove it again.
-    :param strikes: how often it was quarantined.
+    :param quarantine_count: how often it was quarantined.
     :param crashes: the endpoints that it crashed, with their incarnations.
     """
 
     since: float
     until: float
-    strikes: int
+    quarantine_count: int
     crashes: tuple[tuple[str, int], ...]
 
 
@@ -171,7 +171,9 @@
     def record_quarantine(self, part: PromptPart, quarantine: Quarantine) -> bool:
         """Take over the quarantine that another process knows; return whether it is news."""
         known = self.quarantines.get(part)
-        if self.is_sound(part) or (known is not None and known.strikes >= quarantine.strikes):
+        if self.is_sound(part) or (
+            known is not None and known.quarantine_count >= quarantine.quarantine_count
+        ):
             return False
         self._put_quarantine(part, quarantine)
         return True
@@ -201,14 +203,14 @@
         """Forget old crashes, and quarantine the parts that evidence suffices for; return these."""
         while self.crashes and now - next(iter(self.crashes.values())).at > CRASH_TTL_S:
             self._forget_crash(next(iter(self.crashes)))
-        guilty = [part for part in self.crashes_by_part if self._is_guilty(part, now)]
-        for part in guilty:
+        due = [part for part in self.crashes_by_part if self._is_quarantine_due(part, now)]
+        for part in due:
             known = self.quarantines.get(part)
-            strikes = known.strikes + 1 if known is not None else 1
-            length_s = min(MAX_QUARANTINE_S, QUARANTINE_S * 2.0 ** (strikes - 1))
+            quarantine_count = known.quarantine_count + 1 if known is not None else 1
+            length_s = min(MAX_QUARANTINE_S, QUARANTINE_S * 2.0 ** (quarantine_count - 1))
             keys = tuple(sorted(self.crashes_by_part[part]))
-            self._put_quarantine(part, Quarantine(now, now + length_s, strikes, keys))
-        return guilty
+            self._put_quarantine(part, Quarantine(now, now + length_s, quarantine_count, keys))
+        return due
 
     def _put_quarantine(self, part: PromptPart, quarantine: Quarantine) -> None:
         self.quarantines.pop(part, None)
@@ -216,7 +218,7 @@
         if len(self.quarantines) > MAX_QUARANTINED:
             self.quarantines.popitem(last=False)
 
-    def _is_guilty(self, part: PromptPart, now: float) -> bool:
+    def _is_quarantine_due(self, part: PromptPart, now: float) -> bool:
         keys = self.crashes_by_part[part]
         if now < self._last_crash_at(part) + CLEARANCE_WAIT_S:
             return False
@@ -227,10 +229,10 @@
         required = self._required_crashes(part.service, now)
         if len(keys) < required:
             return False
-        # Of two parts with the same crashes, only a further crash tells which is guilty.
-        return len(keys) > required or not self._has_equal(part, keys)
+        # Of two parts with the same crashes, only a further crash tells which of them is the cause.
+        return len(keys) > required or not self._has_companion(part, keys)
 
-    def _has_equal(self, part: PromptPart, keys: set[tuple[str, int]]) -> bool:
+    def _has_companion(self, part: PromptPart, keys: set[tuple[str, int]]) -> bool:
         companions = set.intersection(*(self.crashes[key].suspects for key in keys))
         return len(companions - {part.part}) > 0
 
