Soak: end the operator before the last read

The check compared the last read with a version that came later.

Change: nothing is put any more when the last read is asked.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -87,13 +87,16 @@
         ]
         for caller in callers:
             tasks.start_soon(caller.run)
-        tasks.start_soon(_watch, operator)
+        watching = anyio.CancelScope()
+        tasks.start_soon(_watch, operator, watching)
         faults = Faults(nodes, build, operator, callers, endpoints, random)
         tasks.start_soon(faults.restart_endpoints)
         await faults.run(duration_s)
         await anyio.sleep(RECOVERY_S)
         recovered_at = time.monotonic()
         await anyio.sleep(CALM_S)
+        # A version acknowledged beside the last read would seem lost.
+        watching.cancel()
         with anyio.move_on_after(FINAL_READ_TIMEOUT_S):
             while history.final_version is None:
                 history.final_version = await operator.read()
@@ -114,14 +117,15 @@
     )
 
 
-async def _watch(operator: Operator) -> None:
-    """Put, read and probe all the time."""
-    while True:
-        await operator.put_next(patience_s=3.0)
-        for _ in range(3):
-            await operator.read()
-            await operator.probe_entries()
-            await anyio.sleep(0.2)
+async def _watch(operator: Operator, scope: anyio.CancelScope) -> None:
+    """Put, read and probe until cancelled."""
+    with scope:
+        while True:
+            await operator.put_next(patience_s=3.0)
+            for _ in range(3):
+                await operator.read()
+                await operator.probe_entries()
+                await anyio.sleep(0.2)
 
 
 def run_seed(seed: int, duration_s: float, logs: Path, network: int) -> Report:
