One bounded decompression, one log line of a quarantine

The packer of messages between voters had written again what packed maps do: both call compression.decompress now, and the packer takes the limit of a message from the links. PromptEvidenceTable logged a quarantine in two places; Quarantine.since was never read. No change of behaviour; the text of two errors of malformed maps is shorter, no test or reader matches it.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/_message_packer.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/_message_packer.py
@@ -13,12 +13,14 @@
     ConsensusMessage,
     ForwardedRequest,
 )
+from bergamotchute_model.compression import decompress
 from bergamotchute_wire.message_codec import MalformedMessageError
+from bergamotchute_wire.web_socket_transport import MAX_MESSAGE_BYTES
 
 MIN_PACKED_BYTES = 4_096
 """Smaller contents are sent as they are."""
 
-MAX_UNPACKED_BYTES = 16 * 1024 * 1024
+MAX_UNPACKED_BYTES = MAX_MESSAGE_BYTES
 """Limit of one content, as for a whole message on a link."""
 
 COMPRESSION_LEVEL = 1
@@ -91,11 +93,7 @@
 
 
 def _unpack(packed: bytes) -> bytes:
-    unpacker = zlib.decompressobj()
     try:
-        data = unpacker.decompress(packed, MAX_UNPACKED_BYTES)
-    except zlib.error as error:
+        return decompress(packed, MAX_UNPACKED_BYTES)
+    except ValueError as error:
         raise MalformedMessageError(f"packed content: {error}") from error
-    if not unpacker.eof:
-        raise MalformedMessageError("packed content: truncated or too large")
-    return data
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/prompt_evidence_table.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/prompt_evidence_table.py
@@ -89,17 +89,20 @@
             return
         self.updated_at = now
         for part in self.suspects.update(now):
-            quarantine = self.suspects.quarantines[part]
-            self.quarantine_count += 1
-            self.log.emit(
-                events.PROMPT_PART_QUARANTINED,
-                service=part.service,
-                part=part.part,
-                crashes=",".join(endpoint for endpoint, _ in quarantine.crashes),
-                quarantine_count=quarantine.quarantine_count,
-                quarantine_s=round(quarantine.until - now),
-                told_by="evidence",
-            )
+            self._log_quarantine(part, now, "evidence")
+
+    def _log_quarantine(self, part: PromptPart, now: float, told_by: str) -> None:
+        quarantine = self.suspects.quarantines[part]
+        self.quarantine_count += 1
+        self.log.emit(
+            events.PROMPT_PART_QUARANTINED,
+            service=part.service,
+            part=part.part,
+            crashes=",".join(endpoint for endpoint, _ in quarantine.crashes),
+            quarantine_count=quarantine.quarantine_count,
+            quarantine_s=round(quarantine.until - now),
+            told_by=told_by,
+        )
 
     def record_cleared(self, service: str, parts: tuple[str, ...], told_by: str) -> None:
         """Count and log suspects that were cleared."""
@@ -135,17 +138,8 @@
         return self.suspects.probed_at.get(part) != before
 
     def _record_quarantine(self, told: QuarantinedPart, now: float) -> bool:
-        quarantine = Quarantine(now, now + told.left_s, told.quarantine_count, told.crashes)
+        quarantine = Quarantine(now + told.left_s, told.quarantine_count, told.crashes)
         is_news = self.suspects.record_quarantine(told.part, quarantine)
         if is_news:
-            self.quarantine_count += 1
-            self.log.emit(
-                events.PROMPT_PART_QUARANTINED,
-                service=told.part.service,
-                part=told.part.part,
-                crashes=",".join(endpoint for endpoint, _ in told.crashes),
-                quarantine_count=told.quarantine_count,
-                quarantine_s=round(told.left_s),
-                told_by="link",
-            )
+            self._log_quarantine(told.part, now, "link")
         return is_news
--- a/packages/bergamotchute-model/src/bergamotchute_model/packed_map.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/packed_map.py
@@ -10,6 +10,8 @@
 import zlib
 from collections.abc import Iterable
 
+from bergamotchute_model.compression import decompress
+
 ExpertPlacement = tuple[tuple[tuple[int, ...], ...], ...]
 """The experts that each rank holds, indexed by set and by rank."""
 
@@ -90,11 +92,10 @@
 
 
 def _unpack(packed: bytes) -> tuple[int, ...]:
-    reader = zlib.decompressobj()
     try:
-        plain = reader.decompress(packed, 2 * MAX_PACKED_NUMBERS)
-    except zlib.error as error:
+        plain = decompress(packed, 2 * MAX_PACKED_NUMBERS)
+    except ValueError as error:
         raise ValueError(f"packed map: {error}") from error
-    if not reader.eof or len(plain) % 2:
-        raise ValueError("packed map: it is incomplete or too large")
+    if len(plain) % 2:
+        raise ValueError("packed map: half of a number at its end")
     return struct.unpack(f"<{len(plain) // 2}H", plain)
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/crash_suspects.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/crash_suspects.py
@@ -60,13 +60,11 @@
 class Quarantine:
     """A part that crashed endpoints, and how long requests with it are rejected.
 
-    :param since: when it was quarantined, on the runtime's clock.
-    :param until: when one request may prove it again.
+    :param until: when one request may prove it again, on the runtime's clock.
     :param quarantine_count: how often it was quarantined.
     :param crashes: the endpoints that it crashed, with their incarnations.
     """
 
-    since: float
     until: float
     quarantine_count: int
     crashes: tuple[tuple[str, int], ...]
@@ -209,7 +207,7 @@
             quarantine_count = known.quarantine_count + 1 if known is not None else 1
             length_s = min(MAX_QUARANTINE_S, QUARANTINE_S * 2.0 ** (quarantine_count - 1))
             keys = tuple(sorted(self.crashes_by_part[part]))
-            self._put_quarantine(part, Quarantine(now, now + length_s, quarantine_count, keys))
+            self._put_quarantine(part, Quarantine(now + length_s, quarantine_count, keys))
         return due
 
     def _put_quarantine(self, part: PromptPart, quarantine: Quarantine) -> None:
--- a/tests/policy/test_crash_suspects.py
+++ b/tests/policy/test_crash_suspects.py
@@ -114,7 +114,7 @@
     assert len(suspects.crashes_by_part) <= policy.MAX_CRASHES * policy.MAX_PARTS_PER_CRASH
     for number in range(3 * policy.MAX_QUARANTINED):
         suspects.record_quarantine(
-            PromptPart(SERVICE, f"q-{number}"), Quarantine(1.0, 100.0, 1, (("runner", 1),))
+            PromptPart(SERVICE, f"q-{number}"), Quarantine(100.0, 1, (("runner", 1),))
         )
     assert len(suspects.quarantines) <= policy.MAX_QUARANTINED
     suspects.update(10.0 + policy.CRASH_TTL_S + 1.0)
