Read and log the limits of their rate that endpoints name

An entry now reads the limit of each response with the right request id, orders responses by when their requests were sent, logs changes (1425 endpoint_rate_limited with limit, age and source; 1426 for an unreadable value) and names the limit in each request_dispatched. Nothing is sent differently yet.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -240,6 +240,7 @@
             "ready": float(self.ready),
             **endpoints,
             **self.forwarder.prompt_guard.table.gauges(),
+            **self.forwarder.rate_permits.gauges(),
         }
 
     async def _forget_removed_endpoints(self) -> None:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
@@ -12,6 +12,7 @@
 from bergamotchute_daemon.direct.admitted_request import AdmittedRequest, RequestRefused
 from bergamotchute_daemon.direct.event_stream import EventStream, InvalidEventStream
 from bergamotchute_daemon.direct.prompt_guard import PromptGuard
+from bergamotchute_daemon.direct.rate_permits import RatePermits
 from bergamotchute_daemon.direct.request_format import (
     ForwardMetadata,
     RequestFormat,
@@ -24,6 +25,7 @@
 )
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.node_metrics import NodeMetrics
+from bergamotchute_daemon.rate_limit_log import rate_for_log
 from bergamotchute_model import events
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
 from bergamotchute_model.verdict import Verdict
@@ -199,6 +201,7 @@
     log: EventLog
     metrics: NodeMetrics
     prompt_guard: PromptGuard
+    rate_permits: RatePermits
     retry_ratio: float
     retry_capacity: float
     retry_refill_per_s: float
@@ -389,6 +392,7 @@
             reserved=chosen.reservation is not None,
             refusals=chosen.refusals,
             waited_ms=round(chosen.waited_s * 1000),
+            requests_per_s=rate_for_log(self.rate_permits.requests_per_s(endpoint)),
         )
         self.placement.on_request_sent(endpoint)
         attempt_started_at = anyio.current_time()
@@ -437,6 +441,8 @@
         head = await self._read_or_fail_over(attempt, head_timeout_s, exchange.read_response_head)
         response_metadata = self.request_format.read_response(head)
         self._apply_response_metadata(endpoint, response_metadata)
+        if response_metadata.request_id == request.metadata.request_id:
+            self.rate_permits.on_response(endpoint, response_metadata, send_started_at)
         failure = self._find_failure(request, head, response_metadata)
         if failure is not None:
             now = anyio.current_time()
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/request_format.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/request_format.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -62,6 +63,8 @@
     :param leaving: whether the endpoint is about to stop and accepts no new requests.
     :param retry_after_s: seconds for which an endpoint that refused wants no requests; ``None`` if
         not given.
+    :param rate_limit: the requests a second that the endpoint takes from all entries together;
+        infinity for no limit, ``None`` if the value can't be read.
     """
 
     request_id: str
@@ -71,6 +74,7 @@
     requests: int | None
     leaving: bool = False
     retry_after_s: float | None = None
+    rate_limit: float | None = math.inf
 
 
 @dataclass(frozen=True)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
@@ -83,8 +83,10 @@
     from bergamotchute_daemon.direct.direct_entry import DirectEntry
     from bergamotchute_daemon.direct.direct_forwarder import DirectForwarder
     from bergamotchute_daemon.direct.prompt_guard import PromptGuard
+    from bergamotchute_daemon.direct.rate_permits import RatePermits
     from bergamotchute_daemon.direct.slot_reservations import SlotReservations
     from bergamotchute_daemon.prompt_evidence_table import PromptEvidenceTable
+    from bergamotchute_daemon.rate_limit_log import RateLimitLog
     from bergamotchute_policy.direct_placement import DirectPlacement
 
     table = EndpointTable(MAX_MISSED_HEARTBEATS * settings.heartbeat_ms / 1000)
@@ -103,6 +105,7 @@
             post=lambda evidence: links.post_prompt_evidence(evidence),
             log=environment.log,
         ),
+        rate_permits=RatePermits(RateLimitLog(environment.log), environment.log),
         retry_ratio=RETRY_BUDGET_RATIO * settings.retry_ratio,
         retry_capacity=RETRY_BURST_RATIO * settings.retry_slack,
         retry_refill_per_s=RETRY_BURST_RATIO * settings.retry_slack / RETRY_WINDOW_S,
--- a/packages/bergamotchute-model/src/bergamotchute_model/events.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/events.py
@@ -194,6 +194,15 @@
 ENDPOINT_PAUSED = _define_event_kind(
     1424, "endpoint_paused", "An endpoint refused a request and wants none for some time."
 )
+ENDPOINT_RATE_LIMITED = _define_event_kind(
+    1425, "endpoint_rate_limited", "An endpoint named, changed or ended a limit of its requests."
+)
+RATE_LIMIT_UNREADABLE = _define_event_kind(
+    1426,
+    "rate_limit_unreadable",
+    "An endpoint named a limit that is no number; the limit known before holds.",
+    logging.WARNING,
+)
 DEPARTURE_UNCONFIRMED = _define_event_kind(
     1422,
     "departure_unsure",
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/http1_messages.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/http1_messages.py
@@ -69,6 +69,10 @@
         """Return the first value of a header, or an empty string if it is absent."""
         return first_header_value(self.headers, name)
 
+    def get_all_headers(self, name: str) -> tuple[str, ...]:
+        """Return all values of a header, in their order in the message."""
+        return tuple(value for known, value in self.headers if known == name)
+
 
 def first_header_value(headers: Headers, name: str) -> str:
     """Return the first value of a header, or an empty string if it is absent."""
--- a/tests/support/entry_fixture.py
+++ b/tests/support/entry_fixture.py
@@ -15,11 +15,13 @@
 from bergamotchute_daemon.direct.direct_forwarder import DirectForwarder
 from bergamotchute_daemon.direct.filters import admit_request
 from bergamotchute_daemon.direct.prompt_guard import PromptGuard
+from bergamotchute_daemon.direct.rate_permits import RatePermits
 from bergamotchute_daemon.direct.routing_table import RoutingTable
 from bergamotchute_daemon.direct.slot_reservations import SlotReservations
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.node_metrics import NodeMetrics
 from bergamotchute_daemon.prompt_evidence_table import PromptEvidenceTable
+from bergamotchute_daemon.rate_limit_log import RateLimitLog
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat, EndpointPhase
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.prompt_parts import PromptEvidence
@@ -167,6 +169,7 @@
             prompt_guard=PromptGuard(
                 PromptEvidenceTable(self.log), self.posted_evidence.append, self.log
             ),
+            rate_permits=RatePermits(RateLimitLog(self.log), self.log),
             retry_ratio=0.2,
             retry_capacity=100.0,
             retry_refill_per_s=0.0,
