Share the rate that an endpoint names among all entries by permits

Cause: Server-Limit was passed on to callers and read by nobody, so a limited endpoint was chosen like any other. Ruled out: retries and new entries passing by a limit that is kept (all were first attempts), and a limit kept by each entry alone (none read it; it would not have sufficed, each of seven entries sent at most 12 requests in 19 s).

Change: the newest response decides by when its request was sent; entries tell each other through the control VMs; each request to a limited endpoint needs a permit of the one control VM, chosen by a hash of the members, that spaces them out. Without an answer in 0.1 s an entry uses its own part of the rate. An endpoint without room now is passed by; where all are, a request waits until its response would be late, or is refused at once with the time at which the rate lets callers return. Messages go only to processes that announce that they read them.

The test failed before: 30 of 30 requests arrived within 0.2 s where 5 are allowed; with a second endpoint 13 where 5 are.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_links.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_links.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import anyio
@@ -9,7 +10,7 @@
 from bergamotchute_daemon.link_set import LinkSet, MessageHandler
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.node_messages import ControlGroup, NodeMessage, SubscribeToLoads
-from bergamotchute_model.prompt_parts import PromptEvidence
+from bergamotchute_model.rate_limits import RequestPermit
 from bergamotchute_policy.control_parents import (
     PARENT_COUNT,
     ParentHealth,
@@ -96,11 +97,21 @@
         if address is not None:
             self.links.post(address, message)
 
-    def post_prompt_evidence(self, evidence: PromptEvidence) -> None:
-        """Send evidence to each linked control VM that reads it."""
+    def post_to_all_that(
+        self, accepts: Callable[[ControlGroup], bool], message: NodeMessage
+    ) -> None:
+        """Send a message to each linked control VM that announced that it reads it."""
         for address, group in self.control_groups.items():
-            if group.accepts_prompt_evidence:
-                self.links.post(address, evidence)
+            if accepts(group):
+                self.links.post(address, message)
+
+    def post_permit_request(self, request: RequestPermit) -> bool:
+        """Request a permit at a linked control VM that knows a leader; return whether one does."""
+        for address, group in self.control_groups.items():
+            if group.current and group.accepts_rate_limits:
+                self.links.post(address, request)
+                return True
+        return False
 
     def _update_links(self) -> None:
         order = order_parents(self.name, self.known or self.seeds)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
@@ -87,6 +87,7 @@
                     self.is_current(),
                     self.node_hub.linked_nodes.entry_count(),
                     accepts_prompt_evidence=True,
+                    accepts_rate_limits=True,
                 )
             )
 
@@ -127,6 +128,8 @@
             "endpoints": float(len(self.endpoint_table.endpoints)),
             "configuration_version": float(self.voter.state.state.configuration.version),
             **self.node_hub.prompt_evidence.gauges(),
+            **self.node_hub.rate_limits.gauges(),
+            **self.node_hub.permits.gauges(),
         }
 
     async def put_configuration(self, version: int, text: bytes) -> bool:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -34,6 +34,7 @@
     RankLocations,
 )
 from bergamotchute_model.prompt_parts import PromptEvidence
+from bergamotchute_model.rate_limits import PermitAnswer, RateLimitsReported
 from bergamotchute_model.versioned_configuration import RouteKind, VersionedConfiguration
 from bergamotchute_policy.endpoint_subset import nested_subsets
 from bergamotchute_policy.endpoint_table import EndpointTable
@@ -107,6 +108,7 @@
             self.availability_zone,
             self.ready,
             accepts_prompt_evidence=True,
+            accepts_rate_limits=True,
         )
         return (state,)
 
@@ -140,11 +142,19 @@
                 self._update_loads(message)
             case ControlGroup():
                 self.forwarder.set_entry_count(message.entry_count)
-            case PromptEvidence():
-                self.forwarder.prompt_guard.on_evidence(message)
             case RankLocations(places):
                 for place in places:
                     self._update_rank_place(place)
+            case _:
+                self._on_shared_knowledge(message)
+
+    def _on_shared_knowledge(self, message: NodeMessage) -> None:
+        """Handle what other entries found out about requests and endpoints."""
+        match message:
+            case PromptEvidence():
+                self.forwarder.prompt_guard.on_evidence(message)
+            case RateLimitsReported() | PermitAnswer():
+                self.forwarder.rate_permits.on_message(message)
 
     def _update_loads(self, report: LoadsReported) -> None:
         placement, now = self.forwarder.placement, self.now()
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Iterable
-from dataclasses import dataclass, field
+from collections.abc import Awaitable, Callable, Collection
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import TypeVar
 
@@ -69,6 +69,12 @@
 ENDPOINT_WAIT_TIMEOUT_S = 1.3
 """Longest time that one request waits for an endpoint; endpoints send heartbeats every 1.2 s."""
 
+LATE_PERMIT_PATIENCE_RATIO = 0.5
+"""Wait for a permit of a request that is late, as a ratio of the route's objective."""
+
+MIN_PERMIT_PAUSE_S = 0.02
+"""Shortest time until a permit is requested again after one was refused."""
+
 GROUP_STALL_THRESHOLD_S = 0.7
 """Time after which a failure or a *not run* response counts as a stall of the whole rank group."""
 
@@ -171,12 +177,14 @@
     :param reservation: the slot there; ``None`` if no agent confirmed one.
     :param refusals: agents that refused a slot before.
     :param waited_s: how long the request waited for the slot, in seconds.
+    :param permit_waited_s: how long it then waited for a permit to send it, in seconds.
     """
 
     candidate: EndpointCandidate
     reservation: Reservation | None
     refusals: int
     waited_s: float = 0.0
+    permit_waited_s: float = 0.0
 
 
 @dataclass
@@ -195,7 +203,7 @@
     request_format: RequestFormat
     placement: DirectPlacement
     slots: SlotReservations
-    endpoints: Callable[[str], Iterable[EndpointHeartbeat]]
+    endpoints: Callable[[str], Collection[EndpointHeartbeat]]
     on_endpoint_leaving: Callable[[EndpointHeartbeat], None]
     random: Random
     log: EventLog
@@ -233,13 +241,21 @@
                 self._refuse_prompt(request, writer, progress, decision)
                 return
             chosen = await self._choose_endpoint(request, progress)
-            if chosen is None and not progress.attempt_count and await self._wait_for_endpoint():
+            if (
+                chosen is None
+                and not progress.attempt_count
+                and not self._seconds_until_accepting(request)
+                and await self._wait_for_endpoint()
+            ):
                 continue
             if chosen is None and progress.last_failure is not None:
                 await self._finish_with_failure(request, writer, progress, progress.last_failure)
                 return
             if chosen is None:
-                self._fail_request(request, writer, progress, "no endpoint is available")
+                reason = "no endpoint is available"
+                if (wait_s := self._seconds_until_accepting(request)) > 0:
+                    reason += f" for another {wait_s:.2f} s"
+                self._fail_request(request, writer, progress, reason)
                 return
             try:
                 result = await self._run_attempt(request, writer, progress, chosen)
@@ -279,6 +295,49 @@
 
     async def _choose_endpoint(
         self, request: AdmittedRequest, progress: _RequestProgress
+    ) -> _ChosenEndpoint | None:
+        """Choose an endpoint that may be sent the request now; ``None`` if there is none.
+
+        :raises RequestRefused: if every endpoint is overloaded.
+        """
+        while True:
+            chosen = await self._reserve_slot(request, progress)
+            if chosen is None:
+                return None
+            endpoint = chosen.candidate.heartbeat
+            # A request waits for the rate of an endpoint only if no other one can have it now.
+            is_last = self.placement.load(endpoint).permit_expected_at > anyio.current_time()
+            patience_s = self._permit_patience_s(request) if is_last else 0.0
+            is_sent = False
+            try:
+                permit = await self.rate_permits.acquire(
+                    endpoint, request.metadata.request_id, patience_s
+                )
+                is_sent = permit.granted and (
+                    not permit.wait_s or self._still_accepts_requests(request, endpoint)
+                )
+            finally:
+                if not is_sent and chosen.reservation is not None:
+                    chosen.reservation.release()
+            if is_sent:
+                return replace(chosen, permit_waited_s=permit.wait_s)
+            if not permit.granted:
+                wait_s = max(MIN_PERMIT_PAUSE_S, permit.wait_s)
+                self.placement.on_permit_refused(endpoint, wait_s, anyio.current_time())
+
+    def _permit_patience_s(self, request: AdmittedRequest) -> float:
+        """Return how long a request may wait for a permit: until its response would be late.
+
+        One that is late already waits a part of the objective, so that it is served where the rate
+        leaves room.
+        """
+        now, objective_s = anyio.current_time(), request.route.objective_s
+        due_at = request.first_sent_at + objective_s - self._stream_pace(request).first_event_s
+        patience_s = max(due_at - now, LATE_PERMIT_PATIENCE_RATIO * objective_s)
+        return max(0.0, min(patience_s, request.deadline - now))
+
+    async def _reserve_slot(
+        self, request: AdmittedRequest, progress: _RequestProgress
     ) -> _ChosenEndpoint | None:
         """Choose an endpoint and reserve a slot there; ``None`` if no endpoint is available.
 
@@ -295,7 +354,10 @@
         wait_until = min(request.deadline, request.arrived_at + caller_patience_s) - first_event_s
         while True:
             endpoints = self.endpoints(request.service.name)
-            target = search.next_slot_request(endpoints, anyio.current_time())
+            now = anyio.current_time()
+            target = search.next_slot_request(
+                endpoints, now, now + self._permit_patience_s(request)
+            )
             if target is None:
                 return None
             endpoint = target.candidate.heartbeat
@@ -392,6 +454,7 @@
             reserved=chosen.reservation is not None,
             refusals=chosen.refusals,
             waited_ms=round(chosen.waited_s * 1000),
+            permit_waited_ms=round(chosen.permit_waited_s * 1000),
             requests_per_s=rate_for_log(self.rate_permits.requests_per_s(endpoint)),
         )
         self.placement.on_request_sent(endpoint)
@@ -689,10 +752,14 @@
         if progress.may_have_run:
             raise RequestRefused(502, reason)
         jitter_s = RETRY_AFTER_JITTER_S * self.random.random()
-        known = self.endpoints(request.service.name)
-        pause_s = self.placement.seconds_until_accepting(known, anyio.current_time())
+        pause_s = self._seconds_until_accepting(request)
         raise RequestRefused(503, reason, pause_s + MIN_RETRY_AFTER_S + jitter_s)
 
+    def _seconds_until_accepting(self, request: AdmittedRequest) -> float:
+        """Return the seconds until the first endpoint of a request's service accepts requests."""
+        known = self.endpoints(request.service.name)
+        return self.placement.seconds_until_accepting(known, anyio.current_time())
+
     def _stream_pace(self, request: AdmittedRequest) -> StreamPace:
         """Return what this entry observed of the streams of the request's service."""
         return self.stream_paces.setdefault(request.service.name, StreamPace())
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
@@ -102,10 +102,21 @@
         metrics=NodeMetrics(lambda: process.gauges()),
         prompt_guard=PromptGuard(
             table=PromptEvidenceTable(environment.log),
-            post=lambda evidence: links.post_prompt_evidence(evidence),
+            post=lambda evidence: links.post_to_all_that(
+                lambda group: group.accepts_prompt_evidence, evidence
+            ),
+            log=environment.log,
+        ),
+        rate_permits=RatePermits(
+            limits=RateLimitLog(environment.log),
+            post_request=lambda request: links.post_permit_request(request),
+            post_limits=lambda report: links.post_to_all_that(
+                lambda group: group.accepts_rate_limits, report
+            ),
+            entry_count=lambda: forwarder.entry_count,
+            random=environment.random,
             log=environment.log,
         ),
-        rate_permits=RatePermits(RateLimitLog(environment.log), environment.log),
         retry_ratio=RETRY_BUDGET_RATIO * settings.retry_ratio,
         retry_capacity=RETRY_BURST_RATIO * settings.retry_slack,
         retry_refill_per_s=RETRY_BURST_RATIO * settings.retry_slack / RETRY_WINDOW_S,
@@ -146,7 +157,9 @@
     from bergamotchute_daemon.control_log import ControlLog
     from bergamotchute_daemon.control_process import ControlProcess
     from bergamotchute_daemon.node_hub import NodeHub
+    from bergamotchute_daemon.permit_server import PermitServer
     from bergamotchute_daemon.prompt_evidence_table import PromptEvidenceTable
+    from bergamotchute_daemon.rate_limit_log import RateLimitLog
     from bergamotchute_daemon.voter import Voter, VoterSettings
 
     voter = Voter(
@@ -166,14 +179,17 @@
     )
     control = ControlLog(voter)
     table = EndpointTable(MAX_MISSED_HEARTBEATS * settings.heartbeat_ms / 1000)
+    peers = LinkSet(environment.dial_control, environment.random, environment.log, tuple)
     hub = NodeHub(
         address=settings.link_address,
         voter=voter,
         control=control,
         endpoint_table=table,
-        peers=LinkSet(environment.dial_control, environment.random, environment.log, tuple),
+        peers=peers,
         log=environment.log,
         prompt_evidence=PromptEvidenceTable(environment.log),
+        rate_limits=RateLimitLog(environment.log),
+        permits=PermitServer(settings.link_address, peers),
     )
     return ControlProcess(
         address=settings.link_address,
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -18,7 +18,9 @@
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.heartbeat_updates import apply_heartbeat
 from bergamotchute_daemon.link_set import LinkSet
+from bergamotchute_daemon.permit_server import PermitServer
 from bergamotchute_daemon.prompt_evidence_table import PromptEvidenceTable
+from bergamotchute_daemon.rate_limit_log import RateLimitLog
 from bergamotchute_daemon.voter import Voter
 from bergamotchute_model import events
 from bergamotchute_model.commands import RecordDeparture
@@ -44,6 +46,7 @@
     SubscribeToLoads,
 )
 from bergamotchute_model.prompt_parts import PromptEvidence, PromptPart
+from bergamotchute_model.rate_limits import PermitAnswer, RateLimitsReported, RequestPermit
 from bergamotchute_policy.commander_assigner import CommanderAssigner
 from bergamotchute_policy.endpoint_table import EndpointTable
 from bergamotchute_policy.linked_nodes import LinkedNodes
@@ -60,7 +63,7 @@
 """Time limit for one attempt to have a quorum confirm the state for new followers."""
 
 
-NO_GROUP = ControlGroup((), 0, accepts_prompt_evidence=True)
+NO_GROUP = ControlGroup((), 0, accepts_prompt_evidence=True, accepts_rate_limits=True)
 """Sent to followers until the members of the control group are known."""
 
 
@@ -75,6 +78,8 @@
     :param peer: the address of a control VM; ``None`` for an entry or agent.
     :param is_load_subscriber: whether the follower receives the loads of endpoints.
     :param accepts_prompt_evidence: whether the follower reads :class:`PromptEvidence`.
+    :param accepts_rate_limits: whether the follower reads :class:`RateLimitsReported`; a control VM
+        then answers :class:`RequestPermit` as well.
     """
 
     outbox: Outbox[NodeMessage]
@@ -85,6 +90,7 @@
     peer: Address | None = None
     is_load_subscriber: bool = False
     accepts_prompt_evidence: bool = False
+    accepts_rate_limits: bool = False
 
 
 @dataclass
@@ -108,6 +114,8 @@
     peers: LinkSet
     log: EventLog
     prompt_evidence: PromptEvidenceTable
+    rate_limits: RateLimitLog
+    permits: PermitServer
     followers: list[Follower] = field(default_factory=list)
     linked_nodes: LinkedNodes = field(default_factory=LinkedNodes)
     commander_assigner: CommanderAssigner = field(default_factory=CommanderAssigner)
@@ -128,10 +136,11 @@
 
     def __post_init__(self) -> None:
         self.peers.get_greeting = self._peer_greeting
+        self.peers.on_message = self._on_peer_answer
 
     def _peer_greeting(self) -> Iterable[NodeMessage]:
         """Yield the local state that another control VM receives from no other process."""
-        yield ControlPeer(self.address, accepts_prompt_evidence=True)
+        yield ControlPeer(self.address, accepts_prompt_evidence=True, accepts_rate_limits=True)
         yield self.linked_nodes.whole()
         yield HeartbeatsReceived(self.endpoint_table.local_heartbeats())
         yield from self.assigned.values()
@@ -198,12 +207,8 @@
         match message:
             case EntryState() | AgentState():
                 self._on_follower_state(follower, message)
-            case ControlPeer(address):
-                follower.peer = address
-                follower.accepts_prompt_evidence = message.accepts_prompt_evidence
-                if message.accepts_prompt_evidence:
-                    self.peers.post(address, self.prompt_evidence.whole())
-                self.log.emit(events.LINK_OPENED, peer=str(address))
+            case ControlPeer():
+                self._on_peer(follower, message)
             case LoadsReported() if follower.peer is None:
                 self.loads.update(message.loads)
                 self.paces.update(message.paces)
@@ -218,13 +223,38 @@
                 self.linked_nodes.on_peer_update(follower.peer, message)
             case HeartbeatsReceived(heartbeats) if follower.peer is not None:
                 self._on_peer_heartbeats(follower.peer, heartbeats)
-            case PromptEvidence():
-                self._on_prompt_evidence(follower, message)
+            case PromptEvidence() | RateLimitsReported() | RequestPermit():
+                self._on_shared_knowledge(follower, message)
             case CommanderAssigned() if follower.peer is not None:
                 self._on_commander_assigned(message)
             case _:
                 self.log.emit(events.LINK_SILENT, peer="unexpected", message=message.kind)
 
+    def _on_peer(self, follower: Follower, peer: ControlPeer) -> None:
+        """Send a control VM that linked to this one what it does not get from other processes."""
+        follower.peer = peer.address
+        follower.accepts_prompt_evidence = peer.accepts_prompt_evidence
+        follower.accepts_rate_limits = peer.accepts_rate_limits
+        if peer.accepts_prompt_evidence:
+            self.peers.post(peer.address, self.prompt_evidence.whole())
+        if peer.accepts_rate_limits:
+            self.peers.post(peer.address, self.rate_limits.whole())
+        self.log.emit(events.LINK_OPENED, peer=str(peer.address))
+
+    def _on_shared_knowledge(
+        self, follower: Follower, message: PromptEvidence | RateLimitsReported | RequestPermit
+    ) -> None:
+        """Handle what entries found out about requests and endpoints, and what they ask."""
+        match message:
+            case PromptEvidence():
+                self._on_prompt_evidence(follower, message)
+            case RateLimitsReported():
+                self._on_rate_limits(follower, message)
+            case RequestPermit() if follower.peer is None:
+                self.permits.on_entry_request(follower.outbox, message, self._permit_hosts())
+            case RequestPermit():
+                self.permits.answer_request(follower.outbox, message)
+
     def _send_configuration(self, follower: Follower) -> None:
         """Send a follower the text, unless its link carries the same one already."""
         version = self.voter.state.state.configuration.version
@@ -254,6 +284,9 @@
                 follower.accepts_prompt_evidence = node.accepts_prompt_evidence
                 if node.accepts_prompt_evidence:
                     follower.outbox.post(self.prompt_evidence.whole())
+                follower.accepts_rate_limits = node.accepts_rate_limits
+                if node.accepts_rate_limits:
+                    follower.outbox.post(self.rate_limits.whole())
         elif (assigned := self.assigned.get(node.group)) is not None:
             follower.outbox.post(assigned)
 
@@ -273,13 +306,41 @@
         self, evidence: PromptEvidence, sender: Follower | None = None
     ) -> None:
         """Send evidence to the entries, and to the other control VMs unless one of them sent it."""
-        for follower in self.followers:
-            if follower is sender or not follower.accepts_prompt_evidence:
+        readers = [each for each in self.followers if each.accepts_prompt_evidence]
+        self._pass_on(evidence, sender, readers)
+
+    def _on_rate_limits(self, sender: Follower, report: RateLimitsReported) -> None:
+        """Pass on limits that are news: those of an entry to all, those of a peer to entries."""
+        news = self.rate_limits.merge(report)
+        if news is not None:
+            readers = [each for each in self.followers if each.accepts_rate_limits]
+            self._pass_on(news, sender, readers)
+
+    def _pass_on(
+        self, message: NodeMessage, sender: Follower | None, readers: Iterable[Follower]
+    ) -> None:
+        """Send a message to the entries, and to the other control VMs unless one of them sent it.
+
+        :param sender: who told it; ``None`` for this control VM.
+        :param readers: the followers that announced that they read it.
+        """
+        for follower in readers:
+            if follower is sender:
                 continue
             if follower.peer is None:
-                follower.outbox.post(evidence)
+                follower.outbox.post(message)
             elif sender is None or sender.peer is None:
-                self.peers.post(follower.peer, evidence)
+                self.peers.post(follower.peer, message)
+
+    def _permit_hosts(self) -> list[Address]:
+        """Return the members of the control group that answer requests for permits."""
+        readers = {each.peer for each in self.followers if each.accepts_rate_limits and each.peer}
+        return [each for each in self.group.addresses if each in readers | {self.address}]
+
+    def _on_peer_answer(self, _: Address, message: NodeMessage) -> None:
+        """Handle a message that another control VM sends over the link of this one."""
+        if isinstance(message, PermitAnswer):
+            self.permits.on_peer_answer(message)
 
     def _on_peer_heartbeats(self, peer: Address, heartbeats: tuple[EndpointHeartbeat, ...]) -> None:
         """Record a peer's heartbeats and forward to entries those that are new to this VM."""
--- a/packages/bergamotchute-model/src/bergamotchute_model/events.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/events.py
@@ -79,6 +79,15 @@
 AGENT_SILENT = _define_event_kind(
     1108, "agent_silent", "An agent did not answer; requests go on without its reservations."
 )
+PERMIT_REFUSED = _define_event_kind(
+    1130, "permit_refused", "A request can't be sent to an endpoint in time at the endpoint's rate."
+)
+PERMITS_UNAVAILABLE = _define_event_kind(
+    1131,
+    "permits_unavailable",
+    "No control VM granted a permit; the entry uses its own part of the endpoint's rate.",
+    logging.WARNING,
+)
 REQUEST_NOT_RETRIED = _define_event_kind(
     1107, "request_not_retried", "A failed request is not tried at another endpoint."
 )
--- a/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
@@ -9,6 +9,7 @@
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.prompt_parts import PromptEvidence
+from bergamotchute_model.rate_limits import PermitAnswer, RateLimitsReported, RequestPermit
 
 
 @dataclass(frozen=True)
@@ -16,6 +17,7 @@
     """An entry's address for callers, and whether it accepts new ones.
 
     :param accepts_prompt_evidence: whether it reads :class:`PromptEvidence`; earlier builds don't.
+    :param accepts_rate_limits: whether it reads :class:`RateLimitsReported`; earlier builds don't.
     """
 
     name: str
@@ -24,6 +26,7 @@
     open: bool
     kind: Literal["entry_state"] = "entry_state"
     accepts_prompt_evidence: bool = False
+    accepts_rate_limits: bool = False
 
 
 @dataclass(frozen=True)
@@ -175,6 +178,8 @@
         unknown.
     :param accepts_prompt_evidence: whether the sender reads :class:`PromptEvidence`; earlier builds
         don't.
+    :param accepts_rate_limits: whether the sender reads :class:`RateLimitsReported` and
+        :class:`RequestPermit`; earlier builds don't.
     """
 
     addresses: tuple[Address, ...]
@@ -183,6 +188,7 @@
     entry_count: int = 0
     kind: Literal["control_group"] = "control_group"
     accepts_prompt_evidence: bool = False
+    accepts_rate_limits: bool = False
 
 
 @dataclass(frozen=True)
@@ -199,11 +205,14 @@
     :param address: address at which the sender accepts links.
     :param accepts_prompt_evidence: whether the sender reads :class:`PromptEvidence`; earlier builds
         don't.
+    :param accepts_rate_limits: whether the sender reads :class:`RateLimitsReported` and
+        :class:`RequestPermit`; earlier builds don't.
     """
 
     address: Address
     kind: Literal["control_peer"] = "control_peer"
     accepts_prompt_evidence: bool = False
+    accepts_rate_limits: bool = False
 
 
 @dataclass(frozen=True)
@@ -402,4 +411,7 @@
     | SlotAnswer
     | ReleaseSlot
     | PromptEvidence
+    | RateLimitsReported
+    | RequestPermit
+    | PermitAnswer
 )
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
@@ -75,6 +75,8 @@
     :param failures: consecutive failures since the last successful answer.
     :param ejected_until: end of the ejection after a failure or refusal, on the runtime's clock.
     :param paused_until: end of the pause that the endpoint asked for, on the runtime's clock.
+    :param permit_expected_at: when a request may be sent at the rate that the endpoint named, as
+        far as this entry knows, on the runtime's clock.
     """
 
     born_ms: int
@@ -88,6 +90,7 @@
     failures: int = 0
     ejected_until: float = 0.0
     paused_until: float = float("-inf")
+    permit_expected_at: float = float("-inf")
 
     def is_slow(self, now: float) -> bool:
         """Return whether the endpoint's part of each pass recently took much longer than usual."""
@@ -146,14 +149,16 @@
         """Return the least utilized endpoint that accepts requests; ``None`` when there is none.
 
         Silent, ejected and stalled endpoints are used only when no healthy endpoint is left;
-        endpoints that asked for a pause are not used at all.
+        endpoints that asked for a pause, or whose rate leaves no room now, are not used at all.
 
         :param avoided: identifiers of endpoints that failed this request.
         """
         usable = [
             each
             for each in endpoints
-            if each.endpoint not in avoided and self.accepts_requests(each, now)
+            if each.endpoint not in avoided
+            and self.accepts_requests(each, now)
+            and self.load(each).permit_expected_at <= now
         ]
         sound = self._preferred(usable, now)
         ranked = nsmallest(
@@ -167,6 +172,34 @@
         capacity = self.capacity(chosen.heartbeat, now)
         return replace(chosen, most=max(capacity - 1, int(next_best.fullness * capacity)))
 
+    def select_by_permit(
+        self,
+        endpoints: Iterable[EndpointHeartbeat],
+        avoided: Collection[str],
+        now: float,
+        latest_at: float,
+    ) -> EndpointCandidate | None:
+        """Return the endpoint whose rate leaves room first; ``None`` when that is too late.
+
+        :param latest_at: the latest acceptable time, on the runtime's clock.
+        """
+        usable = [
+            each
+            for each in endpoints
+            if each.endpoint not in avoided
+            and self.accepts_requests(each, now)
+            and self.load(each).permit_expected_at <= latest_at
+        ]
+        chosen = min(
+            self._preferred(usable, now) or usable,
+            key=lambda each: (self.load(each).permit_expected_at, self.random.random()),
+            default=None,
+        )
+        if chosen is None:
+            return None
+        capacity = self.capacity(chosen, now)
+        return EndpointCandidate(chosen, self._fullness(chosen, now), capacity - 1)
+
     def is_overloaded(self, candidate: EndpointCandidate, engine: EnginePerformance | None) -> bool:
         """Return whether the chosen endpoint is overloaded, for endpoints without an agent.
 
@@ -191,7 +224,10 @@
 
     def has_free_slot(self, endpoints: Iterable[EndpointHeartbeat], now: float) -> bool:
         """Return whether an endpoint that would be chosen seems to have a free slot."""
-        return any(self._fullness(each, now) < 1.0 for each in self._preferred(endpoints, now))
+        return any(
+            self._fullness(each, now) < 1.0 and self.load(each).permit_expected_at <= now
+            for each in self._preferred(endpoints, now)
+        )
 
     def _preferred(
         self, endpoints: Iterable[EndpointHeartbeat], now: float
@@ -263,8 +299,9 @@
 
         :returns: 0 when an endpoint accepts requests now, or when none will.
         """
-        known = [each for each in endpoints if each.phase is not EndpointPhase.LEAVING]
-        return min((max(0.0, self.load(each).paused_until - now) for each in known), default=0.0)
+        loads = [self.load(each) for each in endpoints if each.phase is not EndpointPhase.LEAVING]
+        accepting_at = (max(load.paused_until, load.permit_expected_at) for load in loads)
+        return max(0.0, min(accepting_at, default=now) - now)
 
     def _without_slow(
         self, endpoints: list[EndpointHeartbeat], now: float
@@ -331,6 +368,10 @@
         load = self.load(endpoint)
         load.paused_until = max(load.paused_until, now + seconds)
 
+    def on_permit_refused(self, endpoint: EndpointHeartbeat, seconds: float, now: float) -> None:
+        """Record the time until an endpoint's rate leaves room for a request."""
+        self.load(endpoint).permit_expected_at = now + seconds
+
     def on_no_progress(self, endpoint: EndpointHeartbeat, now: float) -> None:
         """Eject an endpoint whose answer made no progress; its whole rank group may be stalled."""
         self.on_failure(endpoint, now)
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/slot_search.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/slot_search.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
@@ -81,14 +81,22 @@
     refused: set[str] = field(default_factory=set)
 
     def next_slot_request(
-        self, endpoints: Iterable[EndpointHeartbeat], now: float
+        self,
+        endpoints: Collection[EndpointHeartbeat],
+        now: float,
+        latest_permit_at: float = float("-inf"),
     ) -> SlotRequest | None:
         """Return the next slot request to send; ``None`` when no endpoint can be used.
 
+        :param latest_permit_at: until when the request can wait for the rate of an endpoint to
+            leave room, on the runtime's clock.
+
         The search ends with an endpoint that is still the best choice after its agent refused, or
         that is chosen after :data:`MAX_REFUSALS` refusals.
         """
         chosen = self.placement.select_endpoint(endpoints, self.avoided, now)
+        if chosen is None:
+            chosen = self.placement.select_by_permit(endpoints, self.avoided, now, latest_permit_at)
         if chosen is None:
             return None
         if chosen.heartbeat.endpoint not in self.refused and len(self.refused) < MAX_REFUSALS:
--- a/tests/support/entry_fixture.py
+++ b/tests/support/entry_fixture.py
@@ -25,6 +25,7 @@
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat, EndpointPhase
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.prompt_parts import PromptEvidence
+from bergamotchute_model.rate_limits import RateLimitsReported
 from bergamotchute_model.versioned_configuration import (
     RouteKind,
     RouteRule,
@@ -151,6 +152,7 @@
         self.leaving_endpoints: list[EndpointHeartbeat] = []
         self.listeners: dict[Address, Listener[SocketStream]] = {}
         self.posted_evidence: list[PromptEvidence] = []
+        self.posted_limits: list[RateLimitsReported] = []
         self.endpoints: list[EndpointHeartbeat] = []
         self.routing_table: RoutingTable | None = RoutingTable(CONFIGURATION)
         self.placement = DirectPlacement("north", Random(1))
@@ -169,7 +171,14 @@
             prompt_guard=PromptGuard(
                 PromptEvidenceTable(self.log), self.posted_evidence.append, self.log
             ),
-            rate_permits=RatePermits(RateLimitLog(self.log), self.log),
+            rate_permits=RatePermits(
+                limits=RateLimitLog(self.log),
+                post_request=lambda _: False,
+                post_limits=self.posted_limits.append,
+                entry_count=lambda: 1,
+                random=Random(1),
+                log=self.log,
+            ),
             retry_ratio=0.2,
             retry_capacity=100.0,
             retry_refill_per_s=0.0,
