Log the digest of each request that was lost in a crash

Nothing is sent differently; a request without a prompt that lost its connection now costs one more connection to tell a crash.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/admitted_request.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/admitted_request.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import cached_property
 
 from bergamotchute_daemon.direct.request_format import RequestMetadata
 from bergamotchute_model.headers import Headers
+from bergamotchute_model.request_digest import digest_request
 from bergamotchute_model.versioned_configuration import RouteKind, RouteRule, ServiceRule
 from bergamotchute_wire.http1_messages import RequestHead
 
@@ -35,6 +37,11 @@
     deadline: float
     version: int
 
+    @cached_property
+    def digest(self) -> str:
+        """The digest of what the request has in common with one that comes again."""
+        return digest_request(self.team, self.head.method, self.head.target, self.body)
+
     @property
     def is_stream(self) -> bool:
         """Whether the response is a stream of events."""
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/prompt_guard.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/prompt_guard.py
@@ -77,8 +77,6 @@
     ) -> None:
         """Record a crash if an endpoint ended a request's connection and refuses new ones."""
         parts, service = request.metadata.shared_parts, request.service.name
-        if not parts:
-            return
         suspects = self.table.suspects
         crash = Crash(
             service, endpoint.endpoint, endpoint.born_ms, suspects.suspects_of(service, parts)
@@ -86,6 +84,15 @@
         is_known = (crash.endpoint, crash.born_ms) in suspects.crashes
         if not is_known and not await refuses_connections(endpoint.address, CRASH_CHECK_TIMEOUT_S):
             return
+        self.log.emit(
+            events.REQUEST_LOST_IN_CRASH,
+            request_id=request.metadata.request_id,
+            endpoint=endpoint.endpoint,
+            born_ms=endpoint.born_ms,
+            digest=request.digest,
+        )
+        if not parts:
+            return
         if self.table.record_crash(crash, 0.0, told_by=request.metadata.request_id):
             self.post(PromptEvidence(crashes=((crash, 0.0),)))
             self._notify_changed()
--- a/packages/bergamotchute-model/src/bergamotchute_model/events.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/events.py
@@ -127,6 +127,12 @@
     "A part crashed endpoints; requests with it are rejected for some time.",
     logging.WARNING,
 )
+REQUEST_LOST_IN_CRASH = _define_event_kind(
+    1124,
+    "request_lost_in_crash",
+    "A request waited for its first event at an endpoint that crashed; its digest names its content.",
+    logging.WARNING,
+)
 CLAIM_REPLAYED = _define_event_kind(1113, "claim_replayed", "A resend got the recorded outcome.")
 
 # 1200-1299: attempts in an agent.
