Hold a request while any of its suspects is held

Of a request with two suspects the decision to probe the one outranked that to hold the other, so a request with a suspect whose crash is under 4 s old was sent, into the same outage; and the probe was told to other entries for one of the two parts only, so they could send the second at the same time. Both tests failed before.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/prompt_guard.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/prompt_guard.py
@@ -44,21 +44,23 @@
                     await self.changed.wait()
                 continue
             if decision.action is PartAction.PROBE:
-                self._record_probe(request, decision)
+                self._record_probe(request)
             return decision
         return FORWARD
 
-    def _record_probe(self, request: AdmittedRequest, decision: PartDecision) -> None:
-        part = PromptPart(request.service.name, decision.part)
-        self.table.suspects.record_probe(part, anyio.current_time())
-        self.post(PromptEvidence(probed=(part,)))
-        self.log.emit(
-            events.PROMPT_PART_PROBED,
-            request_id=request.metadata.request_id,
-            service=part.service,
-            part=part.part,
-            crashes=decision.crashes,
-        )
+    def _record_probe(self, request: AdmittedRequest) -> None:
+        suspects, service = self.table.suspects, request.service.name
+        parts = tuple(suspects.held_parts(service, request.metadata.shared_parts))
+        for part in parts:
+            suspects.record_probe(part, anyio.current_time())
+            self.log.emit(
+                events.PROMPT_PART_PROBED,
+                request_id=request.metadata.request_id,
+                service=service,
+                part=part.part,
+                crashes=len(suspects.crashes_by_part.get(part, ())),
+            )
+        self.post(PromptEvidence(probed=parts))
 
     def on_answered(self, request: AdmittedRequest) -> None:
         """Clear the parts of a request of which the first event came."""
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/crash_suspects.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/crash_suspects.py
@@ -71,16 +71,16 @@
 
 
 class PartAction(StrEnum):
-    """What to do with a request before an attempt.
+    """What to do with a request before an attempt, the most severe last.
 
-    ``WAIT``: other entries may clear its suspects in a moment. ``HOLD``: send it later, as a probe
-    may not be sent yet. ``PROBE``: send it alone with its suspect. ``REJECT``: never send it.
+    ``PROBE``: send it alone with its suspects. ``WAIT``: other entries may clear its suspects in a
+    moment. ``HOLD``: send it later, as a probe may not be sent yet. ``REJECT``: never send it.
     """
 
     FORWARD = "forward"
+    PROBE = "probe"
     WAIT = "wait"
     HOLD = "hold"
-    PROBE = "probe"
     REJECT = "reject"
 
 
@@ -249,17 +249,17 @@
         """Return the parts that no answer has cleared."""
         return tuple(name for name in parts if not self.is_sound(PromptPart(service, name)))
 
+    def held_parts(self, service: str, parts: Sequence[str]) -> list[PromptPart]:
+        """Return the parts that something is held against."""
+        known = [PromptPart(service, name) for name in parts]
+        return [each for each in known if each in self.crashes_by_part or each in self.quarantines]
+
     def decide(self, service: str, parts: Sequence[str], now: float) -> PartDecision:
         """Decide whether a request with these parts may be sent now.
 
         :meth:`update` must have been called at this time.
         """
-        decisions = [
-            self._decide_part(PromptPart(service, name), now)
-            for name in parts
-            if PromptPart(service, name) in self.crashes_by_part
-            or PromptPart(service, name) in self.quarantines
-        ]
+        decisions = [self._decide_part(part, now) for part in self.held_parts(service, parts)]
         return max(
             decisions, key=lambda each: (_SEVERITY[each.action], each.wait_s), default=FORWARD
         )
--- a/tests/direct/test_prompt_guard.py
+++ b/tests/direct/test_prompt_guard.py
@@ -119,6 +119,21 @@
     run_with_entry(body)
 
 
+def test_probe_with_two_suspects_lets_another_entry_probe_the_second() -> None:
+    async def body(entry: EntryFixture) -> None:
+        await entry.add_endpoint("runner-1", crash_on_deadly(entry))
+        guard = entry.forwarder.prompt_guard
+        crashes = tuple(
+            (Crash("model", f"runner-{part}", 7, (part,)), 60.0) for part in ("bb02", "cc03")
+        )
+        guard.on_evidence(PromptEvidence(crashes=crashes))
+        assert (await entry.send_request(**run_stream("bb02:40,cc03:95,0f0f:231"))).whole
+        probed = PromptEvidence(probed=(PromptPart("model", "bb02"), PromptPart("model", "cc03")))
+        assert probed in entry.posted_evidence
+
+    run_with_entry(body)
+
+
 def test_request_is_held_although_another_entry_clears_its_part() -> None:
     async def body(entry: EntryFixture) -> None:
         await entry.add_endpoint("runner-1", crash_on_deadly(entry))
--- a/tests/policy/test_crash_suspects.py
+++ b/tests/policy/test_crash_suspects.py
@@ -66,6 +66,16 @@
     assert action(suspects, 20.5, "companion") is PartAction.PROBE
 
 
+def test_request_probes_one_suspect_while_another_is_held() -> None:
+    suspects = CrashSuspects()
+    suspects.record_crash(crash(1, "first"), 10.0)
+    suspects.record_crash(crash(2, "second"), 13.0)
+    assert action(suspects, 14.5, "first") is PartAction.PROBE
+    assert action(suspects, 14.5, "second") is PartAction.HOLD
+    assert action(suspects, 14.5, "first", "second") is PartAction.HOLD
+    assert action(suspects, 17.5, "first", "second") is PartAction.PROBE
+
+
 def test_crashes_without_a_suspect_let_chance_convict() -> None:
     # Endpoints that crash by themselves make two crashes of one part less telling.
     suspects = CrashSuspects()
