Call what may crash endpoints a suspect, whatever its kind

Names only: PromptPart becomes Suspect, PartAction and PartDecision follow. Wire names, events and the command stay.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
@@ -29,7 +29,7 @@
 from bergamotchute_model import events
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
 from bergamotchute_model.verdict import Verdict
-from bergamotchute_policy.crash_suspects import PartAction, PartDecision
+from bergamotchute_policy.crash_suspects import SuspectAction, SuspectDecision
 from bergamotchute_policy.direct_placement import DirectPlacement, EndpointCandidate
 from bergamotchute_policy.retry import RetryBudget
 from bergamotchute_policy.slot_search import SlotSearch, patience_s
@@ -237,7 +237,7 @@
     ) -> None:
         while True:
             decision = await self.prompt_guard.decide(request)
-            if decision.action in (PartAction.REJECT, PartAction.HOLD):
+            if decision.action in (SuspectAction.REJECT, SuspectAction.HOLD):
                 self._refuse_prompt(request, writer, progress, decision)
                 return
             chosen = await self._choose_endpoint(request, progress)
@@ -274,13 +274,13 @@
         request: AdmittedRequest,
         writer: ResponseWriter,
         progress: _RequestProgress,
-        decision: PartDecision,
+        decision: SuspectDecision,
     ) -> None:
         """Refuse a request because a part of its prompt may crash endpoints.
 
         :raises RequestRefused: if no part of a response was written.
         """
-        if decision.action is PartAction.REJECT and not writer.started:
+        if decision.action is SuspectAction.REJECT and not writer.started:
             raise RequestRefused(
                 QUARANTINED_STATUS,
                 f"part {decision.part} of the prompt crashed {decision.crashes} endpoints;"
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/prompt_guard.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/prompt_guard.py
@@ -12,8 +12,8 @@
 from bergamotchute_daemon.prompt_evidence_table import PromptEvidenceTable
 from bergamotchute_model import events
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
-from bergamotchute_model.prompt_parts import Crash, PromptEvidence, PromptPart
-from bergamotchute_policy.crash_suspects import FORWARD, PartAction, PartDecision
+from bergamotchute_model.prompt_parts import Crash, PromptEvidence, Suspect
+from bergamotchute_policy.crash_suspects import FORWARD, SuspectAction, SuspectDecision
 from bergamotchute_wire.http1_client import refuses_connections
 
 CRASH_CHECK_TIMEOUT_S = 0.3
@@ -33,17 +33,17 @@
     log: EventLog
     changed: anyio.Event = field(default_factory=anyio.Event)
 
-    async def decide(self, request: AdmittedRequest) -> PartDecision:
+    async def decide(self, request: AdmittedRequest) -> SuspectDecision:
         """Decide on a request before an attempt; wait while other entries may clear its parts."""
         suspects, parts = self.table.suspects, request.metadata.shared_parts
         while parts and (suspects.crashes_by_part or suspects.quarantines):
             self.table.update()
             decision = suspects.decide(request.service.name, parts, anyio.current_time())
-            if decision.action is PartAction.WAIT:
+            if decision.action is SuspectAction.WAIT:
                 with anyio.move_on_after(decision.wait_s):
                     await self.changed.wait()
                 continue
-            if decision.action is PartAction.PROBE:
+            if decision.action is SuspectAction.PROBE:
                 self._record_probe(request)
             return decision
         return FORWARD
@@ -71,7 +71,7 @@
         cleared = self.table.suspects.record_sound(service, parts, request.team)
         if cleared:
             self.table.record_cleared(service, cleared, request.metadata.request_id)
-            self.post(PromptEvidence(sound=tuple(PromptPart(service, each) for each in cleared)))
+            self.post(PromptEvidence(sound=tuple(Suspect(service, each) for each in cleared)))
             self._notify_changed()
 
     async def on_connection_ended(
@@ -99,7 +99,7 @@
             self.post(PromptEvidence(crashes=((crash, 0.0),)))
             self._notify_changed()
 
-    def clear(self, part: PromptPart) -> bool:
+    def clear(self, part: Suspect) -> bool:
         """Clear a part by order of an operator, also at all others; return whether it was held."""
         is_known = self.table.clear(part)
         self.post(PromptEvidence(cleared=(part,)))
@@ -110,10 +110,10 @@
         """Add what other processes found, and clear the suspects that are known as sound here."""
         suspects = self.table.suspects
         sound = {
-            PromptPart(crash.service, part)
+            Suspect(crash.service, part)
             for crash, _ in evidence.crashes
             for part in crash.parts
-            if suspects.is_sound(PromptPart(crash.service, part))
+            if suspects.is_sound(Suspect(crash.service, part))
         }
         if self.table.merge(evidence) is not None:
             self._notify_changed()
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -45,7 +45,7 @@
     RankLocations,
     SubscribeToLoads,
 )
-from bergamotchute_model.prompt_parts import PromptEvidence, PromptPart
+from bergamotchute_model.prompt_parts import PromptEvidence, Suspect
 from bergamotchute_model.rate_limits import PermitAnswer, RateLimitsReported, RequestPermit
 from bergamotchute_policy.commander_assigner import CommanderAssigner
 from bergamotchute_policy.endpoint_table import EndpointTable
@@ -296,7 +296,7 @@
         if news is not None:
             self.post_prompt_evidence(news, sender)
 
-    def clear_prompt_part(self, part: PromptPart) -> bool:
+    def clear_prompt_part(self, part: Suspect) -> bool:
         """Clear a part by order of an operator, also at all others; return whether it was held."""
         is_known = self.prompt_evidence.clear(part)
         self.post_prompt_evidence(PromptEvidence(cleared=(part,)))
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/prompt_evidence_table.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/prompt_evidence_table.py
@@ -8,7 +8,7 @@
 
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_model import events
-from bergamotchute_model.prompt_parts import Crash, PromptEvidence, PromptPart, QuarantinedPart
+from bergamotchute_model.prompt_parts import Crash, PromptEvidence, QuarantinedPart, Suspect
 from bergamotchute_policy.crash_suspects import CrashSuspects, Quarantine
 
 MAX_LOGGED_PARTS = 8
@@ -91,7 +91,7 @@
         for part in self.suspects.update(now):
             self._log_quarantine(part, now, "evidence")
 
-    def _log_quarantine(self, part: PromptPart, now: float, told_by: str) -> None:
+    def _log_quarantine(self, part: Suspect, now: float, told_by: str) -> None:
         quarantine = self.suspects.quarantines[part]
         self.quarantine_count += 1
         self.log.emit(
@@ -110,7 +110,7 @@
             self.clearance_count += 1
             self.log.emit(events.PROMPT_PART_CLEARED, service=service, part=name, told_by=told_by)
 
-    def clear(self, part: PromptPart) -> bool:
+    def clear(self, part: Suspect) -> bool:
         """Clear a part by order of an operator; return whether anything was held against it."""
         is_known = self.suspects.clear(part)
         if is_known:
@@ -127,12 +127,12 @@
             "prompt_clearances_total": float(self.clearance_count),
         }
 
-    def _record_sound(self, part: PromptPart) -> bool:
+    def _record_sound(self, part: Suspect) -> bool:
         cleared = self.suspects.record_sound(part.service, (part.part,), team="")
         self.record_cleared(part.service, cleared, "link")
         return bool(cleared)
 
-    def _record_probe(self, part: PromptPart, now: float) -> bool:
+    def _record_probe(self, part: Suspect, now: float) -> bool:
         before = self.suspects.probed_at.get(part)
         self.suspects.record_probe(part, now)
         return self.suspects.probed_at.get(part) != before
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/prompt_part_api.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/prompt_part_api.py
@@ -12,7 +12,7 @@
 import anyio
 
 from bergamotchute_daemon.prompt_evidence_table import PromptEvidenceTable
-from bergamotchute_model.prompt_parts import PromptPart
+from bergamotchute_model.prompt_parts import Suspect
 from bergamotchute_wire.http1_server import CallerRequest, RequestHandler, ResponseWriter
 
 PROMPT_PARTS_PATH = "/prompt-parts"
@@ -21,7 +21,7 @@
 
 
 def prompt_part_handler(
-    table: PromptEvidenceTable, clear: Callable[[PromptPart], bool], others: RequestHandler
+    table: PromptEvidenceTable, clear: Callable[[Suspect], bool], others: RequestHandler
 ) -> RequestHandler:
     """Return a handler for the prompt parts, and for other paths by ``others``.
 
@@ -41,7 +41,7 @@
             if not service or not part:
                 await writer.respond(400, (), b"service and part are required")
                 return
-            await writer.respond(200 if clear(PromptPart(service, part)) else 404)
+            await writer.respond(200 if clear(Suspect(service, part)) else 404)
         else:
             await writer.respond(405)
 
--- a/packages/bergamotchute-model/src/bergamotchute_model/prompt_parts.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/prompt_parts.py
@@ -7,10 +7,10 @@
 
 
 @dataclass(frozen=True, order=True)
-class PromptPart:
-    """A part of prompts for one service.
+class Suspect:
+    """What may crash the endpoints of a service: a part of prompts, or one request.
 
-    :param part: its identifier, as callers send it.
+    :param part: the identifier of the part, as callers send it, or the name of the request.
     """
 
     service: str
@@ -40,7 +40,7 @@
     :param crashes: the endpoints that it crashed, with their incarnations.
     """
 
-    part: PromptPart
+    part: Suspect
     left_s: float
     quarantine_count: int
     crashes: tuple[tuple[str, int], ...]
@@ -58,8 +58,8 @@
     """
 
     crashes: tuple[tuple[Crash, float], ...] = ()
-    sound: tuple[PromptPart, ...] = ()
-    probed: tuple[PromptPart, ...] = ()
+    sound: tuple[Suspect, ...] = ()
+    probed: tuple[Suspect, ...] = ()
     quarantined: tuple[QuarantinedPart, ...] = ()
-    cleared: tuple[PromptPart, ...] = ()
+    cleared: tuple[Suspect, ...] = ()
     kind: Literal["prompt_evidence"] = "prompt_evidence"
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/crash_suspects.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/crash_suspects.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from bergamotchute_model.prompt_parts import Crash, PromptPart
+from bergamotchute_model.prompt_parts import Crash, Suspect
 
 REQUIRED_CRASHES = 2
 """Crashes of a part that no sound request clears, until it is quarantined."""
@@ -70,7 +70,7 @@
     crashes: tuple[tuple[str, int], ...]
 
 
-class PartAction(StrEnum):
+class SuspectAction(StrEnum):
     """What to do with a request before an attempt, the most severe last.
 
     ``PROBE``: send it alone with its suspects. ``WAIT``: other entries may clear its suspects in a
@@ -85,7 +85,7 @@
 
 
 @dataclass(frozen=True)
-class PartDecision:
+class SuspectDecision:
     """A decision on a request, and the part that it is about.
 
     :param wait_s: for ``WAIT`` and ``HOLD`` how long, for ``REJECT`` the rest of the quarantine, in
@@ -93,13 +93,13 @@
     :param crashes: crashes that count against the part.
     """
 
-    action: PartAction
+    action: SuspectAction
     part: str = ""
     wait_s: float = 0.0
     crashes: int = 0
 
 
-FORWARD = PartDecision(PartAction.FORWARD)
+FORWARD = SuspectDecision(SuspectAction.FORWARD)
 
 
 class CrashSuspects:
@@ -107,12 +107,12 @@
 
     def __init__(self) -> None:
         self.crashes: OrderedDict[tuple[str, int], _KnownCrash] = OrderedDict()
-        self.crashes_by_part: dict[PromptPart, set[tuple[str, int]]] = {}
-        self.sound_by_team: OrderedDict[str, OrderedDict[PromptPart, None]] = OrderedDict()
-        self.probed_at: dict[PromptPart, float] = {}
-        self.quarantines: OrderedDict[PromptPart, Quarantine] = OrderedDict()
+        self.crashes_by_part: dict[Suspect, set[tuple[str, int]]] = {}
+        self.sound_by_team: OrderedDict[str, OrderedDict[Suspect, None]] = OrderedDict()
+        self.probed_at: dict[Suspect, float] = {}
+        self.quarantines: OrderedDict[Suspect, Quarantine] = OrderedDict()
 
-    def is_sound(self, part: PromptPart) -> bool:
+    def is_sound(self, part: Suspect) -> bool:
         """Return whether a request with the part got an answer."""
         return any(part in parts for parts in self.sound_by_team.values())
 
@@ -129,7 +129,7 @@
             if len(self.crashes) > MAX_CRASHES:
                 self._forget_crash(next(iter(self.crashes)))
         for name in crash.parts:
-            part = PromptPart(crash.service, name)
+            part = Suspect(crash.service, name)
             is_full = len(known.suspects) >= MAX_PARTS_PER_CRASH
             if name in known.suspects or is_full or self.is_sound(part):
                 continue
@@ -151,7 +151,7 @@
         self.sound_by_team.move_to_end(team)
         cleared: list[str] = []
         for name in parts:
-            part = PromptPart(service, name)
+            part = Suspect(service, name)
             sound[part] = None
             sound.move_to_end(part)
             if part in self.crashes_by_part or part in self.quarantines:
@@ -161,12 +161,12 @@
             sound.popitem(last=False)
         return tuple(cleared)
 
-    def record_probe(self, part: PromptPart, now: float) -> None:
+    def record_probe(self, part: Suspect, now: float) -> None:
         """Record that some entry sent a request with a suspect."""
         if part in self.crashes_by_part or part in self.quarantines:
             self.probed_at[part] = now
 
-    def record_quarantine(self, part: PromptPart, quarantine: Quarantine) -> bool:
+    def record_quarantine(self, part: Suspect, quarantine: Quarantine) -> bool:
         """Take over the quarantine that another process knows; return whether it is news."""
         known = self.quarantines.get(part)
         if self.is_sound(part) or (
@@ -176,13 +176,13 @@
         self._put_quarantine(part, quarantine)
         return True
 
-    def clear(self, part: PromptPart) -> bool:
+    def clear(self, part: Suspect) -> bool:
         """Clear a part by order of an operator; return whether anything was held against it."""
         is_known = part in self.crashes_by_part or part in self.quarantines
         self._clear(part)
         return is_known
 
-    def _clear(self, part: PromptPart) -> None:
+    def _clear(self, part: Suspect) -> None:
         for key in self.crashes_by_part.pop(part, ()):
             self.crashes[key].suspects.discard(part.part)
         self.quarantines.pop(part, None)
@@ -191,13 +191,13 @@
     def _forget_crash(self, key: tuple[str, int]) -> None:
         crash = self.crashes.pop(key)
         for name in crash.suspects:
-            part = PromptPart(crash.service, name)
+            part = Suspect(crash.service, name)
             self.crashes_by_part[part].discard(key)
             if not self.crashes_by_part[part]:
                 del self.crashes_by_part[part]
                 self.probed_at.pop(part, None)
 
-    def update(self, now: float) -> list[PromptPart]:
+    def update(self, now: float) -> list[Suspect]:
         """Forget old crashes, and quarantine the parts that evidence suffices for; return these."""
         while self.crashes and now - next(iter(self.crashes.values())).at > CRASH_TTL_S:
             self._forget_crash(next(iter(self.crashes)))
@@ -210,13 +210,13 @@
             self._put_quarantine(part, Quarantine(now + length_s, quarantine_count, keys))
         return due
 
-    def _put_quarantine(self, part: PromptPart, quarantine: Quarantine) -> None:
+    def _put_quarantine(self, part: Suspect, quarantine: Quarantine) -> None:
         self.quarantines.pop(part, None)
         self.quarantines[part] = quarantine
         if len(self.quarantines) > MAX_QUARANTINED:
             self.quarantines.popitem(last=False)
 
-    def _is_quarantine_due(self, part: PromptPart, now: float) -> bool:
+    def _is_quarantine_due(self, part: Suspect, now: float) -> bool:
         keys = self.crashes_by_part[part]
         if now < self._last_crash_at(part) + CLEARANCE_WAIT_S:
             return False
@@ -230,7 +230,7 @@
         # Of two parts with the same crashes, only a further crash tells which of them is the cause.
         return len(keys) > required or not self._has_companion(part, keys)
 
-    def _has_companion(self, part: PromptPart, keys: set[tuple[str, int]]) -> bool:
+    def _has_companion(self, part: Suspect, keys: set[tuple[str, int]]) -> bool:
         companions = set.intersection(*(self.crashes[key].suspects for key in keys))
         return len(companions - {part.part}) > 0
 
@@ -242,19 +242,19 @@
         )
         return min(REQUIRED_CRASHES + unexplained, MAX_REQUIRED_CRASHES)
 
-    def _last_crash_at(self, part: PromptPart) -> float:
+    def _last_crash_at(self, part: Suspect) -> float:
         return max(self.crashes[key].at for key in self.crashes_by_part[part])
 
     def suspects_of(self, service: str, parts: Sequence[str]) -> tuple[str, ...]:
         """Return the parts that no answer has cleared."""
-        return tuple(name for name in parts if not self.is_sound(PromptPart(service, name)))
+        return tuple(name for name in parts if not self.is_sound(Suspect(service, name)))
 
-    def held_parts(self, service: str, parts: Sequence[str]) -> list[PromptPart]:
+    def held_parts(self, service: str, parts: Sequence[str]) -> list[Suspect]:
         """Return the parts that something is held against."""
-        known = [PromptPart(service, name) for name in parts]
+        known = [Suspect(service, name) for name in parts]
         return [each for each in known if each in self.crashes_by_part or each in self.quarantines]
 
-    def decide(self, service: str, parts: Sequence[str], now: float) -> PartDecision:
+    def decide(self, service: str, parts: Sequence[str], now: float) -> SuspectDecision:
         """Decide whether a request with these parts may be sent now.
 
         :meth:`update` must have been called at this time.
@@ -264,28 +264,28 @@
             decisions, key=lambda each: (_SEVERITY[each.action], each.wait_s), default=FORWARD
         )
 
-    def _decide_part(self, part: PromptPart, now: float) -> PartDecision:
+    def _decide_part(self, part: Suspect, now: float) -> SuspectDecision:
         quarantine = self.quarantines.get(part)
         crashes = len(self.crashes_by_part.get(part, ()))
         if quarantine is not None and now < quarantine.until:
             left_s = quarantine.until - now
-            return PartDecision(PartAction.REJECT, part.part, left_s, len(quarantine.crashes))
+            return SuspectDecision(SuspectAction.REJECT, part.part, left_s, len(quarantine.crashes))
         if part in self.crashes_by_part:
             since_crash_s = now - self._last_crash_at(part)
             if since_crash_s < CLEARANCE_WAIT_S:
-                return PartDecision(
-                    PartAction.WAIT, part.part, CLEARANCE_WAIT_S - since_crash_s, crashes
+                return SuspectDecision(
+                    SuspectAction.WAIT, part.part, CLEARANCE_WAIT_S - since_crash_s, crashes
                 )
             if since_crash_s < PROBE_DELAY_S:
-                return PartDecision(
-                    PartAction.HOLD, part.part, PROBE_DELAY_S - since_crash_s, crashes
+                return SuspectDecision(
+                    SuspectAction.HOLD, part.part, PROBE_DELAY_S - since_crash_s, crashes
                 )
         since_probe_s = now - self.probed_at.get(part, float("-inf"))
         if since_probe_s < PROBE_INTERVAL_S:
-            return PartDecision(
-                PartAction.HOLD, part.part, PROBE_INTERVAL_S - since_probe_s, crashes
+            return SuspectDecision(
+                SuspectAction.HOLD, part.part, PROBE_INTERVAL_S - since_probe_s, crashes
             )
-        return PartDecision(PartAction.PROBE, part.part, 0.0, crashes)
+        return SuspectDecision(SuspectAction.PROBE, part.part, 0.0, crashes)
 
 
-_SEVERITY = {action: rank for rank, action in enumerate(PartAction)}
+_SEVERITY = {action: rank for rank, action in enumerate(SuspectAction)}
--- a/tests/direct/test_prompt_guard.py
+++ b/tests/direct/test_prompt_guard.py
@@ -13,7 +13,7 @@
 from bergamotchute_cli.__main__ import main
 from bergamotchute_cli.exit_code import ExitCode
 from bergamotchute_daemon.prompt_part_api import prompt_part_handler
-from bergamotchute_model.prompt_parts import Crash, PromptEvidence, PromptPart, QuarantinedPart
+from bergamotchute_model.prompt_parts import Crash, PromptEvidence, QuarantinedPart, Suspect
 from bergamotchute_platform.request_format import REQUEST_FORMAT
 from bergamotchute_wire.http1_messages import RequestHead
 from bergamotchute_wire.http1_server import Http1Server
@@ -29,7 +29,7 @@
 
 PROMPT = "aa01:40,dead:95,0f0f:231"
 SOUND_PROMPT = "aa01:40,0e0e:77"
-DEADLY = PromptPart("model", "dead")
+DEADLY = Suspect("model", "dead")
 
 
 def crash_on_deadly(entry: EntryFixture) -> EndpointScript:
@@ -111,7 +111,7 @@
         guard = entry.forwarder.prompt_guard
         told = Crash("model", "runner-9", 7, ("aa01", "dead"))
         guard.on_evidence(PromptEvidence(crashes=((told, 0.0),)))
-        assert entry.posted_evidence == [PromptEvidence(sound=(PromptPart("model", "aa01"),))]
+        assert entry.posted_evidence == [PromptEvidence(sound=(Suspect("model", "aa01"),))]
         assert set(guard.table.suspects.crashes_by_part) == {DEADLY}
         guard.on_evidence(PromptEvidence(crashes=((told, 0.0),)))
         assert len(entry.posted_evidence) == 1, "old evidence is not answered again"
@@ -128,7 +128,7 @@
         )
         guard.on_evidence(PromptEvidence(crashes=crashes))
         assert (await entry.send_request(**run_stream("bb02:40,cc03:95,0f0f:231"))).whole
-        probed = PromptEvidence(probed=(PromptPart("model", "bb02"), PromptPart("model", "cc03")))
+        probed = PromptEvidence(probed=(Suspect("model", "bb02"), Suspect("model", "cc03")))
         assert probed in entry.posted_evidence
 
     run_with_entry(body)
@@ -143,7 +143,7 @@
 
         async def clear_soon() -> None:
             await anyio.sleep(0.05)
-            guard.on_evidence(PromptEvidence(sound=(PromptPart("model", "aa01"),)))
+            guard.on_evidence(PromptEvidence(sound=(Suspect("model", "aa01"),)))
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(clear_soon)
--- a/tests/policy/test_crash_suspects.py
+++ b/tests/policy/test_crash_suspects.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from bergamotchute_model.prompt_parts import Crash, PromptPart
+from bergamotchute_model.prompt_parts import Crash, Suspect
 from bergamotchute_policy import crash_suspects as policy
-from bergamotchute_policy.crash_suspects import CrashSuspects, PartAction, Quarantine
+from bergamotchute_policy.crash_suspects import CrashSuspects, Quarantine, SuspectAction
 
 SERVICE = "model"
 DEADLY = "dead"
@@ -18,7 +18,7 @@
     return Crash(SERVICE, f"runner-{number}", 1000 + number, parts)
 
 
-def action(suspects: CrashSuspects, now: float, *parts: str) -> PartAction:
+def action(suspects: CrashSuspects, now: float, *parts: str) -> SuspectAction:
     suspects.update(now)
     return suspects.decide(SERVICE, parts, now).action
 
@@ -27,32 +27,32 @@
     suspects = CrashSuspects()
     suspects.record_sound(SERVICE, ["shared"], "team-1")
     suspects.record_crash(crash(1, "shared", DEADLY), 10.0)
-    assert action(suspects, 10.1, "shared", DEADLY) is PartAction.WAIT
-    assert action(suspects, 11.0, "shared", DEADLY) is PartAction.HOLD
-    assert action(suspects, 11.0, "shared") is PartAction.FORWARD
-    assert action(suspects, 14.1, DEADLY) is PartAction.PROBE
-    suspects.record_probe(PromptPart(SERVICE, DEADLY), 14.1)
-    assert action(suspects, 14.2, DEADLY) is PartAction.HOLD, "one probe at a time"
+    assert action(suspects, 10.1, "shared", DEADLY) is SuspectAction.WAIT
+    assert action(suspects, 11.0, "shared", DEADLY) is SuspectAction.HOLD
+    assert action(suspects, 11.0, "shared") is SuspectAction.FORWARD
+    assert action(suspects, 14.1, DEADLY) is SuspectAction.PROBE
+    suspects.record_probe(Suspect(SERVICE, DEADLY), 14.1)
+    assert action(suspects, 14.2, DEADLY) is SuspectAction.HOLD, "one probe at a time"
     suspects.record_crash(crash(2, "shared", DEADLY), 14.4)
-    assert action(suspects, 14.7, DEADLY) is PartAction.REJECT
-    assert action(suspects, 14.7, "shared") is PartAction.FORWARD
+    assert action(suspects, 14.7, DEADLY) is SuspectAction.REJECT
+    assert action(suspects, 14.7, "shared") is SuspectAction.FORWARD
 
 
 def test_sound_part_that_crashed_by_chance_stays_held() -> None:
     suspects = CrashSuspects()
     suspects.record_crash(crash(1, "rare"), 10.0)
-    assert action(suspects, 11.0, "rare") is PartAction.HOLD
+    assert action(suspects, 11.0, "rare") is SuspectAction.HOLD
     assert suspects.record_sound(SERVICE, ["rare"], "team-1") == ("rare",)
-    assert action(suspects, 11.0, "rare") is PartAction.FORWARD
+    assert action(suspects, 11.0, "rare") is SuspectAction.FORWARD
     suspects.record_crash(crash(2, "rare"), 12.0)
-    assert action(suspects, 13.0, "rare") is PartAction.FORWARD
+    assert action(suspects, 13.0, "rare") is SuspectAction.FORWARD
 
 
 def test_one_crash_seen_by_many_entries_counts_as_many() -> None:
     suspects = CrashSuspects()
     for _ in range(5):
         suspects.record_crash(crash(1, DEADLY), 10.0)
-    assert action(suspects, 10.5, DEADLY) is PartAction.HOLD
+    assert action(suspects, 10.5, DEADLY) is SuspectAction.HOLD
 
 
 def test_companion_of_the_deadly_part_is_quarantined_with_it() -> None:
@@ -60,20 +60,20 @@
     suspects = CrashSuspects()
     suspects.record_crash(crash(1, DEADLY, "companion"), 10.0)
     suspects.record_crash(crash(2, DEADLY, "companion"), 15.0)
-    assert action(suspects, 15.5, "companion") is PartAction.HOLD
+    assert action(suspects, 15.5, "companion") is SuspectAction.HOLD
     suspects.record_crash(crash(3, DEADLY), 20.0)
-    assert action(suspects, 20.5, DEADLY) is PartAction.REJECT
-    assert action(suspects, 20.5, "companion") is PartAction.PROBE
+    assert action(suspects, 20.5, DEADLY) is SuspectAction.REJECT
+    assert action(suspects, 20.5, "companion") is SuspectAction.PROBE
 
 
 def test_request_probes_one_suspect_while_another_is_held() -> None:
     suspects = CrashSuspects()
     suspects.record_crash(crash(1, "first"), 10.0)
     suspects.record_crash(crash(2, "second"), 13.0)
-    assert action(suspects, 14.5, "first") is PartAction.PROBE
-    assert action(suspects, 14.5, "second") is PartAction.HOLD
-    assert action(suspects, 14.5, "first", "second") is PartAction.HOLD
-    assert action(suspects, 17.5, "first", "second") is PartAction.PROBE
+    assert action(suspects, 14.5, "first") is SuspectAction.PROBE
+    assert action(suspects, 14.5, "second") is SuspectAction.HOLD
+    assert action(suspects, 14.5, "first", "second") is SuspectAction.HOLD
+    assert action(suspects, 17.5, "first", "second") is SuspectAction.PROBE
 
 
 def test_crashes_without_a_suspect_let_chance_convict() -> None:
@@ -83,27 +83,27 @@
         suspects.record_crash(crash(number), 5.0 + number)
     suspects.record_crash(crash(7, "rare"), 10.0)
     suspects.record_crash(crash(8, "rare"), 15.0)
-    assert action(suspects, 15.5, "rare") is PartAction.HOLD
+    assert action(suspects, 15.5, "rare") is SuspectAction.HOLD
     for number, at in ((9, 20.0), (10, 25.0)):
         suspects.record_crash(crash(number, "rare"), at)
-    assert action(suspects, 25.5, "rare") is PartAction.REJECT
+    assert action(suspects, 25.5, "rare") is SuspectAction.REJECT
 
 
 def test_quarantine_never_ends_or_costs_more_than_one_endpoint() -> None:
     suspects = CrashSuspects()
     suspects.record_crash(crash(1, DEADLY), 10.0)
     suspects.record_crash(crash(2, DEADLY), 15.0)
-    assert action(suspects, 16.0, DEADLY) is PartAction.REJECT
+    assert action(suspects, 16.0, DEADLY) is SuspectAction.REJECT
     end = 16.0 + policy.QUARANTINE_S + 1.0
-    assert action(suspects, end, DEADLY) is PartAction.PROBE
-    suspects.record_probe(PromptPart(SERVICE, DEADLY), end)
-    assert action(suspects, end + 0.1, DEADLY) is PartAction.HOLD
+    assert action(suspects, end, DEADLY) is SuspectAction.PROBE
+    suspects.record_probe(Suspect(SERVICE, DEADLY), end)
+    assert action(suspects, end + 0.1, DEADLY) is SuspectAction.HOLD
     suspects.record_crash(crash(3, DEADLY), end + 0.3)
-    assert action(suspects, end + 1.0, DEADLY) is PartAction.REJECT
+    assert action(suspects, end + 1.0, DEADLY) is SuspectAction.REJECT
     left_s = suspects.decide(SERVICE, [DEADLY], end + 1.0).wait_s
     assert left_s > 1.9 * policy.QUARANTINE_S
     suspects.record_sound(SERVICE, [DEADLY], "team-1")
-    assert action(suspects, end + 2.0, DEADLY) is PartAction.FORWARD
+    assert action(suspects, end + 2.0, DEADLY) is SuspectAction.FORWARD
 
 
 def test_invented_parts_displace_those_of_another_team() -> None:
@@ -111,7 +111,7 @@
     suspects.record_sound(SERVICE, ["theirs"], "team-2")
     for number in range(10_000):
         suspects.record_sound(SERVICE, [f"invented-{number}"], "team-1")
-    assert suspects.is_sound(PromptPart(SERVICE, "theirs"))
+    assert suspects.is_sound(Suspect(SERVICE, "theirs"))
     assert len(suspects.sound_by_team["team-1"]) <= policy.MAX_SOUND_PARTS_PER_TEAM
 
 
@@ -124,7 +124,7 @@
     assert len(suspects.crashes_by_part) <= policy.MAX_CRASHES * policy.MAX_PARTS_PER_CRASH
     for number in range(3 * policy.MAX_QUARANTINED):
         suspects.record_quarantine(
-            PromptPart(SERVICE, f"q-{number}"), Quarantine(100.0, 1, (("runner", 1),))
+            Suspect(SERVICE, f"q-{number}"), Quarantine(100.0, 1, (("runner", 1),))
         )
     assert len(suspects.quarantines) <= policy.MAX_QUARANTINED
     suspects.update(10.0 + policy.CRASH_TTL_S + 1.0)
@@ -136,7 +136,7 @@
     suspects = CrashSuspects()
     suspects.record_crash(crash(1, "rare"), 10.0)
     late = 10.0 + policy.CRASH_TTL_S + 1.0
-    assert action(suspects, late, "rare") is PartAction.FORWARD
+    assert action(suspects, late, "rare") is SuspectAction.FORWARD
 
 
 @pytest.mark.parametrize("seed", range(20))
@@ -151,7 +151,7 @@
     while now < 60.0:
         now += 0.02
         part = f"part-{min(int(random.expovariate(0.05)), 89)}"
-        if action(suspects, now, part) in (PartAction.FORWARD, PartAction.PROBE):
+        if action(suspects, now, part) in (SuspectAction.FORWARD, SuspectAction.PROBE):
             pending.append((now + 0.2, random.randrange(16), part))
         for due, _, name in pending:
             if due <= now:
@@ -187,9 +187,9 @@
         if now > 5.0 and random.random() < share:
             parts = (*parts, random.choice(list(crashes)))
         up = [number for number in range(16) if down_until[number] <= now]
-        if up and action(suspects, now, *parts) in (PartAction.FORWARD, PartAction.PROBE):
+        if up and action(suspects, now, *parts) in (SuspectAction.FORWARD, SuspectAction.PROBE):
             for part in parts:
-                suspects.record_probe(PromptPart(SERVICE, part), now)
+                suspects.record_probe(Suspect(SERVICE, part), now)
             pending.append((now + 0.2, random.choice(up), parts))
         due = [each for each in pending if each[0] <= now]
         pending = [each for each in pending if each[0] > now]
