Suspect the request itself of a crash, beside the parts of its prompt

Cause: only shared parts of prompts could be suspects. A request without any, or whose parts are known as sound, was sent to the next endpoint at once and let in again at each entry. Ruled out: ordinary crashes; the digests logged since show one request among those lost in each of eight crashes.

Change: a request is a suspect of its own, named by a digest of team, method, target and body, under the same rules, messages and commands. Lost with a rank it is held for 30 s; lost with a plain endpoint it is sent once more, alone; after the second crash it is rejected. While one request explains all crashes of a part, the part is not quarantined. From the third quarantine on only an operator ends it.

The tests failed before: a request crashed two endpoints each time it came.

--- a/packages/bergamotchute-cli/src/bergamotchute_cli/prompt_parts.py
+++ b/packages/bergamotchute-cli/src/bergamotchute_cli/prompt_parts.py
@@ -11,10 +11,10 @@
 from bergamotchute_cli.exit_code import ExitCode
 from bergamotchute_cli.options import Subcommands, add_command, add_output_option
 
-DESCRIPTION = """List the parts of prompts that crashed endpoints, or clear one.
+DESCRIPTION = """List the requests and the parts of prompts that crashed endpoints, or clear one.
 
-ADDRESS is the metrics address of any entry or control VM. A part that is cleared is cleared at all
-of them; if it crashes endpoints again, it is found again.
+ADDRESS is the metrics address of any entry or control VM. What is cleared is cleared at all of
+them; if it crashes endpoints again, it is found again. A request is named by its digest.
 
   bergamotchute prompt-parts 10.1.0.4:9464
   bergamotchute prompt-parts 10.1.0.4:9464 --clear drafting 48720f3588ea
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/admitted_request.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/admitted_request.py
@@ -7,6 +7,7 @@
 
 from bergamotchute_daemon.direct.request_format import RequestMetadata
 from bergamotchute_model.headers import Headers
+from bergamotchute_model.prompt_parts import request_name
 from bergamotchute_model.request_digest import digest_request
 from bergamotchute_model.versioned_configuration import RouteKind, RouteRule, ServiceRule
 from bergamotchute_wire.http1_messages import RequestHead
@@ -42,6 +43,11 @@
         """The digest of what the request has in common with one that comes again."""
         return digest_request(self.team, self.head.method, self.head.target, self.body)
 
+    @cached_property
+    def suspects(self) -> tuple[str, ...]:
+        """What a crash of an endpoint could be due to: this request, and parts of its prompt."""
+        return (request_name(self.digest), *self.metadata.shared_parts)
+
     @property
     def is_stream(self) -> bool:
         """Whether the response is a stream of events."""
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
@@ -28,6 +28,7 @@
 from bergamotchute_daemon.rate_limit_log import rate_for_log
 from bergamotchute_model import events
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
+from bergamotchute_model.prompt_parts import Suspect
 from bergamotchute_model.verdict import Verdict
 from bergamotchute_policy.crash_suspects import SuspectAction, SuspectDecision
 from bergamotchute_policy.direct_placement import DirectPlacement, EndpointCandidate
@@ -95,7 +96,7 @@
 """Upper bound of the random delay that keeps callers refused together from retrying together."""
 
 QUARANTINED_STATUS = 400
-"""Status for a prompt that crashes endpoints; callers don't retry it, anywhere."""
+"""Status for a request that crashes endpoints; callers don't retry it, anywhere."""
 
 MAX_RESPONSE_BYTES = 4_194_304
 """Largest response, other than a stream, that is buffered whole; a larger one is a failure.
@@ -238,7 +239,7 @@
         while True:
             decision = await self.prompt_guard.decide(request)
             if decision.action in (SuspectAction.REJECT, SuspectAction.HOLD):
-                self._refuse_prompt(request, writer, progress, decision)
+                self._refuse_suspect(request, writer, progress, decision)
                 return
             chosen = await self._choose_endpoint(request, progress)
             if (
@@ -269,24 +270,26 @@
                 await self._finish_with_failure(request, writer, progress, result)
                 return
 
-    def _refuse_prompt(
+    def _refuse_suspect(
         self,
         request: AdmittedRequest,
         writer: ResponseWriter,
         progress: _RequestProgress,
         decision: SuspectDecision,
     ) -> None:
-        """Refuse a request because a part of its prompt may crash endpoints.
+        """Refuse a request because it, or a part of its prompt, may crash endpoints.
 
         :raises RequestRefused: if no part of a response was written.
         """
+        suspect = Suspect(request.service.name, decision.part)
+        subject = "the request" if suspect.is_request else f"part {suspect.part} of the prompt"
         if decision.action is SuspectAction.REJECT and not writer.started:
             raise RequestRefused(
                 QUARANTINED_STATUS,
-                f"part {decision.part} of the prompt crashed {decision.crashes} endpoints;"
-                f" requests with it are rejected for another {decision.wait_s:.0f} s",
+                f"{subject} crashed {decision.crashes} endpoints;"
+                f" it is rejected for another {decision.wait_s:.0f} s",
             )
-        reason = f"part {decision.part} of the prompt may have crashed an endpoint"
+        reason = f"{subject} may have crashed an endpoint"
         if progress.may_have_run or writer.started:
             self._fail_request(request, writer, progress, reason)
             return
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/prompt_guard.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/prompt_guard.py
@@ -1,4 +1,4 @@
-"""Keeps requests whose prompt may crash an endpoint away from the other endpoints."""
+"""Keeps requests that may crash an endpoint away from the other endpoints."""
 
 from __future__ import annotations
 
@@ -25,20 +25,24 @@
     """Decides by the evidence of all entries which requests are sent, and adds to it.
 
     :param post: sends evidence to the control VMs, which pass it on.
+    :param stops_group: returns whether a crash of an endpoint of a service stops a rank group.
     :param changed: set when evidence changes, for the requests that wait for it.
     """
 
     table: PromptEvidenceTable
     post: Callable[[PromptEvidence], None]
     log: EventLog
+    stops_group: Callable[[str], bool]
     changed: anyio.Event = field(default_factory=anyio.Event)
 
     async def decide(self, request: AdmittedRequest) -> SuspectDecision:
         """Decide on a request before an attempt; wait while other entries may clear its parts."""
-        suspects, parts = self.table.suspects, request.metadata.shared_parts
-        while parts and (suspects.crashes_by_part or suspects.quarantines):
+        suspects, service = self.table.suspects, request.service.name
+        while suspects.crashes_by_part or suspects.quarantines:
             self.table.update()
-            decision = suspects.decide(request.service.name, parts, anyio.current_time())
+            decision = suspects.decide(
+                service, request.suspects, anyio.current_time(), self.stops_group(service)
+            )
             if decision.action is SuspectAction.WAIT:
                 with anyio.move_on_after(decision.wait_s):
                     await self.changed.wait()
@@ -50,7 +54,7 @@
 
     def _record_probe(self, request: AdmittedRequest) -> None:
         suspects, service = self.table.suspects, request.service.name
-        parts = tuple(suspects.held_parts(service, request.metadata.shared_parts))
+        parts = tuple(suspects.held_parts(service, request.suspects))
         for part in parts:
             suspects.record_probe(part, anyio.current_time())
             self.log.emit(
@@ -63,12 +67,9 @@
         self.post(PromptEvidence(probed=parts))
 
     def on_answered(self, request: AdmittedRequest) -> None:
-        """Clear the parts of a request of which the first event came."""
-        parts = request.metadata.shared_parts
-        if not parts:
-            return
+        """Clear a request of which the first event came, and the parts of its prompt."""
         service = request.service.name
-        cleared = self.table.suspects.record_sound(service, parts, request.team)
+        cleared = self.table.suspects.record_sound(service, request.suspects, request.team)
         if cleared:
             self.table.record_cleared(service, cleared, request.metadata.request_id)
             self.post(PromptEvidence(sound=tuple(Suspect(service, each) for each in cleared)))
@@ -78,11 +79,9 @@
         self, request: AdmittedRequest, endpoint: EndpointHeartbeat
     ) -> None:
         """Record a crash if an endpoint ended a request's connection and refuses new ones."""
-        parts, service = request.metadata.shared_parts, request.service.name
-        suspects = self.table.suspects
-        crash = Crash(
-            service, endpoint.endpoint, endpoint.born_ms, suspects.suspects_of(service, parts)
-        )
+        suspects, service = self.table.suspects, request.service.name
+        names = suspects.suspects_of(service, request.suspects)
+        crash = Crash(service, endpoint.endpoint, endpoint.born_ms, names)
         is_known = (crash.endpoint, crash.born_ms) in suspects.crashes
         if not is_known and not await refuses_connections(endpoint.address, CRASH_CHECK_TIMEOUT_S):
             return
@@ -93,8 +92,6 @@
             born_ms=endpoint.born_ms,
             digest=request.digest,
         )
-        if not parts:
-            return
         if self.table.record_crash(crash, 0.0, told_by=request.metadata.request_id):
             self.post(PromptEvidence(crashes=((crash, 0.0),)))
             self._notify_changed()
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
@@ -106,6 +106,9 @@
                 lambda group: group.accepts_prompt_evidence, evidence
             ),
             log=environment.log,
+            stops_group=lambda service: forwarder.placement.has_rank_group(
+                process.endpoints_by_service.get(service, ())
+            ),
         ),
         rate_permits=RatePermits(
             limits=RateLimitLog(environment.log),
--- a/packages/bergamotchute-model/src/bergamotchute_model/events.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/events.py
@@ -116,15 +116,17 @@
     logging.WARNING,
 )
 PROMPT_PART_PROBED = _define_event_kind(
-    1121, "prompt_part_probed", "A request with a part that may crash endpoints is sent alone."
+    1121,
+    "prompt_part_probed",
+    "A request that may crash endpoints, or with such a part, is sent alone.",
 )
 PROMPT_PART_CLEARED = _define_event_kind(
-    1122, "prompt_part_cleared", "A part that was suspected of crashes is sound."
+    1122, "prompt_part_cleared", "A request or part that was suspected of crashes is sound."
 )
 PROMPT_PART_QUARANTINED = _define_event_kind(
     1123,
     "prompt_part_quarantined",
-    "A part crashed endpoints; requests with it are rejected for some time.",
+    "A request or part crashed endpoints; it is rejected for some time.",
     logging.WARNING,
 )
 REQUEST_LOST_IN_CRASH = _define_event_kind(
--- a/packages/bergamotchute-model/src/bergamotchute_model/prompt_parts.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/prompt_parts.py
@@ -1,10 +1,18 @@
-"""Parts of prompts, and what processes tell each other of those that may crash endpoints."""
+"""Parts of prompts and requests that may crash endpoints, and what processes tell of them."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 from typing import Literal
 
+REQUEST_PREFIX = "request-"
+"""Begins the name of a request; the identifier of a part has hexadecimal digits only."""
+
+
+def request_name(digest: str) -> str:
+    """Return the name of the requests with a digest, as a suspect."""
+    return REQUEST_PREFIX + digest
+
 
 @dataclass(frozen=True, order=True)
 class Suspect:
@@ -16,13 +24,18 @@
     service: str
     part: str
 
+    @property
+    def is_request(self) -> bool:
+        """Whether the suspect is one request, which has nothing in common with others."""
+        return self.part.startswith(REQUEST_PREFIX)
+
 
 @dataclass(frozen=True)
 class Crash:
     """A crash of one incarnation of an endpoint.
 
-    :param parts: the parts of the requests that waited for their first event there, as far as no
-        answer had cleared them.
+    :param parts: the requests that waited for their first event there, by name, and the parts of
+        their prompts, as far as no answer had cleared them.
     """
 
     service: str
@@ -33,7 +46,7 @@
 
 @dataclass(frozen=True)
 class QuarantinedPart:
-    """A part whose requests are rejected.
+    """A suspect whose requests are rejected.
 
     :param left_s: the rest of its quarantine, in seconds.
     :param quarantine_count: how often it was quarantined.
@@ -48,13 +61,13 @@
 
 @dataclass(frozen=True)
 class PromptEvidence:
-    """What the sender learnt of prompt parts, or all that it knows.
+    """What the sender learnt of suspects, or all that it knows.
 
     :param crashes: crashes, each with its age in seconds.
     :param sound: suspects of which a request got an answer.
     :param probed: suspects of which a request was sent just now.
-    :param quarantined: parts that the sender rejects.
-    :param cleared: parts that an operator cleared.
+    :param quarantined: suspects that the sender rejects.
+    :param cleared: suspects that an operator cleared.
     """
 
     crashes: tuple[tuple[Crash, float], ...] = ()
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/crash_suspects.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/crash_suspects.py
@@ -1,8 +1,8 @@
-"""Prompt parts that may crash the endpoints which answer them.
+"""Requests and parts of prompts that may crash the endpoints which answer them.
 
-A crash has suspects: the parts of the requests that waited for their first event at the endpoint.
-A part that got an answer anywhere is sound. Entries and control VMs exchange crashes and sound
-parts, and each decides by itself with the same rules.
+A crash has suspects: the requests that waited for their first event at the endpoint, and the parts
+of their prompts. A suspect that got an answer anywhere is sound. Entries and control VMs exchange
+crashes and sound suspects, and each decides by itself with the same rules.
 """
 
 from __future__ import annotations
@@ -15,7 +15,7 @@
 from bergamotchute_model.prompt_parts import Crash, Suspect
 
 REQUIRED_CRASHES = 2
-"""Crashes of a part that no sound request clears, until it is quarantined."""
+"""Crashes of a suspect that no sound request clears, until it is quarantined."""
 
 MAX_REQUIRED_CRASHES = 4
 """Upper bound while endpoints also crash with no suspect, so that chance explains more crashes."""
@@ -30,6 +30,12 @@
 """Time after a crash until one request with a suspect is sent: the endpoint has restarted by then,
 so that a second crash doesn't take down another rank group as well."""
 
+GROUP_REQUEST_PROBE_DELAY_S = 30.0
+"""The same for a suspect request where a crash stops a whole rank group.
+
+A suspect part may concern many callers, a suspect request only those who send it again.
+"""
+
 PROBE_INTERVAL_S = 2.0
 """Time between two such requests; the first event comes or the endpoint crashes within it."""
 
@@ -37,16 +43,22 @@
 """How long a crash counts against its suspects."""
 
 QUARANTINE_S = 120.0
-MAX_QUARANTINE_S = 3600.0
-"""First and longest time of a quarantine; it doubles each time a probe crashes an endpoint."""
+FINAL_QUARANTINE_S = 2_592_000.0
+QUARANTINE_LENGTHS_S = (QUARANTINE_S, 2.0 * QUARANTINE_S, FINAL_QUARANTINE_S)
+"""Lengths of the first and the further quarantines of a suspect.
+
+After each one request proves the suspect again. From the third on it is left to operators, so that
+no request crashes one endpoint after the other.
+"""
 
 MAX_CRASHES = 256
 MAX_PARTS_PER_CRASH = 64
 MAX_QUARANTINED = 128
 MAX_SOUND_PARTS_PER_TEAM = 256
+MAX_SOUND_REQUESTS_PER_TEAM = 256
 MAX_TEAMS = 128
-"""Bounds of the tables. Sound parts are counted for each team, so that one team's prompts don't
-displace those of another."""
+"""Bounds of the tables. What is sound is counted for each team, so that one team's requests don't
+displace those of another; requests, which are mostly new, don't displace parts."""
 
 
 @dataclass
@@ -101,6 +113,9 @@
 
 FORWARD = SuspectDecision(SuspectAction.FORWARD)
 
+_SoundByTeam = OrderedDict[str, OrderedDict[Suspect, None]]
+"""The suspects that got an answer by team, the one that did so last at the end."""
+
 
 class CrashSuspects:
     """Collects crashes and sound parts, and decides which requests may be sent."""
@@ -108,13 +123,15 @@
     def __init__(self) -> None:
         self.crashes: OrderedDict[tuple[str, int], _KnownCrash] = OrderedDict()
         self.crashes_by_part: dict[Suspect, set[tuple[str, int]]] = {}
-        self.sound_by_team: OrderedDict[str, OrderedDict[Suspect, None]] = OrderedDict()
+        self.sound_by_team: _SoundByTeam = OrderedDict()
+        self.sound_requests_by_team: _SoundByTeam = OrderedDict()
         self.probed_at: dict[Suspect, float] = {}
         self.quarantines: OrderedDict[Suspect, Quarantine] = OrderedDict()
 
     def is_sound(self, part: Suspect) -> bool:
-        """Return whether a request with the part got an answer."""
-        return any(part in parts for parts in self.sound_by_team.values())
+        """Return whether a request with the suspect got an answer."""
+        by_team = self.sound_requests_by_team if part.is_request else self.sound_by_team
+        return any(part in sound for sound in by_team.values())
 
     def record_crash(self, crash: Crash, at: float) -> bool:
         """Record a crash, also when other suspects of it are known; return whether it is news.
@@ -143,22 +160,16 @@
 
         :return: those that were suspects or quarantined, which other processes must learn.
         """
-        sound = self.sound_by_team.get(team)
-        if sound is None:
-            sound = self.sound_by_team[team] = OrderedDict()
-            if len(self.sound_by_team) > MAX_TEAMS:
-                self.sound_by_team.popitem(last=False)
-        self.sound_by_team.move_to_end(team)
         cleared: list[str] = []
         for name in parts:
             part = Suspect(service, name)
-            sound[part] = None
-            sound.move_to_end(part)
+            if part.is_request:
+                _add_sound(self.sound_requests_by_team, team, part, MAX_SOUND_REQUESTS_PER_TEAM)
+            else:
+                _add_sound(self.sound_by_team, team, part, MAX_SOUND_PARTS_PER_TEAM)
             if part in self.crashes_by_part or part in self.quarantines:
                 self._clear(part)
                 cleared.append(name)
-        while len(sound) > MAX_SOUND_PARTS_PER_TEAM:
-            sound.popitem(last=False)
         return tuple(cleared)
 
     def record_probe(self, part: Suspect, now: float) -> None:
@@ -205,7 +216,7 @@
         for part in due:
             known = self.quarantines.get(part)
             quarantine_count = known.quarantine_count + 1 if known is not None else 1
-            length_s = min(MAX_QUARANTINE_S, QUARANTINE_S * 2.0 ** (quarantine_count - 1))
+            length_s = QUARANTINE_LENGTHS_S[min(quarantine_count, len(QUARANTINE_LENGTHS_S)) - 1]
             keys = tuple(sorted(self.crashes_by_part[part]))
             self._put_quarantine(part, Quarantine(now + length_s, quarantine_count, keys))
         return due
@@ -227,12 +238,22 @@
         required = self._required_crashes(part.service, now)
         if len(keys) < required:
             return False
-        # Of two parts with the same crashes, only a further crash tells which of them is the cause.
-        return len(keys) > required or not self._has_companion(part, keys)
-
-    def _has_companion(self, part: Suspect, keys: set[tuple[str, int]]) -> bool:
-        companions = set.intersection(*(self.crashes[key].suspects for key in keys))
-        return len(companions - {part.part}) > 0
+        requests, parts = self._companions(part, keys)
+        if requests and not part.is_request:
+            # One request explains all of these crashes, so they prove nothing against a part.
+            return False
+        # Of two suspects of one kind with the same crashes, only a further crash tells which of
+        # them is the cause.
+        return len(keys) > required or not (requests if part.is_request else parts)
+
+    def _companions(
+        self, part: Suspect, keys: set[tuple[str, int]]
+    ) -> tuple[list[Suspect], list[Suspect]]:
+        """Return the requests and the parts that are suspects of the same crashes as well."""
+        names = set.intersection(*(self.crashes[key].suspects for key in keys)) - {part.part}
+        suspects = [Suspect(part.service, name) for name in names]
+        requests = [each for each in suspects if each.is_request]
+        return requests, [each for each in suspects if not each.is_request]
 
     def _required_crashes(self, service: str, now: float) -> int:
         unexplained = sum(
@@ -254,38 +275,83 @@
         known = [Suspect(service, name) for name in parts]
         return [each for each in known if each in self.crashes_by_part or each in self.quarantines]
 
-    def decide(self, service: str, parts: Sequence[str], now: float) -> SuspectDecision:
-        """Decide whether a request with these parts may be sent now.
+    def decide(
+        self, service: str, parts: Sequence[str], now: float, stops_group: bool = True
+    ) -> SuspectDecision:
+        """Decide whether a request with these suspects may be sent now.
 
         :meth:`update` must have been called at this time.
+
+        :param stops_group: whether a crash of one of the service's endpoints stops others as well.
         """
-        decisions = [self._decide_part(part, now) for part in self.held_parts(service, parts)]
+        decisions = [
+            (
+                self._decide_request(suspect, now, stops_group)
+                if suspect.is_request
+                else self._decide_part(suspect, now)
+            )
+            for suspect in self.held_parts(service, parts)
+        ]
         return max(
             decisions, key=lambda each: (_SEVERITY[each.action], each.wait_s), default=FORWARD
         )
 
     def _decide_part(self, part: Suspect, now: float) -> SuspectDecision:
-        quarantine = self.quarantines.get(part)
-        crashes = len(self.crashes_by_part.get(part, ()))
-        if quarantine is not None and now < quarantine.until:
-            left_s = quarantine.until - now
-            return SuspectDecision(SuspectAction.REJECT, part.part, left_s, len(quarantine.crashes))
-        if part in self.crashes_by_part:
-            since_crash_s = now - self._last_crash_at(part)
-            if since_crash_s < CLEARANCE_WAIT_S:
-                return SuspectDecision(
-                    SuspectAction.WAIT, part.part, CLEARANCE_WAIT_S - since_crash_s, crashes
-                )
-            if since_crash_s < PROBE_DELAY_S:
+        wait_s = self._clearance_wait_s(part, now)
+        if wait_s > 0:
+            return SuspectDecision(SuspectAction.WAIT, part.part, wait_s, self._crash_count(part))
+        return self._decide_probe(part, now, PROBE_DELAY_S)
+
+    def _decide_request(self, suspect: Suspect, now: float, stops_group: bool) -> SuspectDecision:
+        # Nothing but the same request clears it, so that no attempt waits for others.
+        if self._crash_count(suspect) >= self._required_crashes(suspect.service, now):
+            wait_s = self._clearance_wait_s(suspect, now)
+            if wait_s > 0:
                 return SuspectDecision(
-                    SuspectAction.HOLD, part.part, PROBE_DELAY_S - since_crash_s, crashes
+                    SuspectAction.HOLD, suspect.part, wait_s, self._crash_count(suspect)
                 )
-        since_probe_s = now - self.probed_at.get(part, float("-inf"))
-        if since_probe_s < PROBE_INTERVAL_S:
-            return SuspectDecision(
-                SuspectAction.HOLD, part.part, PROBE_INTERVAL_S - since_probe_s, crashes
-            )
-        return SuspectDecision(SuspectAction.PROBE, part.part, 0.0, crashes)
+        return self._decide_probe(suspect, now, GROUP_REQUEST_PROBE_DELAY_S if stops_group else 0.0)
+
+    def _clearance_wait_s(self, suspect: Suspect, now: float) -> float:
+        """Return the rest of the time for other entries to say that a suspect is sound."""
+        quarantine = self.quarantines.get(suspect)
+        is_quarantined = quarantine is not None and now < quarantine.until
+        if is_quarantined or suspect not in self.crashes_by_part:
+            return 0.0
+        return self._last_crash_at(suspect) + CLEARANCE_WAIT_S - now
+
+    def _crash_count(self, suspect: Suspect) -> int:
+        return len(self.crashes_by_part.get(suspect, ()))
+
+    def _decide_probe(self, suspect: Suspect, now: float, probe_delay_s: float) -> SuspectDecision:
+        """Reject, hold or probe a suspect.
+
+        :param probe_delay_s: the time after a crash until it may be probed, in seconds.
+        """
+        quarantine = self.quarantines.get(suspect)
+        if quarantine is not None and now < quarantine.until:
+            left_s = quarantine.until - now
+            crashes = len(quarantine.crashes)
+            return SuspectDecision(SuspectAction.REJECT, suspect.part, left_s, crashes)
+        crashes = self._crash_count(suspect)
+        probe_at = self.probed_at.get(suspect, float("-inf")) + PROBE_INTERVAL_S
+        if crashes:
+            probe_at = max(probe_at, self._last_crash_at(suspect) + probe_delay_s)
+        if now < probe_at:
+            return SuspectDecision(SuspectAction.HOLD, suspect.part, probe_at - now, crashes)
+        return SuspectDecision(SuspectAction.PROBE, suspect.part, 0.0, crashes)
+
+
+def _add_sound(by_team: _SoundByTeam, team: str, suspect: Suspect, most: int) -> None:
+    """Record a suspect that got an answer, and drop the oldest ones beyond the bounds."""
+    sound = by_team.setdefault(team, OrderedDict())
+    by_team.move_to_end(team)
+    sound[suspect] = None
+    sound.move_to_end(suspect)
+    if len(sound) > most:
+        sound.popitem(last=False)
+    if len(by_team) > MAX_TEAMS:
+        by_team.popitem(last=False)
 
 
 _SEVERITY = {action: rank for rank, action in enumerate(SuspectAction)}
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
@@ -214,6 +214,10 @@
         durations = RETRY_MIN_DURATIONS + RETRY_SPREAD_DURATIONS * self.random.random()
         return durations * request_duration_s(engine, engine.slots)
 
+    def has_rank_group(self, endpoints: Iterable[EndpointHeartbeat]) -> bool:
+        """Return whether any of the endpoints is a rank of a group."""
+        return any(self.rank_groups.group_names.get(each.address) for each in endpoints)
+
     def has_healthy_endpoint(
         self, endpoints: Iterable[EndpointHeartbeat], avoided: Collection[str], now: float
     ) -> bool:
--- a/tests/direct/test_prompt_guard.py
+++ b/tests/direct/test_prompt_guard.py
@@ -14,13 +14,16 @@
 from bergamotchute_cli.exit_code import ExitCode
 from bergamotchute_daemon.prompt_part_api import prompt_part_handler
 from bergamotchute_model.prompt_parts import Crash, PromptEvidence, QuarantinedPart, Suspect
+from bergamotchute_model.request_digest import digest_request
 from bergamotchute_platform.request_format import REQUEST_FORMAT
 from bergamotchute_wire.http1_messages import RequestHead
 from bergamotchute_wire.http1_server import Http1Server
 from support.entry_fixture import (
+    CallerResponse,
     EndpointScript,
     EntryFixture,
     ReceivedRequest,
+    answer,
     chunked,
     event,
     run_with_entry,
@@ -229,3 +232,80 @@
         assert len(looks) == 1
 
     run_with_entry(body)
+
+
+def crash_on_body(entry: EntryFixture, body: bytes) -> EndpointScript:
+    """Return a script that crashes the endpoint on a body and answers otherwise."""
+
+    async def run(request: ReceivedRequest, stream: SocketStream) -> None:
+        if request.body == body:
+            await entry.crash(request.endpoint)
+        else:
+            await stream.send(answer(request))
+
+    return run
+
+
+async def send_body(entry: EntryFixture, route: str, body: bytes) -> CallerResponse:
+    return await entry.send_request(route, body=body)
+
+
+def test_request_without_a_prompt_crashes_one_endpoint_after_the_other() -> None:
+    async def body(entry: EntryFixture) -> None:
+        entry.has_rank_group = False
+        for number in range(5):
+            await entry.add_endpoint(f"runner-{number}", crash_on_body(entry, b"deadly"))
+        assert (await send_body(entry, "status", b"deadly")).status == 502
+        assert len(entry.received_requests) == 2, "the retry that the route allows"
+        held = await send_body(entry, "status", b"deadly")
+        assert held.status in (503, 400), "the second crash may be old enough for the verdict"
+        await anyio.sleep(0.3)
+        for _ in range(3):
+            rejected = await send_body(entry, "status", b"deadly")
+            assert rejected.status == 400
+            assert b"the request crashed 2 endpoints" in rejected.body
+        assert len(entry.received_requests) == 2
+        assert (await send_body(entry, "status", b"harmless")).status == 200
+
+    run_with_entry(body)
+
+
+def test_request_that_crashed_a_rank_is_sent_to_another_group() -> None:
+    async def body(entry: EntryFixture) -> None:
+        for number in range(3):
+            await entry.add_endpoint(f"runner-{number}", crash_on_body(entry, b"deadly"))
+        assert (await send_body(entry, "status", b"deadly")).status == 502
+        held = await send_body(entry, "status", b"deadly")
+        assert held.status == 503
+        assert float(held.headers["retry-after"]) > 25.0
+        assert len(entry.received_requests) == 1
+        assert (await send_body(entry, "status", b"harmless")).status == 200
+        suspects = [name for each, _ in entry.posted_evidence[0].crashes for name in each.parts]
+        assert len(suspects) == 1
+        assert suspects[0].startswith("request-")
+
+    run_with_entry(body)
+
+
+def test_order_that_crashed_its_endpoint_is_reported_as_not_run() -> None:
+    async def body(entry: EntryFixture) -> None:
+        entry.has_rank_group = False
+        for number in range(3):
+            await entry.add_endpoint(f"runner-{number}", crash_on_body(entry, b"deadly"))
+        assert (await send_body(entry, "order", b"deadly")).status == 502
+        assert len(entry.received_requests) == 1
+
+    run_with_entry(body)
+
+
+def test_request_of_another_team_or_path_is_held_with_a_deadly_one() -> None:
+    digests = {
+        digest_request("team-1", "GET", "/status/1", b"x"),
+        digest_request("team-2", "GET", "/status/1", b"x"),
+        digest_request("team-1", "POST", "/status/1", b"x"),
+        digest_request("team-1", "GET", "/status/1?a", b"x"),
+        digest_request("team-1", "GET", "/status/1", b""),
+        digest_request("team-1", "GET", "/status/", b"1x"),
+    }
+    assert len(digests) == 6
+    assert digest_request("team-1", "GET", "/status/1", b"x") in digests
--- a/tests/support/entry_fixture.py
+++ b/tests/support/entry_fixture.py
@@ -142,7 +142,8 @@
 class EntryFixture:
     """An entry with its endpoints and one caller.
 
-    ``closed_endpoints`` names the endpoints whose connection was closed before their script ended.
+    ``closed_endpoints`` names the endpoints whose connection was closed before their script ended;
+    ``has_rank_group`` tells whether a crash of one of them stops the others.
     """
 
     def __init__(self, tasks: TaskGroup) -> None:
@@ -154,6 +155,7 @@
         self.posted_evidence: list[PromptEvidence] = []
         self.posted_limits: list[RateLimitsReported] = []
         self.endpoints: list[EndpointHeartbeat] = []
+        self.has_rank_group = True
         self.routing_table: RoutingTable | None = RoutingTable(CONFIGURATION)
         self.placement = DirectPlacement("north", Random(1))
         self.network = MemoryNetwork(tasks)
@@ -169,7 +171,10 @@
             log=self.log,
             metrics=NodeMetrics(dict),
             prompt_guard=PromptGuard(
-                PromptEvidenceTable(self.log), self.posted_evidence.append, self.log
+                PromptEvidenceTable(self.log),
+                self.posted_evidence.append,
+                self.log,
+                stops_group=lambda _: self.has_rank_group,
             ),
             rate_permits=RatePermits(
                 limits=RateLimitLog(self.log),
@@ -253,11 +258,11 @@
         self.endpoints[index] = replace(previous, born_ms=born_ms, phase=EndpointPhase.READY)
 
     async def send_request(
-        self, route: str, method: str = "POST", **headers: str
+        self, route: str, method: str = "POST", body: bytes = b"", **headers: str
     ) -> CallerResponse:
         """Send one request on a new connection and read the response to its end."""
         async with await anyio.connect_tcp(self.address.host, self.address.port) as stream:
-            return await exchange(stream, route, method, **headers)
+            return await exchange(stream, route, method, body, **headers)
 
 
 async def wait_until(condition: Callable[[], bool]) -> None:
@@ -267,7 +272,7 @@
 
 
 async def exchange(
-    stream: SocketStream, route: str, method: str = "POST", **headers: str
+    stream: SocketStream, route: str, method: str = "POST", body: bytes = b"", **headers: str
 ) -> CallerResponse:
     """Send one request on a connection and read the response."""
     protocol = h11.Connection(h11.CLIENT)
@@ -276,12 +281,13 @@
         "bergamotchute-request-id": "request-1",
         "bergamotchute-deadline-remaining": "1500",
         "x-api-key": "key-1",
-        "content-length": "0",
+        "content-length": str(len(body)),
     }
     usual |= {name.replace("_", "-"): value for name, value in headers.items()}
     fields = [(name, value) for name, value in usual.items() if value]
     request = h11.Request(method=method, target=f"/{route}/one?a=b", headers=fields)
-    await stream.send((protocol.send(request) or b"") + (protocol.send(h11.EndOfMessage()) or b""))
+    messages = (request, h11.Data(data=body), h11.EndOfMessage())
+    await stream.send(b"".join(protocol.send(each) or b"" for each in messages))
     response = CallerResponse()
     while True:
         try:
