Bound what others write at the boundary, before it is told to all processes

Report of another operator: one odd entry among those of the runners ended the machines that read it. Slots of 2^70 or -3, starts and sequences of any size, addresses such as 'a b:80', lone surrogates and texts of any length were told to every reader; a lone surrogate can't be encoded for the links. Integers of 400 digits raised OverflowError past the handler that answers 400; a list of experts that holds no lists raised TypeError in the agent; a caller's deadline, an endpoint's load or an event id of 5,000 digits ended a connection without an answer; an engine with no slots or no speed divided by zero.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/event_stream.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/event_stream.py
@@ -81,4 +81,10 @@
         self.chunks_without_event = 0
 
     def _is_out_of_order(self, event_id: str) -> bool:
-        return int(event_id) <= int(self.last_event_id)
+        return _number_order(event_id) <= _number_order(self.last_event_id)
+
+
+def _number_order(digits: str) -> tuple[int, str]:
+    """Return the sort key of a number of any length, which conversion to an integer limits."""
+    significant = digits.lstrip("0")
+    return len(significant), significant
--- a/packages/bergamotchute-model/src/bergamotchute_model/identifiers.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/identifiers.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+MAX_PORT_LENGTH = 5
+
 
 @dataclass(frozen=True, order=True)
 class Address:
@@ -26,7 +28,8 @@
         :raises ValueError: if the text has another format or the port is out of range.
         """
         host, separator, port = text.rpartition(":")
-        if not separator or not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        is_number = port.isascii() and port.isdecimal() and len(port) <= MAX_PORT_LENGTH
+        if not separator or not host or not is_number or not 0 < int(port) < 65536:
             raise ValueError(f"expected HOST:PORT with a port from 1 to 65535, found {text!r}")
         return cls(host.strip("[]"), int(port))
 
