Take a refusal as proof only for the request that it names

Report of another operator: a faulty runner wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran.

An entry now compares the id first; a refusal that echoes none proves nothing. A persistent connection on which bytes wait or followed the response is replaced before the next call. Agents of our own interface open a connection for each attempt, as they did for those that may not run twice. What stays: on a kept connection to a rank, a second response that comes after the next order was sent can't be told apart, as orders carry no id; the report read after each order does.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/agent.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/agent.py
@@ -290,7 +290,6 @@
             headers=self._endpoint_headers(message),
             body=_body(message),
             silence_timeout_s=ENDPOINT_SILENCE_TIMEOUT_S,
-            is_repeatable=message.idempotent,
         )
         try:
             async with self.call_endpoint(request) as answer:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
@@ -506,10 +506,13 @@
         head_timeout_s = max(MIN_HEAD_TIMEOUT_S, objective_timeout_s)
         head = await self._read_or_fail_over(attempt, head_timeout_s, exchange.read_response_head)
         response_metadata = self.request_format.read_response(head)
+        if response_metadata.request_id != request.metadata.request_id:
+            return AttemptFailure(
+                Verdict.MAY_HAVE_RUN, "the response has the request id of another request"
+            )
         self._apply_response_metadata(endpoint, response_metadata)
-        if response_metadata.request_id == request.metadata.request_id:
-            self.rate_permits.on_response(endpoint, response_metadata, send_started_at)
-        failure = self._find_failure(request, head, response_metadata)
+        self.rate_permits.on_response(endpoint, response_metadata, send_started_at)
+        failure = self._find_failure(head, response_metadata)
         if failure is not None:
             now = anyio.current_time()
             if response_metadata.not_run and now - send_started_at > GROUP_STALL_THRESHOLD_S:
@@ -554,15 +557,11 @@
             )
 
     def _find_failure(
-        self, request: AdmittedRequest, head: ResponseHead, response_metadata: ResponseMetadata
+        self, head: ResponseHead, response_metadata: ResponseMetadata
     ) -> AttemptFailure | None:
         """Return why a response can't be forwarded to the caller, or ``None`` if it can."""
         if response_metadata.not_run or response_metadata.wrong_endpoint:
             return AttemptFailure(Verdict.NOT_RUN, f"status {head.status}, not run")
-        if response_metadata.request_id != request.metadata.request_id:
-            return AttemptFailure(
-                Verdict.MAY_HAVE_RUN, "the response has the request id of another request"
-            )
         if 200 <= head.status < 300 and not response_metadata.signed:
             return AttemptFailure(Verdict.MAY_HAVE_RUN, "the response is not signed")
         if head.status in (408, 421, 429, 503):
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/process_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/process_runner.py
@@ -31,7 +31,7 @@
 from bergamotchute_model.attempt_messages import AttemptMessage
 from bergamotchute_model.control_messages import ControlMessage
 from bergamotchute_wire.asgi_server import serve_asgi_app
-from bergamotchute_wire.endpoint_client import http_endpoint_call
+from bergamotchute_wire.endpoint_client import SINGLE_USE_LIMITS, http_endpoint_call
 from bergamotchute_wire.message_codec import MessageCodec
 from bergamotchute_wire.web_socket_transport import (
     LinkRoute,
@@ -42,8 +42,6 @@
 ATTEMPT_CODEC: MessageCodec[AttemptMessage] = MessageCodec(AttemptMessage)
 CONTROL_CODEC: MessageCodec[ControlMessage] = MessageCodec(ControlMessage)
 
-SINGLE_USE_LIMITS = httpx.Limits(max_connections=None, max_keepalive_connections=0)
-
 EXIT_SUCCESS = 0
 EXIT_DRAIN_OVERRUN = 3
 """Requests still ran at the end of the drain bound and were cancelled."""
@@ -116,13 +114,11 @@
 async def run_agent(settings: AgentSettings) -> int:
     """Run an agent until a stop signal; return the exit status."""
     environment = _create_environment(settings)
-    limits = httpx.Limits(max_connections=None, max_keepalive_connections=settings.slots * 2)
     async with (
-        httpx.AsyncClient(limits=limits, trust_env=False) as client,
-        httpx.AsyncClient(limits=SINGLE_USE_LIMITS, trust_env=False) as single_use,
+        httpx.AsyncClient(limits=SINGLE_USE_LIMITS, trust_env=False) as client,
         anyio.create_task_group() as tasks,
     ):
-        call_endpoint = http_endpoint_call(client, single_use, settings.endpoint_url)
+        call_endpoint = http_endpoint_call(client, settings.endpoint_url)
         process = compose_agent(settings, environment, call_endpoint, tasks)
         process.log.emit(events.PROCESS_STARTED, endpoint=settings.name)
         routes = {ATTEMPTS_PATH: LinkRoute(ATTEMPT_CODEC, process.agent.serve_link)}
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/endpoint_client.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/endpoint_client.py
@@ -14,6 +14,13 @@
 CONNECT_TIMEOUT_S = 2.0
 """Bound on connecting to the endpoint, which runs on the same VM."""
 
+SINGLE_USE_LIMITS = httpx.Limits(max_connections=None, max_keepalive_connections=0)
+"""Opens a connection for each call.
+
+On a reused one, a response that the endpoint writes once more would be taken for that of the next
+call; and if the endpoint closed it at that moment, it would be unknown whether the call arrived.
+"""
+
 UNFORWARDED_HEADERS = frozenset(
     {"connection", "content-length", "host", "keep-alive", "te", "trailer", "transfer-encoding"}
     | {"upgrade", "authorization", "accept-encoding", "date", "server"}
@@ -35,9 +42,6 @@
 
     :param silence_timeout_s: how long the endpoint may send nothing before the call counts as
         interrupted, in seconds.
-    :param is_repeatable: whether the call may run twice. A call that may not gets a connection
-        of its own: if the endpoint closed a reused connection at that moment, it would be unknown
-        whether the call arrived.
     """
 
     method: str
@@ -45,7 +49,6 @@
     headers: Headers
     body: bytes
     silence_timeout_s: float
-    is_repeatable: bool = True
 
 
 @dataclass(frozen=True)
@@ -75,13 +78,10 @@
     )
 
 
-def http_endpoint_call(
-    pooled_client: httpx.AsyncClient, single_use_client: httpx.AsyncClient, base_url: str
-) -> CallEndpoint:
+def http_endpoint_call(client: httpx.AsyncClient, base_url: str) -> CallEndpoint:
     """Return a function that calls one endpoint.
 
-    :param pooled_client: reuses connections; its pool must have at least as many as the endpoint has slots.
-    :param single_use_client: opens a connection for each call.
+    :param client: opens a connection for each call, see :data:`SINGLE_USE_LIMITS`.
     :param base_url: such as ``http://127.0.0.1:9001``.
     """
 
@@ -90,8 +90,7 @@
         timeout = httpx.Timeout(
             request.silence_timeout_s, connect=CONNECT_TIMEOUT_S, pool=CONNECT_TIMEOUT_S
         )
-        selected_client = pooled_client if request.is_repeatable else single_use_client
-        http_request = selected_client.build_request(
+        http_request = client.build_request(
             request.method,
             base_url + request.path,
             headers=list(request.headers),
@@ -99,7 +98,7 @@
             timeout=timeout,
         )
         try:
-            response = await selected_client.send(http_request, stream=True)
+            response = await client.send(http_request, stream=True)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
             raise EndpointUnreachable(str(error) or type(error).__name__) from error
         except httpx.HTTPError as error:
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/persistent_connection.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/persistent_connection.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import select
 from dataclasses import dataclass, field
 
 import anyio
 import h11
-from anyio.abc import ByteStream
+from anyio.abc import ByteStream, SocketAttribute
 
 from bergamotchute_model.identifiers import Address
 from bergamotchute_wire.http1_client import RECEIVE_BYTES, encode_request
@@ -34,6 +35,7 @@
     """Makes one call at a time over a reused connection; a failed call closes the connection.
 
     Calls are never repeated here: only the code that makes a call knows what a lost response means.
+    A connection on which more than one response came is closed, as the second belongs to no call.
 
     :param max_idle_s: a connection that was idle for longer is replaced before a call, in seconds.
     """
@@ -65,13 +67,21 @@
 
     async def _connect(self) -> None:
         now = anyio.current_time()
-        if now - self.last_used_at > self.max_idle_s:
+        if now - self.last_used_at > self.max_idle_s or self._has_unread_bytes():
             await self._close()
         self.last_used_at = now
         if self.stream is None:
             self.stream = await anyio.connect_tcp(self.address.host, self.address.port)
             self.protocol = h11.Connection(h11.CLIENT)
 
+    def _has_unread_bytes(self) -> bool:
+        """Return whether the endpoint sent something since the last response, or closed."""
+        if self.stream is None:
+            return False
+        poller = select.poll()
+        poller.register(self.stream.extra(SocketAttribute.raw_socket).fileno(), select.POLLIN)
+        return bool(poller.poll(0))
+
     async def _exchange(self, method: str, target: str, body: bytes) -> tuple[int, bytes]:
         assert self.stream is not None
         assert self.protocol is not None
@@ -85,7 +95,11 @@
             head = RequestHead(method, target, headers)
             await self.stream.send(encode_request(self.protocol, head, body))
             status, answer = await self._read_response(self.protocol, self.stream)
-            whole = self.protocol.our_state is h11.DONE and self.protocol.their_state is h11.DONE
+            whole = (
+                self.protocol.our_state is h11.DONE
+                and self.protocol.their_state is h11.DONE
+                and not self.protocol.trailing_data[0]
+            )
             if whole:
                 self.protocol.start_next_cycle()
             return status, answer
--- a/tests/direct/test_answers_without_length.py
+++ b/tests/direct/test_answers_without_length.py
@@ -150,7 +150,7 @@
         port = listener.extra(SocketAttribute.local_port)
         async with httpx.AsyncClient() as client, anyio.create_task_group() as tasks:
             tasks.start_soon(listener.serve, accept)
-            call = http_endpoint_call(client, client, f"http://127.0.0.1:{port}")
+            call = http_endpoint_call(client, f"http://127.0.0.1:{port}")
             if with_reset:
                 with pytest.raises(EndpointCallInterrupted):
                     await read_body(call)
--- a/tests/direct/test_direct_responses.py
+++ b/tests/direct/test_direct_responses.py
@@ -314,3 +314,45 @@
         assert [request.endpoint for request in path.received_requests] == ["runner-1", "runner-2"]
 
     run_with_entry(body)
+
+
+@pytest.mark.parametrize(
+    ("status", "headers"),
+    [
+        (503, {"bergamotchute_not_executed": "1"}),
+        (429, {"bergamotchute_not_executed": "1"}),
+        (421, {}),
+    ],
+)
+@pytest.mark.parametrize("request_id", ["another", ""])
+def test_refusal_of_another_request_proves_that_this_one_did_not_run(
+    status: int, headers: dict[str, str], request_id: str
+) -> None:
+    async def body(entry: EntryFixture) -> None:
+        refuse = respond_with(
+            lambda request: answer(request, status, **headers, bergamotchute_request_id=request_id)
+        )
+        await entry.add_endpoint("runner-1", refuse)
+        await entry.add_endpoint("runner-2", refuse)
+        assert (await entry.send_request("order")).status == 502
+        assert len(entry.received_requests) == 1
+
+    run_with_entry(body)
+
+
+def test_head_of_another_request_changes_what_is_known_of_an_endpoint() -> None:
+    async def body(entry: EntryFixture) -> None:
+        foreign = {
+            "bergamotchute_request_id": "another",
+            "bergamotchute_server_load": "40,9,6",
+            "retry_after": "9",
+            "server_leaving": "1",
+        }
+        script = respond_with(lambda request: answer(request, 503, **foreign))
+        heartbeat = await entry.add_endpoint("runner-1", script)
+        await entry.send_request("order")
+        assert not entry.leaving_endpoints
+        assert entry.placement.accepts_requests(heartbeat, anyio.current_time())
+        assert entry.placement.load(heartbeat).reported_others == 0
+
+    run_with_entry(body)
