End a stream that has begun as broken when the next endpoint answers with an error

Report of another operator: a stream broke off, the next runner answered with an error, and clients found its text in their stream, or a stream that looked complete. In a direct entry a complete 200 without the type of a stream had its text written into the stream of the first; a resumed stream that ended without an event made it look complete; a status of 300 to 499 raised an error of h11 and took the further attempts with it. In our own interface, a stream that broke off before its first event took the body of the next answer, whatever its status and type, and ended as complete.

What resumes a stream must now be a 200 with the type of an event stream and bring an event; anything else is a failed attempt, after which another endpoint may be tried within the limits of the route, and at last the connection closes without the end of the stream. A refusal never follows a head.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/agent.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/agent.py
@@ -31,6 +31,7 @@
     ResponseHead,
     StartAttempt,
 )
+from bergamotchute_model.headers import EVENT_STREAM_TYPE
 from bergamotchute_model.hello import Hello
 from bergamotchute_model.identifiers import AttemptId
 from bergamotchute_model.membership import ProcessRole
@@ -61,7 +62,6 @@
 
 SILENCE_CHECK_INTERVAL_S = 0.5
 
-EVENT_STREAM_CONTENT_TYPE = "text/event-stream"
 
 EntryOutbox: TypeAlias = Outbox[AttemptMessage]
 
@@ -297,9 +297,7 @@
                     execution, ResponseHead(message.attempt, answer.status, answer.headers)
                 )
                 content_type = dict(answer.headers).get("content-type", "")
-                splitter = (
-                    EventSplitter() if content_type.startswith(EVENT_STREAM_CONTENT_TYPE) else None
-                )
+                splitter = EventSplitter() if content_type.startswith(EVENT_STREAM_TYPE) else None
                 outcome_body = bytearray()
                 async for data in answer.chunks:
                     execution.last_data_at_s = anyio.current_time()
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -280,4 +280,5 @@
                 reason=refusal.reason,
                 revision=self.follower.version,
             )
-            await writer.respond(refusal.status, refusal.headers, refusal.reason.encode())
+            if not writer.started:
+                await writer.respond(refusal.status, refusal.headers, refusal.reason.encode())
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
@@ -28,6 +28,7 @@
 from bergamotchute_daemon.rate_limit_log import rate_for_log
 from bergamotchute_model import events
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
+from bergamotchute_model.headers import EVENT_STREAM_TYPE
 from bergamotchute_model.prompt_parts import Suspect
 from bergamotchute_model.verdict import Verdict
 from bergamotchute_policy.crash_suspects import SuspectAction, SuspectDecision
@@ -114,6 +115,9 @@
 """Bytes of all buffered responses together: a sixth of the memory of the smallest entry VM."""
 
 
+_HTTP_OK = 200
+
+
 @dataclass(frozen=True)
 class AttemptFailure:
     """The outcome of an attempt that did not complete the request.
@@ -522,6 +526,12 @@
             elif response_metadata.wrong_endpoint:
                 self.placement.on_failure(endpoint, now)
             return failure
+        if writer.started and not _is_event_stream(head):
+            if head.status >= 500:
+                self.placement.on_failure(endpoint, anyio.current_time())
+            return AttemptFailure(
+                Verdict.MAY_HAVE_RUN, f"status {head.status} does not continue the stream"
+            )
         if request.is_stream and 200 <= head.status < 300:
             await self._forward_stream(attempt, head, send_started_at)
         else:
@@ -653,7 +663,8 @@
                 if not writer.started:
                     await writer.write_head(head.status, without_hop_by_hop_headers(head.headers))
                 await writer.write_chunk(whole)
-        if stream.has_partial_event or not writer.started:
+        if stream.has_partial_event or not is_answered:
+            # One that resumes without an event leaves open whether the caller has them all.
             raise EndpointFailure(
                 "the stream ended before an event was complete", True, attempt.exchange.has_ended
             )
@@ -819,3 +830,9 @@
             longest_pause_ms=round(progress.longest_pause_s * 1000),
             took_ms=round((anyio.current_time() - request.arrived_at) * 1000),
         )
+
+
+def _is_event_stream(head: ResponseHead) -> bool:
+    """Return whether a response can go on with a stream that has begun."""
+    content_type = head.get_header("content-type")
+    return head.status == _HTTP_OK and content_type.lower().startswith(EVENT_STREAM_TYPE)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/request_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/request_runner.py
@@ -27,7 +27,7 @@
     ResponseHead,
     StartAttempt,
 )
-from bergamotchute_model.headers import Headers
+from bergamotchute_model.headers import EVENT_STREAM_TYPE, Headers
 from bergamotchute_model.identifiers import AttemptId
 from bergamotchute_model.problem import Problem, ProblemCode, ProblemError
 from bergamotchute_model.verdict import Verdict, combine_verdicts
@@ -44,8 +44,6 @@
 RETRYABLE_STATUSES = frozenset({502, 503, 504})
 """HTTP statuses with which an endpoint reports that it did not serve the request."""
 
-EVENT_STREAM = "text/event-stream"
-
 
 @dataclass(frozen=True)
 class AttemptResult:
@@ -264,12 +262,13 @@
 
     def __init__(self, exchange: Exchange) -> None:
         self.answer = exchange.answer
-        self.is_resumed = bool(exchange.answer.chunks)
+        self.is_resumed = bool(exchange.answer.status)
         self.may_retry = exchange.request.idempotent
         self.head: tuple[int, Headers] | None = None
         self.held: list[bytes] = []
         self.held_bytes = 0
         self.has_head = False
+        self.has_chunk = False
         self.result: AttemptResult | None = None
 
     def on_message(self, message: AnswerMessage) -> bool:
@@ -283,6 +282,9 @@
             case ResponseHead():
                 self.has_head = True
                 self.result = self.on_head(message)
+            case ResponseEnd() if self.is_resumed and not self.has_chunk:
+                # It leaves open whether the caller has all events.
+                self.result = AttemptResult(Verdict.MAY_HAVE_RUN, "resume_empty", True)
             case ResponseEnd():
                 self.on_end()
                 self.result = AttemptResult(Verdict.COMPLETED, "completed")
@@ -292,7 +294,9 @@
 
     def on_head(self, message: ResponseHead) -> AttemptResult | None:
         """Handle the head; return the attempt's result if the head shows that it failed."""
-        is_event_stream = dict(message.headers).get("content-type", "").startswith(EVENT_STREAM)
+        is_event_stream = (
+            dict(message.headers).get("content-type", "").startswith(EVENT_STREAM_TYPE)
+        )
         if self.may_retry and message.status in RETRYABLE_STATUSES and not self.answer.status:
             return AttemptResult(Verdict.MAY_HAVE_RUN, f"status_{message.status}", True)
         if self.is_resumed and (not is_event_stream or message.status != 200):
@@ -305,6 +309,7 @@
 
     def on_chunk(self, message: ResponseChunk) -> None:
         """Write or buffer a chunk of the body."""
+        self.has_chunk = True
         if self.head is None:
             self.answer.append(message.data, message.events)
             return
--- a/packages/bergamotchute-model/src/bergamotchute_model/headers.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/headers.py
@@ -8,3 +8,6 @@
 
 Headers = tuple[tuple[str, str], ...]
 """Pairs of lower-case name and value, in order."""
+
+EVENT_STREAM_TYPE = "text/event-stream"
+"""The content type of a stream of server-sent events."""
--- a/tests/daemon/test_streams_resume.py
+++ b/tests/daemon/test_streams_resume.py
@@ -2,12 +2,28 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
 import anyio
+import pytest
 
 from bergamotchute_daemon.request_runner import CREDIT_BYTES
 from bergamotchute_model.problem import ProblemCode
 from bergamotchute_model.verdict import Verdict
-from support.request_path import RequestPath, ScriptedEndpoint, run_request_path, words
+from bergamotchute_wire.endpoint_client import (
+    EndpointCallInterrupted,
+    EndpointRequest,
+    EndpointResponse,
+)
+from support.request_path import (
+    SSE_HEADERS,
+    RequestPath,
+    ScriptedEndpoint,
+    run_request_path,
+    token_event,
+    words,
+)
 
 ALL_WORDS = [f"w{number}" for number in range(20)]
 
@@ -65,6 +81,67 @@
     run_request_path(body)
 
 
+class BrokenFirstStream:
+    """Endpoints of which the first breaks off its stream and the others answer as a test says.
+
+    :param words: the words that the first one sends.
+    :param chunks: the body of the others.
+    """
+
+    def __init__(self, words: int, status: int, content_type: str, chunks: list[bytes]) -> None:
+        self.words = words
+        self.status = status
+        self.content_type = content_type
+        self.chunks = chunks
+        self.call_count = 0
+
+    @asynccontextmanager
+    async def call(self, _: EndpointRequest) -> AsyncIterator[EndpointResponse]:
+        self.call_count += 1
+        if self.call_count == 1:
+            yield EndpointResponse(200, SSE_HEADERS, self._break_off())
+        else:
+            headers = (("content-type", self.content_type),)
+            yield EndpointResponse(self.status, headers, self._send_chunks())
+
+    async def _break_off(self) -> AsyncIterator[bytes]:
+        for number in range(self.words):
+            yield token_event(f"w{number}")
+        raise EndpointCallInterrupted("closed")
+
+    async def _send_chunks(self) -> AsyncIterator[bytes]:
+        for chunk in self.chunks:
+            yield chunk
+
+
+@pytest.mark.parametrize("words_sent", [0, 3])
+@pytest.mark.parametrize(
+    ("status", "content_type", "chunks"),
+    [
+        (500, "application/json", [b'{"error": "lost"}']),
+        (404, "application/json", [b'{"error": "lost"}']),
+        (200, "application/json", [b'{"done": true}']),
+        (500, "text/event-stream", [b"data: error\n\n"]),
+        (200, "text/event-stream", []),
+    ],
+)
+def test_error_of_the_next_runner_ends_a_stream_that_has_begun(
+    words_sent: int, status: int, content_type: str, chunks: list[bytes]
+) -> None:
+    async def body(path: RequestPath) -> None:
+        endpoints = BrokenFirstStream(words_sent, status, content_type, chunks)
+        for name in ("runner-1", "runner-2"):
+            await path.add_agent(name, endpoints)  # type: ignore[arg-type]
+        exchange = path.draft("r1", deadline_s=5.0)
+        await path.request_runner.run_idempotent(exchange)
+        assert not exchange.answer.ended
+        assert exchange.answer.problem is not None
+        assert words(exchange) == [f"w{number}" for number in range(words_sent)]
+        assert exchange.answer.total_events == words_sent
+
+    run_request_path(body)
+
+
 def test_request_is_refused_without_a_runner() -> None:
     async def body(path: RequestPath) -> None:
         exchange = path.draft("r1", deadline_s=30.0)
--- a/tests/direct/test_direct_entry.py
+++ b/tests/direct/test_direct_entry.py
@@ -45,11 +45,13 @@
 
     def __init__(self) -> None:
         self.status = 0
+        self.started = False
         self.finished = False
         self.at = 0.0
 
     async def respond(self, status: int, _: object = (), __: bytes = b"") -> None:
         self.status = status
+        self.started = True
         self.finished = True
         self.at = anyio.current_time()
 
--- a/tests/direct/test_direct_responses.py
+++ b/tests/direct/test_direct_responses.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from dataclasses import replace
+
 import anyio
 import pytest
 from anyio.abc import SocketStream
 
+from bergamotchute_daemon.direct.routing_table import RoutingTable
 from bergamotchute_model.identifiers import Address
 from bergamotchute_platform.request_format import TEAM_HEADER
 from support.entry_fixture import (
+    EndpointScript,
     EntryFixture,
     ReceivedRequest,
     answer,
@@ -356,3 +361,86 @@
         assert entry.placement.load(heartbeat).reported_others == 0
 
     run_with_entry(body)
+
+
+STREAM_START = event(1) + event(2)
+
+
+def break_first_stream(
+    entry: EntryFixture, second: Callable[[ReceivedRequest], bytes]
+) -> EndpointScript:
+    """Return a script that breaks off the first stream after two events.
+
+    :param second: returns the response to the attempt that resumes it.
+    """
+
+    async def run(request: ReceivedRequest, stream: SocketStream) -> None:
+        if len(entry.received_requests) == 1:
+            await stream.send(stream_head(request) + chunked(STREAM_START))
+            await anyio.aclose_forcefully(stream)
+            return
+        assert request.headers["last-event-id"] == "2"
+        await stream.send(second(request))
+
+    return run
+
+
+@pytest.mark.parametrize(
+    "second",
+    [
+        *(
+            lambda request, status=status: answer(request, status, b"error: 1\n\nlost\n\n")
+            for status in (200, 204, 206, 302, 400, 404, 408, 429, 500, 503, 504)
+        ),
+        lambda request: answer(request, 503, b"full\n\n", bergamotchute_not_executed="1"),
+        lambda request: stream_head(request) + b"0\r\n\r\n",
+        lambda request: stream_head(request) + chunked(b"id: 3\ndata: half") + b"0\r\n\r\n",
+        lambda request: answer(request, body=event(3), content_type="application/json"),
+    ],
+    ids=[
+        *(str(status) for status in (200, 204, 206, 302, 400, 404, 408, 429, 500, 503, 504)),
+        "not run",
+        "no event",
+        "half an event",
+        "another type",
+    ],
+)
+def test_error_of_the_next_endpoint_ends_a_stream_that_has_begun(
+    second: Callable[[ReceivedRequest], bytes],
+) -> None:
+    async def body(entry: EntryFixture) -> None:
+        for name in ("runner-1", "runner-2", "runner-3"):
+            await entry.add_endpoint(name, break_first_stream(entry, second))
+        response = await entry.send_request("stream")
+        assert response.status == 200
+        assert response.body == STREAM_START
+        assert not response.whole, "the caller must see that the stream broke off"
+
+    run_with_entry(body)
+
+
+def test_stream_goes_on_at_a_third_endpoint_after_an_error_of_the_second() -> None:
+    async def body(entry: EntryFixture) -> None:
+        async def run(request: ReceivedRequest, stream: SocketStream) -> None:
+            match len(entry.received_requests):
+                case 1:
+                    await stream.send(stream_head(request) + chunked(STREAM_START))
+                    await anyio.aclose_forcefully(stream)
+                case 2:
+                    await stream.send(answer(request, 404, b"no such stream"))
+                case _:
+                    await stream.send(stream_head(request) + chunked(event(3)) + b"0\r\n\r\n")
+
+        for name in ("runner-1", "runner-2", "runner-3"):
+            await entry.add_endpoint(name, run)
+        assert entry.routing_table is not None
+        routes = tuple(
+            replace(route, max_endpoints=3) for route in entry.routing_table.configuration.routes
+        )
+        configuration = replace(entry.routing_table.configuration, routes=routes)
+        entry.routing_table = RoutingTable(configuration)
+        response = await entry.send_request("stream")
+        assert response.whole
+        assert response.body == STREAM_START + event(3)
+
+    run_with_entry(body)
