--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/rate_permits.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/rate_permits.py
@@ -135,7 +135,8 @@
             self.answer_senders.pop(request.number, None)
             sender.close()
             receiver.close()
-        self.paused_until[request.endpoint] = now + SILENT_HOST_PAUSE_S
+        paused = {each: until for each, until in self.paused_until.items() if until > now}
+        self.paused_until = paused | {request.endpoint: now + SILENT_HOST_PAUSE_S}
         self.log.emit(
             events.PERMITS_UNAVAILABLE,
             endpoint=request.endpoint,
