--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -91,7 +91,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.links.run)
             tasks.start_soon(self.follower.run)
-            tasks.start_soon(self.forwarder.slots.run)
+            tasks.start_soon(self.forwarder.chooser.slots.run)
             tasks.start_soon(self.server.serve, self.address)
             tasks.start_soon(self._forget_removed_endpoints)
 
@@ -170,7 +170,7 @@
                 )
 
     def _update_rank_place(self, place: RankLocation) -> None:
-        self.forwarder.slots.set_agent(place.endpoint, place.agent)
+        self.forwarder.chooser.slots.set_agent(place.endpoint, place.agent)
         if self.forwarder.placement.on_group_state(place.endpoint, place.group, place.takes_work):
             self.log.emit(events.GROUP_CHANGED, group=place.group, open=place.takes_work)
 
@@ -193,7 +193,7 @@
             for service, endpoints in self.endpoints_by_service.items()
         }
         used = (each.address for subsets in self.subsets_by_service.values() for each in subsets[0])
-        self.forwarder.slots.set_used_endpoints(frozenset(used))
+        self.forwarder.chooser.slots.set_used_endpoints(frozenset(used))
         self.forwarder.notify_endpoints_changed()
 
     def on_endpoint_leaving(self, endpoint: EndpointHeartbeat) -> None:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable, Collection
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from random import Random
 from typing import TypeVar
 
 import anyio
 
 from bergamotchute_daemon.direct.admitted_request import AdmittedRequest, RequestRefused
+from bergamotchute_daemon.direct.endpoint_chooser import (
+    RETRY_AFTER_JITTER_S,
+    ChosenEndpoint,
+    EndpointChooser,
+)
 from bergamotchute_daemon.direct.event_stream import EventStream, InvalidEventStream
 from bergamotchute_daemon.direct.prompt_guard import PromptGuard
 from bergamotchute_daemon.direct.rate_permits import RatePermits
@@ -18,11 +23,6 @@
     RequestFormat,
     ResponseMetadata,
 )
-from bergamotchute_daemon.direct.slot_reservations import (
-    Reservation,
-    SlotRequest,
-    SlotReservations,
-)
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.node_metrics import NodeMetrics
 from bergamotchute_daemon.rate_limit_log import rate_for_log
@@ -32,10 +32,8 @@
 from bergamotchute_model.prompt_parts import Suspect
 from bergamotchute_model.verdict import Verdict
 from bergamotchute_policy.crash_suspects import SuspectAction, SuspectDecision
-from bergamotchute_policy.direct_placement import DirectPlacement, EndpointCandidate
+from bergamotchute_policy.direct_placement import DirectPlacement
 from bergamotchute_policy.retry import RetryBudget
-from bergamotchute_policy.slot_search import SlotSearch, patience_s
-from bergamotchute_policy.stream_pace import StreamPace
 from bergamotchute_wire.byte_budget import ByteBudget, ByteClaim
 from bergamotchute_wire.http1_client import EndpointExchange, open_exchange
 from bergamotchute_wire.http1_messages import (
@@ -71,21 +69,9 @@
 ENDPOINT_WAIT_TIMEOUT_S = 1.3
 """Longest time that one request waits for an endpoint; endpoints send heartbeats every 1.2 s."""
 
-LATE_PERMIT_PATIENCE_RATIO = 0.5
-"""Wait for a permit of a request that is late, as a ratio of the route's objective."""
-
-MIN_PERMIT_PAUSE_S = 0.02
-"""Shortest time until a permit is requested again after one was refused."""
-
 GROUP_STALL_THRESHOLD_S = 0.7
 """Time after which a failure or a *not run* response counts as a stall of the whole rank group."""
 
-MIN_REPORTED_WAIT_S = 0.1
-"""Shortest wait for a slot that the reason of a refusal mentions.
-
-Asking the agents takes a few milliseconds, which is not worth reporting.
-"""
-
 MIN_BUDGET_ENTRIES = 10
 """Entries that share the retry budget until more are known."""
 
@@ -93,9 +79,6 @@
 """Attempts that may fail, by a refused connection or request, before the caller is refused."""
 
 MIN_RETRY_AFTER_S = 0.1
-RETRY_AFTER_JITTER_S = 0.5
-"""Upper bound of the random delay that keeps callers refused together from retrying together."""
-
 QUARANTINED_STATUS = 400
 """Status for a request that crashes endpoints; callers don't retry it, anywhere."""
 
@@ -175,23 +158,6 @@
     exchange: EndpointExchange
 
 
-@dataclass(frozen=True)
-class _ChosenEndpoint:
-    """The endpoint that was chosen for an attempt.
-
-    :param reservation: the slot there; ``None`` if no agent confirmed one.
-    :param refusals: agents that refused a slot before.
-    :param waited_s: how long the request waited for the slot, in seconds.
-    :param permit_waited_s: how long it then waited for a permit to send it, in seconds.
-    """
-
-    candidate: EndpointCandidate
-    reservation: Reservation | None
-    refusals: int
-    waited_s: float = 0.0
-    permit_waited_s: float = 0.0
-
-
 @dataclass
 class DirectForwarder:
     """Forwards requests to endpoints, and retries where that is safe.
@@ -207,7 +173,7 @@
 
     request_format: RequestFormat
     placement: DirectPlacement
-    slots: SlotReservations
+    chooser: EndpointChooser
     endpoints: Callable[[str], Collection[EndpointHeartbeat]]
     on_endpoint_leaving: Callable[[EndpointHeartbeat], None]
     random: Random
@@ -222,7 +188,6 @@
     started_at: float = field(default_factory=anyio.current_time)
     changed: anyio.Event = field(default_factory=anyio.Event)
     retry_budgets: dict[str, RetryBudget] = field(default_factory=dict)
-    stream_paces: dict[str, StreamPace] = field(default_factory=dict)
     held: ByteBudget = field(default_factory=lambda: ByteBudget(MAX_BUFFERED_BYTES))
 
     async def forward_request(self, request: AdmittedRequest, writer: ResponseWriter) -> None:
@@ -245,11 +210,13 @@
             if decision.action in (SuspectAction.REJECT, SuspectAction.HOLD):
                 self._refuse_suspect(request, writer, progress, decision)
                 return
-            chosen = await self._choose_endpoint(request, progress)
+            chosen = await self.chooser.choose(
+                request, progress.failed_endpoints, progress.attempt_count > 0
+            )
             if (
                 chosen is None
                 and not progress.attempt_count
-                and not self._seconds_until_accepting(request)
+                and not self.chooser.seconds_until_accepting(request)
                 and await self._wait_for_endpoint()
             ):
                 continue
@@ -258,7 +225,7 @@
                 return
             if chosen is None:
                 reason = "no endpoint is available"
-                if (wait_s := self._seconds_until_accepting(request)) > 0:
+                if (wait_s := self.chooser.seconds_until_accepting(request)) > 0:
                     reason += f" for another {wait_s:.2f} s"
                 self._fail_request(request, writer, progress, reason)
                 return
@@ -300,132 +267,6 @@
         retry_after_s = decision.wait_s + RETRY_AFTER_JITTER_S * self.random.random()
         raise RequestRefused(503, reason, retry_after_s)
 
-    async def _choose_endpoint(
-        self, request: AdmittedRequest, progress: _RequestProgress
-    ) -> _ChosenEndpoint | None:
-        """Choose an endpoint that may be sent the request now; ``None`` if there is none.
-
-        :raises RequestRefused: if every endpoint is overloaded.
-        """
-        while True:
-            chosen = await self._reserve_slot(request, progress)
-            if chosen is None:
-                return None
-            endpoint = chosen.candidate.heartbeat
-            # A request waits for the rate of an endpoint only if no other one can have it now.
-            is_last = self.placement.load(endpoint).permit_expected_at > anyio.current_time()
-            patience_s = self._permit_patience_s(request) if is_last else 0.0
-            is_sent = False
-            try:
-                permit = await self.rate_permits.acquire(
-                    endpoint, request.metadata.request_id, patience_s
-                )
-                is_sent = permit.granted and (
-                    not permit.wait_s or self._still_accepts_requests(request, endpoint)
-                )
-            finally:
-                if not is_sent and chosen.reservation is not None:
-                    chosen.reservation.release()
-            if is_sent:
-                return replace(chosen, permit_waited_s=permit.wait_s)
-            if not permit.granted:
-                wait_s = max(MIN_PERMIT_PAUSE_S, permit.wait_s)
-                self.placement.on_permit_refused(endpoint, wait_s, anyio.current_time())
-
-    def _permit_patience_s(self, request: AdmittedRequest) -> float:
-        """Return how long a request may wait for a permit: until its response would be late.
-
-        One that is late already waits a part of the objective, so that it is served where the rate
-        leaves room.
-        """
-        now, objective_s = anyio.current_time(), request.route.objective_s
-        due_at = request.first_sent_at + objective_s - self._stream_pace(request).first_event_s
-        patience_s = max(due_at - now, LATE_PERMIT_PATIENCE_RATIO * objective_s)
-        return max(0.0, min(patience_s, request.deadline - now))
-
-    async def _reserve_slot(
-        self, request: AdmittedRequest, progress: _RequestProgress
-    ) -> _ChosenEndpoint | None:
-        """Choose an endpoint and reserve a slot there; ``None`` if no endpoint is available.
-
-        :raises RequestRefused: if every endpoint is overloaded.
-        """
-        engine = request.service.engine
-        search = SlotSearch(
-            self.placement, progress.failed_endpoints, engine, progress.attempt_count > 0
-        )
-        route = request.route
-        first_event_s = self._stream_pace(request).first_event_s
-        due_at = request.first_sent_at + route.objective_s - first_event_s
-        caller_patience_s = patience_s(route.objective_s, route.gap_objective_s)
-        wait_until = min(request.deadline, request.arrived_at + caller_patience_s) - first_event_s
-        while True:
-            endpoints = self.endpoints(request.service.name)
-            now = anyio.current_time()
-            target = search.next_slot_request(
-                endpoints, now, now + self._permit_patience_s(request)
-            )
-            if target is None:
-                return None
-            endpoint = target.candidate.heartbeat
-            slot_request = SlotRequest(
-                target.most,
-                target.queue,
-                due_at,
-                wait_until,
-                request.priority,
-            )
-            outcome = await self.slots.reserve(endpoint.address, slot_request)
-            if outcome is None:
-                if not progress.attempt_count and self.placement.is_overloaded(
-                    target.candidate, engine
-                ):
-                    self._refuse_overloaded(request, target.candidate.fullness, 0.0)
-                return _ChosenEndpoint(target.candidate, None, len(search.refused))
-            self.placement.on_load_reported(endpoint, outcome.requests, anyio.current_time())
-            if outcome.reservation is not None:
-                if self._still_accepts_requests(request, endpoint):
-                    refusals = len(search.refused)
-                    return _ChosenEndpoint(
-                        target.candidate, outcome.reservation, refusals, outcome.waited_s
-                    )
-                outcome.reservation.release()
-                search.on_refused(target)
-                continue
-            if target.queue:
-                self._refuse_overloaded(
-                    request, outcome.requests / max(1, endpoint.slots), outcome.waited_s
-                )
-            search.on_refused(target)
-
-    def _still_accepts_requests(
-        self, request: AdmittedRequest, endpoint: EndpointHeartbeat
-    ) -> bool:
-        """Return whether an endpoint still accepts requests after the wait for its slot."""
-        known = self.endpoints(request.service.name)
-        newest = next((each for each in known if each.endpoint == endpoint.endpoint), None)
-        return newest is not None and self.placement.accepts_requests(newest, anyio.current_time())
-
-    def _refuse_overloaded(
-        self, request: AdmittedRequest, fullness: float, waited_s: float
-    ) -> None:
-        """Refuse a request because every endpoint is overloaded.
-
-        :param fullness: requests at the least loaded endpoint, as a share of its slots.
-        :param waited_s: how long the request waited for a slot, in seconds.
-        :raises RequestRefused: always, with the time after which to retry.
-        """
-        engine = request.service.engine
-        retry_after_s = (
-            self.placement.random_retry_delay_s(engine)
-            if engine is not None
-            else RETRY_AFTER_JITTER_S
-        )
-        reason = f"all endpoints are full, the emptiest to {fullness:.2f}"
-        if waited_s >= MIN_REPORTED_WAIT_S:
-            reason += f"; waited {waited_s:.2f} s for a slot"
-        raise RequestRefused(503, reason, retry_after_s)
-
     def notify_endpoints_changed(self) -> None:
         """Wake the requests that wait for an endpoint."""
         self.changed.set()
@@ -444,7 +285,7 @@
         request: AdmittedRequest,
         writer: ResponseWriter,
         progress: _RequestProgress,
-        chosen: _ChosenEndpoint,
+        chosen: ChosenEndpoint,
     ) -> AttemptFailure | None:
         """Send a request to one endpoint; ``None`` once the caller has the complete response."""
         endpoint = chosen.candidate.heartbeat
@@ -671,7 +512,7 @@
         await writer.finish()
         if attempt.progress.sent_count == 1 and attempt.progress.response_started_at is not None:
             first_event_s = attempt.progress.response_started_at - sent_at
-            self._stream_pace(attempt.request).on_first_event(first_event_s)
+            self.chooser.stream_pace(attempt.request).on_first_event(first_event_s)
 
     def _record_failed_attempt(
         self,
@@ -765,18 +606,9 @@
         if progress.may_have_run:
             raise RequestRefused(502, reason)
         jitter_s = RETRY_AFTER_JITTER_S * self.random.random()
-        pause_s = self._seconds_until_accepting(request)
+        pause_s = self.chooser.seconds_until_accepting(request)
         raise RequestRefused(503, reason, pause_s + MIN_RETRY_AFTER_S + jitter_s)
 
-    def _seconds_until_accepting(self, request: AdmittedRequest) -> float:
-        """Return the seconds until the first endpoint of a request's service accepts requests."""
-        known = self.endpoints(request.service.name)
-        return self.placement.seconds_until_accepting(known, anyio.current_time())
-
-    def _stream_pace(self, request: AdmittedRequest) -> StreamPace:
-        """Return what this entry observed of the streams of the request's service."""
-        return self.stream_paces.setdefault(request.service.name, StreamPace())
-
     def set_entry_count(self, entry_count: int) -> None:
         """Adjust this entry's part of the shared retry budget to the number of entries.
 
--- /dev/null
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/endpoint_chooser.py
@@ -0,0 +1,202 @@
+"""Choice of the endpoint for a request: its slot there, and the permit that its rate requires."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, field, replace
+from random import Random
+
+import anyio
+
+from bergamotchute_daemon.direct.admitted_request import AdmittedRequest, RequestRefused
+from bergamotchute_daemon.direct.rate_permits import RatePermits
+from bergamotchute_daemon.direct.slot_reservations import (
+    Reservation,
+    SlotRequest,
+    SlotReservations,
+)
+from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
+from bergamotchute_policy.direct_placement import DirectPlacement, EndpointCandidate
+from bergamotchute_policy.slot_search import SlotSearch, patience_s
+from bergamotchute_policy.stream_pace import StreamPace
+
+LATE_PERMIT_PATIENCE_RATIO = 0.5
+"""Wait for a permit of a request that is late, as a ratio of the route's objective."""
+
+MIN_PERMIT_PAUSE_S = 0.02
+"""Shortest time until a permit is requested again after one was refused."""
+
+MIN_REPORTED_WAIT_S = 0.1
+"""Shortest wait for a slot that the reason of a refusal mentions.
+
+Asking the agents takes a few milliseconds, which is not worth reporting.
+"""
+
+RETRY_AFTER_JITTER_S = 0.5
+"""Upper bound of the random delay that keeps callers refused together from retrying together."""
+
+
+@dataclass(frozen=True)
+class ChosenEndpoint:
+    """The endpoint that was chosen for an attempt.
+
+    :param reservation: the slot there; ``None`` if no agent confirmed one.
+    :param refusals: agents that refused a slot before.
+    :param waited_s: how long the request waited for the slot, in seconds.
+    :param permit_waited_s: how long it then waited for a permit to send it, in seconds.
+    """
+
+    candidate: EndpointCandidate
+    reservation: Reservation | None
+    refusals: int
+    waited_s: float = 0.0
+    permit_waited_s: float = 0.0
+
+
+@dataclass
+class EndpointChooser:
+    """Chooses endpoints by load, agents' slots and the rates that endpoints name.
+
+    :param endpoints: returns the endpoints of a service that this entry uses.
+    :param stream_paces: what this entry observed of the streams of each service.
+    """
+
+    placement: DirectPlacement
+    slots: SlotReservations
+    rate_permits: RatePermits
+    endpoints: Callable[[str], Collection[EndpointHeartbeat]]
+    random: Random
+    stream_paces: dict[str, StreamPace] = field(default_factory=dict)
+
+    async def choose(
+        self, request: AdmittedRequest, failed_endpoints: Collection[str], is_retry: bool
+    ) -> ChosenEndpoint | None:
+        """Choose an endpoint that may be sent the request now; ``None`` if there is none.
+
+        :param failed_endpoints: identifiers of the endpoints whose attempts failed.
+        :param is_retry: whether the request was sent before.
+        :raises RequestRefused: if every endpoint is overloaded.
+        """
+        while True:
+            chosen = await self._reserve_slot(request, failed_endpoints, is_retry)
+            if chosen is None:
+                return None
+            endpoint = chosen.candidate.heartbeat
+            # A request waits for the rate of an endpoint only if no other one can have it now.
+            is_last = self.placement.load(endpoint).permit_expected_at > anyio.current_time()
+            patience_s = self._permit_patience_s(request) if is_last else 0.0
+            is_sent = False
+            try:
+                permit = await self.rate_permits.acquire(
+                    endpoint, request.metadata.request_id, patience_s
+                )
+                is_sent = permit.granted and (
+                    not permit.wait_s or self._still_accepts_requests(request, endpoint)
+                )
+            finally:
+                if not is_sent and chosen.reservation is not None:
+                    chosen.reservation.release()
+            if is_sent:
+                return replace(chosen, permit_waited_s=permit.wait_s)
+            if not permit.granted:
+                wait_s = max(MIN_PERMIT_PAUSE_S, permit.wait_s)
+                self.placement.on_permit_refused(endpoint, wait_s, anyio.current_time())
+
+    def _permit_patience_s(self, request: AdmittedRequest) -> float:
+        """Return how long a request may wait for a permit: until its response would be late.
+
+        One that is late already waits a part of the objective, so that it is served where the rate
+        leaves room.
+        """
+        now, objective_s = anyio.current_time(), request.route.objective_s
+        due_at = request.first_sent_at + objective_s - self.stream_pace(request).first_event_s
+        patience_s = max(due_at - now, LATE_PERMIT_PATIENCE_RATIO * objective_s)
+        return max(0.0, min(patience_s, request.deadline - now))
+
+    async def _reserve_slot(
+        self, request: AdmittedRequest, failed_endpoints: Collection[str], is_retry: bool
+    ) -> ChosenEndpoint | None:
+        """Choose an endpoint and reserve a slot there; ``None`` if no endpoint is available.
+
+        :raises RequestRefused: if every endpoint is overloaded.
+        """
+        engine = request.service.engine
+        search = SlotSearch(self.placement, failed_endpoints, engine, is_retry)
+        route = request.route
+        first_event_s = self.stream_pace(request).first_event_s
+        due_at = request.first_sent_at + route.objective_s - first_event_s
+        caller_patience_s = patience_s(route.objective_s, route.gap_objective_s)
+        wait_until = min(request.deadline, request.arrived_at + caller_patience_s) - first_event_s
+        while True:
+            endpoints = self.endpoints(request.service.name)
+            now = anyio.current_time()
+            target = search.next_slot_request(
+                endpoints, now, now + self._permit_patience_s(request)
+            )
+            if target is None:
+                return None
+            endpoint = target.candidate.heartbeat
+            slot_request = SlotRequest(
+                target.most,
+                target.queue,
+                due_at,
+                wait_until,
+                request.priority,
+            )
+            outcome = await self.slots.reserve(endpoint.address, slot_request)
+            if outcome is None:
+                if not is_retry and self.placement.is_overloaded(target.candidate, engine):
+                    self._refuse_overloaded(request, target.candidate.fullness, 0.0)
+                return ChosenEndpoint(target.candidate, None, len(search.refused))
+            self.placement.on_load_reported(endpoint, outcome.requests, anyio.current_time())
+            if outcome.reservation is not None:
+                if self._still_accepts_requests(request, endpoint):
+                    refusals = len(search.refused)
+                    return ChosenEndpoint(
+                        target.candidate, outcome.reservation, refusals, outcome.waited_s
+                    )
+                outcome.reservation.release()
+                search.on_refused(target)
+                continue
+            if target.queue:
+                self._refuse_overloaded(
+                    request, outcome.requests / max(1, endpoint.slots), outcome.waited_s
+                )
+            search.on_refused(target)
+
+    def _still_accepts_requests(
+        self, request: AdmittedRequest, endpoint: EndpointHeartbeat
+    ) -> bool:
+        """Return whether an endpoint still accepts requests after the wait for its slot."""
+        known = self.endpoints(request.service.name)
+        newest = next((each for each in known if each.endpoint == endpoint.endpoint), None)
+        return newest is not None and self.placement.accepts_requests(newest, anyio.current_time())
+
+    def _refuse_overloaded(
+        self, request: AdmittedRequest, fullness: float, waited_s: float
+    ) -> None:
+        """Refuse a request because every endpoint is overloaded.
+
+        :param fullness: requests at the least loaded endpoint, as a share of its slots.
+        :param waited_s: how long the request waited for a slot, in seconds.
+        :raises RequestRefused: always, with the time after which to retry.
+        """
+        engine = request.service.engine
+        retry_after_s = (
+            self.placement.random_retry_delay_s(engine)
+            if engine is not None
+            else RETRY_AFTER_JITTER_S
+        )
+        reason = f"all endpoints are full, the emptiest to {fullness:.2f}"
+        if waited_s >= MIN_REPORTED_WAIT_S:
+            reason += f"; waited {waited_s:.2f} s for a slot"
+        raise RequestRefused(503, reason, retry_after_s)
+
+    def seconds_until_accepting(self, request: AdmittedRequest) -> float:
+        """Return the seconds until the first endpoint of a request's service accepts requests."""
+        known = self.endpoints(request.service.name)
+        return self.placement.seconds_until_accepting(known, anyio.current_time())
+
+    def stream_pace(self, request: AdmittedRequest) -> StreamPace:
+        """Return what this entry observed of the streams of the request's service."""
+        return self.stream_paces.setdefault(request.service.name, StreamPace())
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
@@ -82,6 +82,7 @@
     """Return an entry that sends requests to endpoints itself, without starting it."""
     from bergamotchute_daemon.direct.direct_entry import DirectEntry
     from bergamotchute_daemon.direct.direct_forwarder import DirectForwarder
+    from bergamotchute_daemon.direct.endpoint_chooser import EndpointChooser
     from bergamotchute_daemon.direct.prompt_guard import PromptGuard
     from bergamotchute_daemon.direct.rate_permits import RatePermits
     from bergamotchute_daemon.direct.slot_reservations import SlotReservations
@@ -91,10 +92,27 @@
 
     table = EndpointTable(MAX_MISSED_HEARTBEATS * settings.heartbeat_ms / 1000)
     process: DirectEntry
+    placement = DirectPlacement(settings.availability_zone, environment.random)
+    rate_permits = RatePermits(
+        limits=RateLimitLog(environment.log),
+        post_request=lambda request: links.post_permit_request(request),
+        post_limits=lambda report: links.post_to_all_that(
+            lambda group: group.accepts_rate_limits, report
+        ),
+        entry_count=lambda: forwarder.entry_count,
+        random=environment.random,
+        log=environment.log,
+    )
     forwarder = DirectForwarder(
         request_format=request_format,
-        placement=DirectPlacement(settings.availability_zone, environment.random),
-        slots=SlotReservations(environment.dial_slots, environment.random, environment.log),
+        placement=placement,
+        chooser=EndpointChooser(
+            placement=placement,
+            slots=SlotReservations(environment.dial_slots, environment.random, environment.log),
+            rate_permits=rate_permits,
+            endpoints=lambda service: process.endpoints(service),
+            random=environment.random,
+        ),
         endpoints=lambda service: process.endpoints(service),
         on_endpoint_leaving=lambda endpoint: process.on_endpoint_leaving(endpoint),
         random=environment.random,
@@ -106,20 +124,11 @@
                 lambda group: group.accepts_prompt_evidence, evidence
             ),
             log=environment.log,
-            stops_group=lambda service: forwarder.placement.has_rank_group(
+            stops_group=lambda service: placement.has_rank_group(
                 process.endpoints_by_service.get(service, ())
             ),
         ),
-        rate_permits=RatePermits(
-            limits=RateLimitLog(environment.log),
-            post_request=lambda request: links.post_permit_request(request),
-            post_limits=lambda report: links.post_to_all_that(
-                lambda group: group.accepts_rate_limits, report
-            ),
-            entry_count=lambda: forwarder.entry_count,
-            random=environment.random,
-            log=environment.log,
-        ),
+        rate_permits=rate_permits,
         retry_ratio=RETRY_BUDGET_RATIO * settings.retry_ratio,
         retry_capacity=RETRY_BURST_RATIO * settings.retry_slack,
         retry_refill_per_s=RETRY_BURST_RATIO * settings.retry_slack / RETRY_WINDOW_S,
--- a/tests/support/entry_fixture.py
+++ b/tests/support/entry_fixture.py
@@ -13,6 +13,7 @@
 
 from bergamotchute_daemon.direct.admitted_request import RequestRefused
 from bergamotchute_daemon.direct.direct_forwarder import DirectForwarder
+from bergamotchute_daemon.direct.endpoint_chooser import EndpointChooser
 from bergamotchute_daemon.direct.filters import admit_request
 from bergamotchute_daemon.direct.prompt_guard import PromptGuard
 from bergamotchute_daemon.direct.rate_permits import RatePermits
@@ -161,10 +162,20 @@
         self.network = MemoryNetwork(tasks)
         self.log = EventLog("entry-1", "entry", "incarnation-1", lambda: 0)
         self.slots = SlotReservations(self.network.dial("entry-1", "/slots"), Random(1), self.log)
+        rate_permits = RatePermits(
+            limits=RateLimitLog(self.log),
+            post_request=lambda _: False,
+            post_limits=self.posted_limits.append,
+            entry_count=lambda: 1,
+            random=Random(1),
+            log=self.log,
+        )
         self.forwarder = DirectForwarder(
             request_format=REQUEST_FORMAT,
             placement=self.placement,
-            slots=self.slots,
+            chooser=EndpointChooser(
+                self.placement, self.slots, rate_permits, lambda _: self.endpoints, Random(1)
+            ),
             endpoints=lambda _: self.endpoints,
             on_endpoint_leaving=self._on_leaving,
             random=Random(1),
@@ -176,14 +187,7 @@
                 self.log,
                 stops_group=lambda _: self.has_rank_group,
             ),
-            rate_permits=RatePermits(
-                limits=RateLimitLog(self.log),
-                post_request=lambda _: False,
-                post_limits=self.posted_limits.append,
-                entry_count=lambda: 1,
-                random=Random(1),
-                log=self.log,
-            ),
+            rate_permits=rate_permits,
             retry_ratio=0.2,
             retry_capacity=100.0,
             retry_refill_per_s=0.0,
