Keep requests from failed endpoints while the healthy ones have no room

Where the rates of all healthy endpoints left no room for the moment, an endpoint that had just failed or fallen silent was chosen, though it is to be used only when no healthy one is left; the request failed there in place of waiting some 0.1 s for a permit. The healthy ones now come first whatever their rates, the slow ones only while the fast have no room.

--- a/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
@@ -153,17 +153,10 @@
 
         :param avoided: identifiers of endpoints that failed this request.
         """
-        usable = [
-            each
-            for each in endpoints
-            if each.endpoint not in avoided
-            and self.accepts_requests(each, now)
-            and self.load(each).permit_expected_at <= now
-        ]
-        sound = self._preferred(usable, now)
+        usable = self._usable(endpoints, avoided, now, latest_permit_at=now)
         ranked = nsmallest(
             2,
-            (self._rank_candidate(each, now) for each in sound or usable),
+            (self._rank_candidate(each, now) for each in usable),
             key=lambda candidate_rank: candidate_rank[:2],
         )
         if not ranked:
@@ -183,15 +176,8 @@
 
         :param latest_at: the latest acceptable time, on the runtime's clock.
         """
-        usable = [
-            each
-            for each in endpoints
-            if each.endpoint not in avoided
-            and self.accepts_requests(each, now)
-            and self.load(each).permit_expected_at <= latest_at
-        ]
         chosen = min(
-            self._preferred(usable, now) or usable,
+            self._usable(endpoints, avoided, now, latest_at),
             key=lambda each: (self.load(each).permit_expected_at, self.random.random()),
             default=None,
         )
@@ -200,6 +186,30 @@
         capacity = self.capacity(chosen, now)
         return EndpointCandidate(chosen, self._fullness(chosen, now), capacity - 1)
 
+    def _usable(
+        self,
+        endpoints: Iterable[EndpointHeartbeat],
+        avoided: Collection[str],
+        now: float,
+        latest_permit_at: float,
+    ) -> list[EndpointHeartbeat]:
+        """Return the healthy endpoints whose rates leave room in time, mostly without the slow ones.
+
+        The others are returned only if none is healthy, not if the healthy ones have no room.
+        """
+        accepting = [
+            each
+            for each in endpoints
+            if each.endpoint not in avoided and self.accepts_requests(each, now)
+        ]
+        healthy = [each for each in accepting if self._is_healthy(each, now)]
+        with_room = [
+            each
+            for each in healthy or accepting
+            if self.load(each).permit_expected_at <= latest_permit_at
+        ]
+        return self._without_slow(with_room, now) if healthy else with_room
+
     def is_overloaded(self, candidate: EndpointCandidate, engine: EnginePerformance | None) -> bool:
         """Return whether the chosen endpoint is overloaded, for endpoints without an agent.
 
