Compute the time by which a request is due in one place

Found on reading the change as a whole: the wait for a slot and that for a permit each worked it out. No change of behaviour; format, types, imports, words and the tests of the direct entry pass.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/endpoint_chooser.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/endpoint_chooser.py
@@ -108,11 +108,16 @@
         One that is late already waits a part of the objective, so that it is served where the rate
         leaves room.
         """
-        now, objective_s = anyio.current_time(), request.route.objective_s
-        due_at = request.first_sent_at + objective_s - self.stream_pace(request).first_event_s
-        patience_s = max(due_at - now, LATE_PERMIT_PATIENCE_RATIO * objective_s)
+        now = anyio.current_time()
+        late_patience_s = LATE_PERMIT_PATIENCE_RATIO * request.route.objective_s
+        patience_s = max(self._due_at(request) - now, late_patience_s)
         return max(0.0, min(patience_s, request.deadline - now))
 
+    def _due_at(self, request: AdmittedRequest) -> float:
+        """Return when a request must be sent to meet its objective, on the runtime's clock."""
+        first_event_s = self.stream_pace(request).first_event_s
+        return request.first_sent_at + request.route.objective_s - first_event_s
+
     async def _reserve_slot(
         self, request: AdmittedRequest, failed_endpoints: Collection[str], is_retry: bool
     ) -> ChosenEndpoint | None:
@@ -124,7 +129,6 @@
         search = SlotSearch(self.placement, failed_endpoints, engine, is_retry)
         route = request.route
         first_event_s = self.stream_pace(request).first_event_s
-        due_at = request.first_sent_at + route.objective_s - first_event_s
         caller_patience_s = patience_s(route.objective_s, route.gap_objective_s)
         wait_until = min(request.deadline, request.arrived_at + caller_patience_s) - first_event_s
         while True:
@@ -139,7 +143,7 @@
             slot_request = SlotRequest(
                 target.most,
                 target.queue,
-                due_at,
+                self._due_at(request),
                 wait_until,
                 request.priority,
             )
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/crash_suspects.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/crash_suspects.py
@@ -271,7 +271,7 @@
         return tuple(name for name in parts if not self.is_sound(Suspect(service, name)))
 
     def held_parts(self, service: str, parts: Sequence[str]) -> list[Suspect]:
-        """Return the parts that something is held against."""
+        """Return the suspects among the named ones that something is held against."""
         known = [Suspect(service, name) for name in parts]
         return [each for each in known if each in self.crashes_by_part or each in self.quarantines]
 
