--- a/review/4/case.py
+++ b/review/4/case.py
@@ -25,6 +25,7 @@
 PREEMPTED_EACH = 3
 OTHER_CALLERS = 20
 STREAMS = 6
+ENTRIES = 3
 PATIENCE_S = 2.0
 
 
@@ -144,7 +145,7 @@
 async def play(deployment: Deployment, trouble: bool) -> bool:
     for number in range(3):
         deployment.start_control(number, True)
-    for number in range(2):
+    for number in range(ENTRIES):
         deployment.start_entry(number)
     runners = [
         Engine(deployment, f"i-{number}", "bozze-llm", number, None) for number in range(2)
@@ -161,7 +162,7 @@
             "tenants": [{"name": "t-1", "apiKeys": ["key-1"], "priority": 1}],
         }
     )
-    for number in range(2):
+    for number in range(ENTRIES):
         await deployment.wait_until_ready(number)
     await asyncio.sleep(4.0)
 
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -365,7 +365,8 @@
     :param play: a coroutine function of the deployment and whether to make trouble; returns whether
         the rule was broken.
     """
-    record = Record(folder / "record.txt")
+    path = Path(sys.argv[1]) if len(sys.argv) > 1 else folder / "record.txt"
+    record = Record(path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"trouble: {trouble}")
     deployment = Deployment(record)
@@ -378,5 +379,5 @@
     finally:
         deployment.kill_all()
     record(("the rule held", "the rule was broken", "the case could not run")[code])
-    print((folder / "record.txt").read_text().splitlines()[-1], "logs:", deployment.folder)
+    print(path.read_text().splitlines()[-1], "logs:", deployment.folder)
     sys.exit(code)
