Give a silent endpoint up only once another one has taken over

Cause: the connection to a silent endpoint was closed before another one had accepted the request. A refusal there, no slot, no retry left or an error lost what the first would still have sent. Ruled out: the stop itself (streams of an entry that isn't stopped are cut too), a crash, the deadline.

Change: the first connection is read on while another endpoint is asked; what comes first is used, data of the first or the start of the other one's response, and only then the other connection is closed. The same for the response head of an idempotent request and for a replacement that is silent itself. The state of an attempt moves to modules of its own.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
@@ -5,11 +5,11 @@
 from collections.abc import Awaitable, Callable, Collection
 from dataclasses import dataclass, field
 from random import Random
-from typing import TypeVar
 
 import anyio
 
 from bergamotchute_daemon.direct.admitted_request import AdmittedRequest, RequestRefused
+from bergamotchute_daemon.direct.endpoint_attempt import EndpointAttempt
 from bergamotchute_daemon.direct.endpoint_chooser import (
     RETRY_AFTER_JITTER_S,
     ChosenEndpoint,
@@ -18,11 +18,13 @@
 from bergamotchute_daemon.direct.event_stream import EventStream, InvalidEventStream
 from bergamotchute_daemon.direct.prompt_guard import PromptGuard
 from bergamotchute_daemon.direct.rate_permits import RatePermits
+from bergamotchute_daemon.direct.read_or_replace import ReadResult, Received, read_or_replace
 from bergamotchute_daemon.direct.request_format import (
     ForwardMetadata,
     RequestFormat,
     ResponseMetadata,
 )
+from bergamotchute_daemon.direct.request_progress import AttemptFailure, RequestProgress
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.node_metrics import NodeMetrics
 from bergamotchute_daemon.rate_limit_log import rate_for_log
@@ -34,8 +36,8 @@
 from bergamotchute_policy.crash_suspects import SuspectAction, SuspectDecision
 from bergamotchute_policy.direct_placement import DirectPlacement
 from bergamotchute_policy.retry import RetryBudget
-from bergamotchute_wire.byte_budget import ByteBudget, ByteClaim
-from bergamotchute_wire.http1_client import EndpointExchange, open_exchange
+from bergamotchute_wire.byte_budget import ByteBudget
+from bergamotchute_wire.http1_client import connect_exchange
 from bergamotchute_wire.http1_messages import (
     EndpointFailure,
     ResponseHead,
@@ -43,22 +45,20 @@
 )
 from bergamotchute_wire.http1_server import ResponseWriter
 
-ReadResult = TypeVar("ReadResult")
-
 CONNECT_TIMEOUT_S = 0.3
 """Timeout for connecting to an endpoint; zones are 1 ms apart, and a lost packet takes longer."""
 
 HEAD_TIMEOUT_OBJECTIVE_RATIO = 2.5
 """Timeout for the response head of an idempotent request, as a multiple of the route's objective.
 
-After it the request is sent to another endpoint.
+After it the request is sent to another endpoint too.
 """
 
 MIN_HEAD_TIMEOUT_S = 0.9
 """Lower bound of the timeout for the response head of an idempotent request."""
 
 STREAM_IDLE_TIMEOUT_S = 1.3
-"""Time without data after which a stream is resumed at another endpoint.
+"""Time without data after which another endpoint is asked to resume a stream.
 
 Callers give up after two seconds without data.
 """
@@ -101,63 +101,6 @@
 _HTTP_OK = 200
 
 
-@dataclass(frozen=True)
-class AttemptFailure:
-    """The outcome of an attempt that did not complete the request.
-
-    :param head: the endpoint's own error response, sent to the caller if no attempt does better.
-    """
-
-    verdict: Verdict
-    reason: str
-    head: ResponseHead | None = None
-    body: bytes = b""
-
-
-@dataclass
-class _RequestProgress:
-    """The state of one request across its attempts.
-
-    :param failed_endpoints: identifiers of the endpoints whose attempts failed.
-    :param sent_count: endpoints that accepted a connection for the request.
-    :param attempt_count: attempts so far, including refused connections.
-    :param may_have_run: whether any endpoint may have run the request.
-    :param last_failure: the outcome of the last attempt.
-    :param response_started_at: when the first data was sent to the caller, on the runtime's clock.
-    :param last_chunk_at: when the last data was sent to the caller.
-    :param longest_pause_s: the longest time between two chunks of a stream.
-    """
-
-    stream: EventStream
-    failed_endpoints: set[str] = field(default_factory=set)
-    sent_count: int = 0
-    attempt_count: int = 0
-    may_have_run: bool = False
-    last_failure: AttemptFailure | None = None
-    response_started_at: float | None = None
-    last_chunk_at: float = 0.0
-    longest_pause_s: float = 0.0
-
-    def record_chunk(self, now: float) -> None:
-        """Update the times when data is sent to the caller."""
-        if self.response_started_at is None:
-            self.response_started_at = now
-        else:
-            self.longest_pause_s = max(self.longest_pause_s, now - self.last_chunk_at)
-        self.last_chunk_at = now
-
-
-@dataclass(frozen=True)
-class _Attempt:
-    """One request on its connection to one endpoint."""
-
-    request: AdmittedRequest
-    writer: ResponseWriter
-    progress: _RequestProgress
-    endpoint: EndpointHeartbeat
-    exchange: EndpointExchange
-
-
 @dataclass
 class DirectForwarder:
     """Forwards requests to endpoints, and retries where that is safe.
@@ -196,14 +139,14 @@
         :raises RequestRefused: if no endpoint gave a response.
         """
         self._retry_budget(request).on_first_attempt()
-        progress = _RequestProgress(EventStream(request.metadata.resume_after))
+        progress = RequestProgress(EventStream(request.metadata.resume_after))
         with anyio.CancelScope(deadline=request.deadline) as scope:
             await self._run_attempts(request, writer, progress)
         if scope.cancelled_caught:
             self._fail_request(request, writer, progress, "the deadline has passed")
 
     async def _run_attempts(
-        self, request: AdmittedRequest, writer: ResponseWriter, progress: _RequestProgress
+        self, request: AdmittedRequest, writer: ResponseWriter, progress: RequestProgress
     ) -> None:
         while True:
             decision = await self.prompt_guard.decide(request)
@@ -229,14 +172,10 @@
                     reason += f" for another {wait_s:.2f} s"
                 self._fail_request(request, writer, progress, reason)
                 return
-            try:
-                result = await self._run_attempt(request, writer, progress, chosen)
-            finally:
-                if chosen.reservation is not None:
-                    chosen.reservation.release()
+            attempt = self._create_attempt(request, writer, progress, chosen)
+            result = await self._run_attempt(attempt)
             if result is None:
                 return
-            self._record_failed_attempt(request, progress, chosen.candidate.heartbeat, result)
             if not self._decide_retry(request, progress, result):
                 await self._finish_with_failure(request, writer, progress, result)
                 return
@@ -245,7 +184,7 @@
         self,
         request: AdmittedRequest,
         writer: ResponseWriter,
-        progress: _RequestProgress,
+        progress: RequestProgress,
         decision: SuspectDecision,
     ) -> None:
         """Refuse a request because it, or a part of its prompt, may crash endpoints.
@@ -280,22 +219,97 @@
             return True
         return False
 
-    async def _run_attempt(
+    def _create_attempt(
         self,
         request: AdmittedRequest,
         writer: ResponseWriter,
-        progress: _RequestProgress,
+        progress: RequestProgress,
         chosen: ChosenEndpoint,
-    ) -> AttemptFailure | None:
-        """Send a request to one endpoint; ``None`` once the caller has the complete response."""
-        endpoint = chosen.candidate.heartbeat
+    ) -> EndpointAttempt:
+        """Count a new attempt, which holds the chosen endpoint's slot until it is closed."""
         progress.attempt_count += 1
-        progress.stream.discard_partial_event()
+        attempt = EndpointAttempt(
+            request, writer, progress, chosen, progress.attempt_count, progress.stream.events
+        )
+        if chosen.reservation is not None:
+            attempt.resources.callback(chosen.reservation.release)
+        self.placement.on_request_sent(attempt.endpoint)
+        attempt.resources.callback(self.placement.on_request_ended, attempt.endpoint)
+        return attempt
+
+    async def _run_attempt(self, attempt: EndpointAttempt) -> AttemptFailure | None:
+        """Run an attempt, and those that replace it while its endpoint is silent.
+
+        :return: ``None`` once the caller has the complete response.
+        """
+        while True:
+            attempt.progress.stream.discard_partial_event()
+            try:
+                outcome = await self._run_step(attempt, self._complete_response)
+            finally:
+                await attempt.close()
+            if outcome is None:
+                return None
+            if isinstance(outcome, AttemptFailure):
+                self._record_failed_attempt(attempt, outcome)
+                return outcome
+            reason = f"no data; {outcome.endpoint.endpoint} took over"
+            self._record_failed_attempt(attempt, AttemptFailure(Verdict.MAY_HAVE_RUN, reason))
+            attempt = outcome
+
+    async def _run_step(
+        self,
+        attempt: EndpointAttempt,
+        step: Callable[[EndpointAttempt], Awaitable[AttemptFailure | EndpointAttempt | None]],
+    ) -> AttemptFailure | EndpointAttempt | None:
+        """Run a step of an attempt, and record a failure of its endpoint."""
+        try:
+            return await step(attempt)
+        except EndpointFailure as failure:
+            await self._record_endpoint_failure(attempt, failure)
+            verdict = Verdict.MAY_HAVE_RUN if failure.may_have_arrived else Verdict.NOT_RUN
+            return AttemptFailure(verdict, failure.reason)
+
+    async def _complete_response(
+        self, attempt: EndpointAttempt
+    ) -> AttemptFailure | EndpointAttempt | None:
+        """Forward an attempt's whole response, or return the attempt that took over meanwhile."""
+        try:
+            if attempt.head is None:
+                await self._send_request(attempt)
+                objective_timeout_s = (
+                    HEAD_TIMEOUT_OBJECTIVE_RATIO * attempt.request.route.objective_s
+                )
+                head = await self._read_or_replace(
+                    attempt,
+                    max(MIN_HEAD_TIMEOUT_S, objective_timeout_s),
+                    attempt.connection.read_response_head,
+                )
+                failure = await self._on_response_head(attempt, head)
+                if failure is not None:
+                    return failure
+            if attempt.is_stream:
+                await self._forward_stream(attempt)
+            else:
+                await self._forward_buffered(attempt)
+        except _AttemptReplaced as replaced:
+            return replaced.replacement
+        self.placement.on_success(attempt.endpoint)
+        self._record_completed_request(attempt)
+        return None
+
+    async def _send_request(self, attempt: EndpointAttempt) -> None:
+        """Connect to the endpoint and send the request.
+
+        :raises EndpointFailure: if the connection can't be opened, or breaks.
+        """
+        request, progress = attempt.request, attempt.progress
+        endpoint, chosen = attempt.endpoint, attempt.chosen
         self.log.emit(
             events.REQUEST_DISPATCHED,
             request_id=request.metadata.request_id,
             endpoint=endpoint.endpoint,
-            attempt=progress.attempt_count,
+            attempt=attempt.number,
             born_ms=endpoint.born_ms,
             fullness=round(chosen.candidate.fullness, 2),
             capacity=self.placement.capacity(endpoint, anyio.current_time()),
@@ -305,88 +319,71 @@
             permit_waited_ms=round(chosen.permit_waited_s * 1000),
             requests_per_s=rate_for_log(self.rate_permits.requests_per_s(endpoint)),
         )
-        self.placement.on_request_sent(endpoint)
-        attempt_started_at = anyio.current_time()
-        earlier_events = progress.stream.events
-        try:
-            async with open_exchange(endpoint.address, CONNECT_TIMEOUT_S) as exchange:
-                progress.sent_count += 1
-                attempt = _Attempt(request, writer, progress, endpoint, exchange)
-                return await self._exchange_messages(attempt)
-        except EndpointFailure as failure:
-            self._record_endpoint_failure(endpoint, attempt_started_at)
-            if failure.connection_ended and progress.stream.events == earlier_events:
-                await self.prompt_guard.on_connection_ended(request, endpoint)
-            verdict = Verdict.MAY_HAVE_RUN if failure.may_have_arrived else Verdict.NOT_RUN
-            return AttemptFailure(verdict, failure.reason)
-        finally:
-            self.placement.on_request_ended(endpoint)
-
-    def _record_endpoint_failure(
-        self, endpoint: EndpointHeartbeat, attempt_started_at: float
-    ) -> None:
-        now = anyio.current_time()
-        if now - attempt_started_at > GROUP_STALL_THRESHOLD_S:
-            self.placement.on_no_progress(endpoint, now)
-        else:
-            self.placement.on_failure(endpoint, now)
-
-    async def _exchange_messages(self, attempt: _Attempt) -> AttemptFailure | None:
-        """Send the request on an open connection and forward the response."""
-        request, progress, endpoint = attempt.request, attempt.progress, attempt.endpoint
-        exchange, writer = attempt.exchange, attempt.writer
-        send_started_at = anyio.current_time()
+        attempt.exchange = await connect_exchange(endpoint.address, CONNECT_TIMEOUT_S)
+        progress.sent_count += 1
+        attempt.sent_at = anyio.current_time()
         forward_metadata = ForwardMetadata(
             endpoint=endpoint,
-            time_left_s=request.deadline - send_started_at,
+            time_left_s=request.deadline - attempt.sent_at,
             team=request.team,
             resume_after=progress.stream.last_event_id,
             urgency=min(9, request.priority),
             body_bytes=len(request.body),
         )
-        await exchange.send(
+        await attempt.exchange.send(
             self.request_format.write_request(request.head, forward_metadata), request.body
         )
-        objective_timeout_s = HEAD_TIMEOUT_OBJECTIVE_RATIO * request.route.objective_s
-        head_timeout_s = max(MIN_HEAD_TIMEOUT_S, objective_timeout_s)
-        head = await self._read_or_fail_over(attempt, head_timeout_s, exchange.read_response_head)
+
+    async def _record_endpoint_failure(
+        self, attempt: EndpointAttempt, failure: EndpointFailure
+    ) -> None:
+        """Record what the failure of an attempt tells of its endpoint, once."""
+        if attempt.has_failed:
+            return
+        attempt.has_failed = True
+        now = anyio.current_time()
+        if now - attempt.started_at > GROUP_STALL_THRESHOLD_S:
+            self.placement.on_no_progress(attempt.endpoint, now)
+        else:
+            self.placement.on_failure(attempt.endpoint, now)
+        if failure.connection_ended and attempt.progress.stream.events == attempt.events_before:
+            await self.prompt_guard.on_connection_ended(attempt.request, attempt.endpoint)
+
+    async def _on_response_head(
+        self, attempt: EndpointAttempt, head: ResponseHead
+    ) -> AttemptFailure | None:
+        """Set the head of an attempt's response, or return why it can't be forwarded."""
+        request, endpoint = attempt.request, attempt.endpoint
         response_metadata = self.request_format.read_response(head)
         if response_metadata.request_id != request.metadata.request_id:
             return AttemptFailure(
                 Verdict.MAY_HAVE_RUN, "the response has the request id of another request"
             )
         self._apply_response_metadata(endpoint, response_metadata)
-        self.rate_permits.on_response(endpoint, response_metadata, send_started_at)
+        self.rate_permits.on_response(endpoint, response_metadata, attempt.sent_at)
         failure = self._find_failure(head, response_metadata)
         if failure is not None:
             now = anyio.current_time()
-            if response_metadata.not_run and now - send_started_at > GROUP_STALL_THRESHOLD_S:
+            if response_metadata.not_run and now - attempt.sent_at > GROUP_STALL_THRESHOLD_S:
                 self.placement.on_no_progress(endpoint, now)
             elif response_metadata.not_run:
                 self.placement.on_slots_full(endpoint, now)
             elif response_metadata.wrong_endpoint:
                 self.placement.on_failure(endpoint, now)
             return failure
-        if writer.started and not _is_event_stream(head):
+        if attempt.writer.started and not _is_event_stream(head):
             if head.status >= 500:
                 self.placement.on_failure(endpoint, anyio.current_time())
             return AttemptFailure(
                 Verdict.MAY_HAVE_RUN, f"status {head.status} does not continue the stream"
             )
-        if request.is_stream and 200 <= head.status < 300:
-            await self._forward_stream(attempt, head, send_started_at)
-        else:
-            with self.held.open_claim() as claim:
-                body = await self._read_body(exchange, claim)
-                if head.status >= 500:
-                    self.placement.on_failure(endpoint, anyio.current_time())
-                    return AttemptFailure(Verdict.MAY_HAVE_RUN, f"status {head.status}", head, body)
-                progress.record_chunk(anyio.current_time())
-                await self._forward_response(writer, head, body)
-                if head.status < 300:
-                    self.prompt_guard.on_answered(request)
-        self.placement.on_success(endpoint)
-        self._record_completed_request(request, progress, endpoint, head.status)
+        attempt.head = head
+        if attempt.is_stream:
+            return None
+        if head.status >= 500:
+            body = await self._read_body(attempt)
+            self.placement.on_failure(endpoint, anyio.current_time())
+            return AttemptFailure(Verdict.MAY_HAVE_RUN, f"status {head.status}", head, body)
         return None
 
     def _apply_response_metadata(
@@ -423,26 +420,98 @@
             )
         return None
 
-    async def _read_or_fail_over(
-        self, attempt: _Attempt, timeout_s: float, read: Callable[[], Awaitable[ReadResult]]
+    async def _read_or_replace(
+        self,
+        attempt: EndpointAttempt,
+        timeout_s: float,
+        read: Callable[[], Awaitable[ReadResult]],
     ) -> ReadResult:
-        """Read from an endpoint; give it up after a timeout only if another one can take over.
+        """Read from an endpoint; after each timeout, have another one take over if it can.
 
         The response to a request that is not idempotent is awaited without this timeout, since the
         request can't be sent again.
 
-        :raises EndpointFailure: if the endpoint sent nothing in time and another one is available.
+        :raises EndpointFailure: if the endpoint failed.
+        :raises _AttemptReplaced: if another endpoint's response has begun meanwhile.
         """
         if not attempt.request.route.idempotent:
             return await read()
+
+        async def read_on() -> ReadResult:
+            try:
+                return await read()
+            except EndpointFailure as failure:
+                await self._record_endpoint_failure(attempt, failure)
+                raise
+
         while True:
             with anyio.move_on_after(timeout_s):
                 return await read()
             self.placement.on_no_progress(attempt.endpoint, anyio.current_time())
-            if self._can_fail_over(attempt):
-                raise EndpointFailure(f"no data for {timeout_s:.1f} s", True)
+            if not self._can_fail_over(attempt):
+                continue
+            outcome = await read_or_replace(
+                read_on, lambda: self._find_replacement(attempt), EndpointAttempt.close
+            )
+            if isinstance(outcome, Received):
+                return outcome.value
+            if outcome is not None:
+                raise _AttemptReplaced(outcome)
+
+    async def _find_replacement(self, silent: EndpointAttempt) -> EndpointAttempt | None:
+        """Send the request to another endpoint and wait until its response has begun.
+
+        :return: the attempt there; ``None`` if the request may not be sent, or the attempt failed.
+        """
+        request, progress = silent.request, silent.progress
+        decision = await self.prompt_guard.decide(request)
+        if decision.action in (SuspectAction.REJECT, SuspectAction.HOLD):
+            return None
+        excluded = progress.failed_endpoints | {silent.endpoint.endpoint}
+        try:
+            chosen = await self.chooser.choose(request, excluded, True)
+        except RequestRefused as refusal:
+            self._log_retry_decision(request, progress, refusal.reason)
+            return None
+        if chosen is None:
+            return None
+        attempt = self._create_attempt(request, silent.writer, progress, chosen)
+        is_ready = False
+        try:
+            reason = AttemptFailure(Verdict.MAY_HAVE_RUN, "no data")
+            if not self._decide_retry(request, progress, reason):
+                return None
+            failure = await self._run_step(attempt, self._begin_response)
+            if isinstance(failure, AttemptFailure):
+                self._record_failed_attempt(attempt, failure)
+                return None
+            is_ready = True
+            return attempt
+        finally:
+            if not is_ready:
+                await attempt.close()
+
+    async def _begin_response(self, attempt: EndpointAttempt) -> AttemptFailure | None:
+        """Send the request and read what shows that the endpoint serves it.
 
-    def _can_fail_over(self, attempt: _Attempt) -> bool:
+        That is the first data of a stream, or the whole of any other response.
+
+        :raises EndpointFailure: if the endpoint failed.
+        """
+        await self._send_request(attempt)
+        head = await attempt.connection.read_response_head()
+        failure = await self._on_response_head(attempt, head)
+        if failure is not None:
+            return failure
+        if attempt.is_stream:
+            attempt.body = await attempt.connection.read_body_chunk()
+            if attempt.body is None:
+                return AttemptFailure(Verdict.MAY_HAVE_RUN, "the stream ended without an event")
+        else:
+            attempt.body = await self._read_body(attempt)
+        return None
+
+    def _can_fail_over(self, attempt: EndpointAttempt) -> bool:
         """Return whether another attempt is allowed and a healthy endpoint is available for it."""
         request, progress = attempt.request, attempt.progress
         if (
@@ -454,10 +523,17 @@
         known = self.endpoints(request.service.name)
         return self.placement.has_healthy_endpoint(known, excluded, anyio.current_time())
 
-    async def _read_body(self, exchange: EndpointExchange, claim: ByteClaim) -> bytes:
+    async def _read_body(self, attempt: EndpointAttempt) -> bytes:
+        """Read the body of a response that is no stream, once.
+
+        :raises EndpointFailure: if the body is too large, or ends early.
+        """
+        if attempt.body is not None:
+            return attempt.body
+        claim = attempt.resources.enter_context(self.held.open_claim())
         body = bytearray()
         chunk_count = 0
-        while (data := await exchange.read_body_chunk()) is not None:
+        while (data := await attempt.connection.read_body_chunk()) is not None:
             body += data
             chunk_count += 1
             if len(body) > MAX_RESPONSE_BYTES or chunk_count > MAX_RESPONSE_CHUNKS:
@@ -466,6 +542,18 @@
                 raise EndpointFailure("the memory limit for buffered responses is reached", True)
         return bytes(body)
 
+    async def _forward_buffered(self, attempt: EndpointAttempt) -> None:
+        """Read a response that is no stream to its end, and forward it.
+
+        :raises EndpointFailure: if the body is too large, or ends early.
+        """
+        assert attempt.head is not None
+        body = await self._read_body(attempt)
+        attempt.progress.record_chunk(anyio.current_time())
+        await self._forward_response(attempt.writer, attempt.head, body)
+        if attempt.head.status < 300:
+            self.prompt_guard.on_answered(attempt.request)
+
     async def _forward_response(
         self, writer: ResponseWriter, head: ResponseHead, body: bytes
     ) -> None:
@@ -473,87 +561,96 @@
         kept = tuple((name, value) for name, value in headers if name != "content-length")
         await writer.respond(head.status, kept, body)
 
-    async def _forward_stream(self, attempt: _Attempt, head: ResponseHead, sent_at: float) -> None:
+    async def _forward_stream(self, attempt: EndpointAttempt) -> None:
         """Forward complete events as they arrive.
 
-        :param sent_at: when the request was sent to the endpoint, on the runtime's clock.
-        :raises EndpointFailure: if the stream breaks off, stalls, or does not continue the events
-            that the caller already has.
+        :raises EndpointFailure: if the stream breaks off, or does not continue the events that the
+            caller already has.
+        :raises _AttemptReplaced: if the stream stalls and another endpoint has taken over.
         """
-        writer, stream = attempt.writer, attempt.progress.stream
+        assert attempt.head is not None
+        writer, progress = attempt.writer, attempt.progress
         is_answered = False
+        data, attempt.body = attempt.body, None
         while True:
-            data = await self._read_or_fail_over(
-                attempt, STREAM_IDLE_TIMEOUT_S, attempt.exchange.read_body_chunk
-            )
+            if data is None:
+                data = await self._read_or_replace(
+                    attempt, STREAM_IDLE_TIMEOUT_S, attempt.connection.read_body_chunk
+                )
             if data is None:
                 break
             try:
-                whole = stream.feed(data)
+                whole = progress.stream.feed(data)
             except InvalidEventStream as error:
                 raise EndpointFailure(str(error), True) from error
+            data = None
             if whole:
                 now = anyio.current_time()
                 if not is_answered:
                     is_answered = True
                     self.prompt_guard.on_answered(attempt.request)
-                if attempt.progress.response_started_at is not None:
-                    pause_s = now - attempt.progress.last_chunk_at
+                if progress.response_started_at is not None:
+                    pause_s = now - progress.last_chunk_at
                     self.placement.on_stream_pause(attempt.endpoint, pause_s, now)
-                attempt.progress.record_chunk(now)
+                progress.record_chunk(now)
                 if not writer.started:
-                    await writer.write_head(head.status, without_hop_by_hop_headers(head.headers))
+                    await writer.write_head(
+                        attempt.head.status, without_hop_by_hop_headers(attempt.head.headers)
+                    )
                 await writer.write_chunk(whole)
-        if stream.has_partial_event or not is_answered:
+        if progress.stream.has_partial_event or not is_answered:
             # One that resumes without an event leaves open whether the caller has them all.
             raise EndpointFailure(
-                "the stream ended before an event was complete", True, attempt.exchange.has_ended
+                "the stream ended before an event was complete", True, attempt.connection.has_ended
             )
         await writer.finish()
-        if attempt.progress.sent_count == 1 and attempt.progress.response_started_at is not None:
-            first_event_s = attempt.progress.response_started_at - sent_at
+        if progress.sent_count == 1 and progress.response_started_at is not None:
+            first_event_s = progress.response_started_at - attempt.sent_at
             self.chooser.stream_pace(attempt.request).on_first_event(first_event_s)
 
-    def _record_failed_attempt(
-        self,
-        request: AdmittedRequest,
-        progress: _RequestProgress,
-        endpoint: EndpointHeartbeat,
-        result: AttemptFailure,
-    ) -> None:
-        progress.failed_endpoints.add(endpoint.endpoint)
+    def _record_failed_attempt(self, attempt: EndpointAttempt, result: AttemptFailure) -> None:
+        progress = attempt.progress
+        progress.failed_endpoints.add(attempt.endpoint.endpoint)
         self.metrics.on_attempt(result.verdict)
         progress.last_failure = result
         if result.verdict is Verdict.MAY_HAVE_RUN:
             progress.may_have_run = True
         self.log.emit(
             events.ATTEMPT_FAILED,
-            request_id=request.metadata.request_id,
-            endpoint=endpoint.endpoint,
-            attempt=progress.attempt_count,
+            request_id=attempt.request.metadata.request_id,
+            endpoint=attempt.endpoint.endpoint,
+            attempt=attempt.number,
             verdict=result.verdict,
             reason=result.reason,
             events_passed=progress.stream.events,
         )
 
     def _decide_retry(
-        self, request: AdmittedRequest, progress: _RequestProgress, result: AttemptFailure
+        self, request: AdmittedRequest, progress: RequestProgress, result: AttemptFailure
     ) -> bool:
         """Return whether to try another endpoint; if so, take the retry from the budget."""
         reason = self._reason_against_retry(request, progress, result)
-        kind = events.REQUEST_NOT_RETRIED if reason else events.REQUEST_RETRIED
+        self._log_retry_decision(request, progress, reason)
+        return not reason
+
+    def _log_retry_decision(
+        self, request: AdmittedRequest, progress: RequestProgress, reason: str
+    ) -> None:
+        """Log whether another endpoint is tried.
+
+        :param reason: why not; empty if it is.
+        """
         self.log.emit(
-            kind,
+            events.REQUEST_NOT_RETRIED if reason else events.REQUEST_RETRIED,
             request_id=request.metadata.request_id,
             attempt=progress.attempt_count + 1,
             resume_after=progress.stream.last_event_id,
             reason=reason,
             budget=round(self._retry_budget(request).available_retries, 1),
         )
-        return not reason
 
     def _reason_against_retry(
-        self, request: AdmittedRequest, progress: _RequestProgress, result: AttemptFailure
+        self, request: AdmittedRequest, progress: RequestProgress, result: AttemptFailure
     ) -> str:
         """Return why the request must not be retried, or an empty string if it may be.
 
@@ -573,7 +670,7 @@
         self,
         request: AdmittedRequest,
         writer: ResponseWriter,
-        progress: _RequestProgress,
+        progress: RequestProgress,
         result: AttemptFailure,
     ) -> None:
         """Forward the endpoint's own error response, or fail the request here."""
@@ -586,7 +683,7 @@
         self,
         request: AdmittedRequest,
         writer: ResponseWriter,
-        progress: _RequestProgress,
+        progress: RequestProgress,
         reason: str,
     ) -> None:
         """Refuse a request; if its response has started, log the failure and leave it incomplete.
@@ -634,13 +731,8 @@
         self.retry_budgets[name].refill(anyio.current_time())
         return self.retry_budgets[name]
 
-    def _record_completed_request(
-        self,
-        request: AdmittedRequest,
-        progress: _RequestProgress,
-        endpoint: EndpointHeartbeat,
-        status: int,
-    ) -> None:
+    def _record_completed_request(self, attempt: EndpointAttempt) -> None:
+        request, progress = attempt.request, attempt.progress
         response_started_at = progress.response_started_at or request.arrived_at
         self.metrics.on_attempt(Verdict.COMPLETED)
         self.metrics.on_response(
@@ -651,8 +743,8 @@
         self.log.emit(
             events.REQUEST_COMPLETED,
             request_id=request.metadata.request_id,
-            endpoint=endpoint.endpoint,
-            status=status,
+            endpoint=attempt.endpoint.endpoint,
+            status=attempt.writer.status,
             route=request.route.name,
             objective_ms=round(request.route.objective_s * 1000),
             pause_bound_ms=round(request.route.gap_objective_s * 1000),
@@ -664,6 +756,14 @@
         )
 
 
+class _AttemptReplaced(Exception):
+    """Another endpoint took over the request of a silent one."""
+
+    def __init__(self, replacement: EndpointAttempt) -> None:
+        super().__init__()
+        self.replacement = replacement
+
+
 def _is_event_stream(head: ResponseHead) -> bool:
     """Return whether a response can go on with a stream that has begun."""
     content_type = head.get_header("content-type")
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/http1_client.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/http1_client.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
-
 import anyio
 import h11
 from anyio.abc import ByteStream
@@ -69,6 +66,11 @@
                     "the connection broke while the request was sent", True, True
                 ) from error
 
+    async def close(self) -> None:
+        """Close the connection, also while the caller's task is cancelled."""
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(self.stream)
+
     async def _has_early_response(self) -> bool:
         """Return whether bytes of a response came before the connection broke."""
         try:
@@ -145,24 +147,16 @@
     return False
 
 
-@asynccontextmanager
-async def open_exchange(
-    address: Address, connect_timeout_s: float
-) -> AsyncIterator[EndpointExchange]:
-    """Connect to an endpoint for one exchange, and close the connection afterwards.
+async def connect_exchange(address: Address, connect_timeout_s: float) -> EndpointExchange:
+    """Connect to an endpoint for one exchange, which the caller closes.
 
     :param connect_timeout_s: bound on connecting, in seconds.
     :raises EndpointFailure: when the connection can't be opened; nothing was sent.
     """
     try:
         with anyio.fail_after(connect_timeout_s):
-            stream = await anyio.connect_tcp(address.host, address.port)
+            return EndpointExchange(await anyio.connect_tcp(address.host, address.port))
     except (OSError, TimeoutError) as error:
         raise EndpointFailure(
             f"connecting to the endpoint failed: {error or 'timeout'}", False
         ) from error
-    try:
-        yield EndpointExchange(stream)
-    finally:
-        with anyio.CancelScope(shield=True):
-            await anyio.aclose_forcefully(stream)
