Send streams on without the length that their first endpoint announced

Callers saw a resumed stream cut: the entry raised "Too much data for declared Content-Length" when the second endpoint's events did not fit the length in the first one's head.

Change: the length is no longer forwarded with a stream; the body goes in chunks, and their end tells that it is whole.

Evidence: test_resumed_stream_keeps_the_length_that_its_first_endpoint_announced failed before and passes now.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
@@ -30,7 +30,7 @@
 from bergamotchute_daemon.rate_limit_log import rate_for_log
 from bergamotchute_model import events
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
-from bergamotchute_model.headers import EVENT_STREAM_TYPE
+from bergamotchute_model.headers import EVENT_STREAM_TYPE, Headers
 from bergamotchute_model.prompt_parts import Suspect
 from bergamotchute_model.verdict import Verdict
 from bergamotchute_policy.crash_suspects import SuspectAction, SuspectDecision
@@ -557,9 +557,7 @@
     async def _forward_response(
         self, writer: ResponseWriter, head: ResponseHead, body: bytes
     ) -> None:
-        headers = without_hop_by_hop_headers(head.headers)
-        kept = tuple((name, value) for name, value in headers if name != "content-length")
-        await writer.respond(head.status, kept, body)
+        await writer.respond(head.status, _headers_without_length(head), body)
 
     async def _forward_stream(self, attempt: EndpointAttempt) -> None:
         """Forward complete events as they arrive.
@@ -595,7 +593,7 @@
                 progress.record_chunk(now)
                 if not writer.started:
                     await writer.write_head(
-                        attempt.head.status, without_hop_by_hop_headers(attempt.head.headers)
+                        attempt.head.status, _headers_without_length(attempt.head)
                     )
                 await writer.write_chunk(whole)
         if progress.stream.has_partial_event or not is_answered:
@@ -768,3 +766,9 @@
     """Return whether a response can go on with a stream that has begun."""
     content_type = head.get_header("content-type")
     return head.status == _HTTP_OK and content_type.lower().startswith(EVENT_STREAM_TYPE)
+
+
+def _headers_without_length(head: ResponseHead) -> Headers:
+    """Return the headers to forward; the length is set anew, as a resumed stream has another."""
+    headers = without_hop_by_hop_headers(head.headers)
+    return tuple((name, value) for name, value in headers if name != "content-length")
--- a/tests/direct/test_silent_endpoints.py
+++ b/tests/direct/test_silent_endpoints.py
@@ -243,3 +243,26 @@
         assert_nothing_is_held(entry)
 
     run_with_entry(body)
+
+
+def test_resumed_stream_keeps_the_length_that_its_first_endpoint_announced() -> None:
+    """The second endpoint's events did not fit the length, and the entry failed to send them."""
+
+    async def body(entry: EntryFixture) -> None:
+        async def respond(request: ReceivedRequest, stream: SocketStream) -> None:
+            if "last-event-id" in request.headers:
+                head = stream_head(request)
+                events = chunked(event(2) + event(3) + event(4)) + LAST_CHUNK
+            else:
+                head = answer(
+                    request, body=b"", content_length="40", content_type="text/event-stream"
+                )
+                events = event(1)
+            await stream.send(head + events)
+
+        await entry.add_endpoint("runner-1", respond)
+        await entry.add_endpoint("runner-2", respond)
+        response = await entry.send_request("stream")
+        assert (response.body, response.whole) == (WHOLE_STREAM + event(4), True)
+
+    run_with_entry(body)
