Pass on only what a stopping entry can still answer

Cause: nobody asked whether what is passed on can still be answered. A stop did not wait for requests that arrive, and what arrived, or waited for an endpoint, was passed on up to the end.

Ruled out: accepting connections late (it ends after 2.6 s; the uploads had begun before).

Change: from SIGTERM on a request is passed on only if it is due before the end or the longest recent response of its route still fits; otherwise it is refused at once with 503. A stop waits for requests that arrive; from the instant it ends they are refused.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -52,8 +52,7 @@
 """Time for which a stopping entry still accepts requests.
 
 It covers the lifetime of the entry's address and one look-up in the directory, after which no
-caller uses the address. The last requests can still end before the bound on the stop: a long stream
-takes three seconds.
+caller uses the address.
 """
 
 
@@ -113,14 +112,19 @@
         return (state,)
 
     async def drain(self) -> None:
-        """Announce the stop, answer the callers that still come, and return when all are served."""
+        """Announce the stop, answer the callers that still come, and return when all are served.
+
+        Requests that can't be answered in the time that is left are refused, not sent.
+        """
         self.stopping = True
+        self.forwarder.stop_at(self.now() + self.drain_bound_s)
         self.server.stopping = True
         self.links.post_all(next(iter(self.greeting())))
         with anyio.move_on_after(self.drain_bound_s):
             await anyio.sleep(DRAIN_ACCEPT_S)
             await self.server.close()
             await self.server.wait_until_idle()
+        self.server.refuse()
 
     def on_message(self, address: Address, message: NodeMessage) -> None:
         """Handle a message from a control VM."""
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Awaitable, Callable, Collection
 from dataclasses import dataclass, field
 from random import Random
@@ -35,6 +36,7 @@
 from bergamotchute_model.verdict import Verdict
 from bergamotchute_policy.crash_suspects import SuspectAction, SuspectDecision
 from bergamotchute_policy.direct_placement import DirectPlacement
+from bergamotchute_policy.response_times import ResponseTimes
 from bergamotchute_policy.retry import RetryBudget
 from bergamotchute_wire.byte_budget import ByteBudget
 from bergamotchute_wire.http1_client import connect_exchange
@@ -112,6 +114,8 @@
     :param retry_refill_per_s: retries added to the budget of a service per second at any load, over
         all entries.
     :param entry_count: entries that share the budget, as far as this one was told.
+    :param ends_at: when this entry ends, on the runtime's clock; infinite until it stops.
+    :param unsent: the requests that wait for an endpoint, by the scope of their wait.
     """
 
     request_format: RequestFormat
@@ -129,6 +133,9 @@
     retry_refill_per_s: float
     entry_count: int = MIN_BUDGET_ENTRIES
     started_at: float = field(default_factory=anyio.current_time)
+    ends_at: float = math.inf
+    response_times: ResponseTimes = field(default_factory=ResponseTimes)
+    unsent: dict[anyio.CancelScope, AdmittedRequest] = field(default_factory=dict)
     changed: anyio.Event = field(default_factory=anyio.Event)
     retry_budgets: dict[str, RetryBudget] = field(default_factory=dict)
     held: ByteBudget = field(default_factory=lambda: ByteBudget(MAX_BUFFERED_BYTES))
@@ -153,9 +160,7 @@
             if decision.action in (SuspectAction.REJECT, SuspectAction.HOLD):
                 self._refuse_suspect(request, writer, progress, decision)
                 return
-            chosen = await self.chooser.choose(
-                request, progress.failed_endpoints, progress.attempt_count > 0
-            )
+            chosen = await self._choose_endpoint(request, progress)
             if (
                 chosen is None
                 and not progress.attempt_count
@@ -180,6 +185,44 @@
                 await self._finish_with_failure(request, writer, progress, result)
                 return
 
+    async def _choose_endpoint(
+        self, request: AdmittedRequest, progress: RequestProgress
+    ) -> ChosenEndpoint | None:
+        """Choose an endpoint while there is time for its response before this entry ends.
+
+        :raises RequestRefused: if every endpoint is overloaded, or this entry ends too soon.
+        """
+        is_retry = progress.attempt_count > 0
+        if progress.may_have_run:
+            return await self.chooser.choose(request, progress.failed_endpoints, is_retry)
+        latest_send_at = self._latest_send_at(request)
+        if latest_send_at > anyio.current_time():
+            with anyio.CancelScope(deadline=latest_send_at) as scope:
+                self.unsent[scope] = request
+                try:
+                    return await self.chooser.choose(request, progress.failed_endpoints, is_retry)
+                finally:
+                    del self.unsent[scope]
+        raise RequestRefused(503, "the entry stops before it could answer", MIN_RETRY_AFTER_S)
+
+    def stop_at(self, ends_at: float) -> None:
+        """Send no request any more that can't be answered before this entry ends.
+
+        :param ends_at: when it ends, on the runtime's clock.
+        """
+        self.ends_at = ends_at
+        for scope, request in self.unsent.items():
+            scope.deadline = self._latest_send_at(request)
+
+    def _latest_send_at(self, request: AdmittedRequest) -> float:
+        """Return when a request must be sent to be answered before this entry ends."""
+        if self.ends_at == math.inf:
+            return math.inf
+        route = request.route
+        return self.response_times.latest_send_at(
+            route.name, route.timeout_s, request.deadline, self.ends_at
+        )
+
     def _refuse_suspect(
         self,
         request: AdmittedRequest,
@@ -732,6 +775,8 @@
     def _record_completed_request(self, attempt: EndpointAttempt) -> None:
         request, progress = attempt.request, attempt.progress
         response_started_at = progress.response_started_at or request.arrived_at
+        if attempt.writer.status == _HTTP_OK:
+            self.response_times.record(request.route.name, anyio.current_time() - attempt.sent_at)
         self.metrics.on_attempt(Verdict.COMPLETED)
         self.metrics.on_response(
             request.route.kind,
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/http1_server.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/http1_server.py
@@ -46,6 +46,9 @@
 BODY_BUFFER_RETRY_AFTER_S = 1.0
 """Retry delay for a caller whose body exceeds the limit; about the time of a typical response."""
 
+STOPPED_RETRY_AFTER_S = 0.1
+"""Retry delay for a caller whose request was read too late; other entries can take it at once."""
+
 WRITE_TIMEOUT_S = 10.0
 """Bound on one write to a caller; a caller that takes longer counts as disconnected."""
 
@@ -151,12 +154,17 @@
     :param stopping: set once the process is to stop; each connection then closes after the
         response in progress.
     :param closed: whether :meth:`close` was called; no connection waits for a next request then.
+    :param refusing: whether requests that are read from now on are refused, see :meth:`refuse`.
+    :param receiving: requests that have begun to arrive and are not complete.
+    :param in_flight: requests that are being handled.
     """
 
     handler: RequestHandler
     limits: ServerLimits = field(default_factory=ServerLimits)
     stopping: bool = False
     closed: bool = False
+    refusing: bool = False
+    receiving: int = 0
     listener: MultiListener[SocketStream] | None = None
     in_flight: int = 0
     idle: anyio.Event = field(default_factory=anyio.Event)
@@ -177,11 +185,20 @@
                 _logger.info("listener closed; no new connections are accepted")
 
     async def wait_until_idle(self) -> None:
-        """Wait until no request is in progress."""
-        while self.in_flight:
+        """Wait until no request arrives or is being handled."""
+        while self.in_flight or self.receiving:
             self.idle = anyio.Event()
             await self.idle.wait()
 
+    def refuse(self) -> None:
+        """Refuse the requests that are complete from now on; the process is about to end."""
+        self.refusing = True
+
+    def notify_if_idle(self) -> None:
+        """Wake those that wait until no request is in progress."""
+        if not self.in_flight and not self.receiving:
+            self.idle.set()
+
     async def close(self) -> None:
         """Stop accepting connections, and close those that wait for a next request."""
         self.closed = True
@@ -211,6 +228,7 @@
             h11.SERVER, max_incomplete_event_size=server.limits.head_bytes
         )
         self.read_ahead = bytearray()
+        self.is_receiving = False
         self.ended = False
 
     async def run(self) -> None:
@@ -224,17 +242,21 @@
         try:
             request = await self._read_request(claim)
         except h11.RemoteProtocolError as error:
-            await self._reject_request(error.error_status_hint)
+            await self._reject_request(error.error_status_hint, BODY_BUFFER_RETRY_AFTER_S)
             return False
+        finally:
+            self._end_receiving()
         if request is None:
             return False
+        if self.server.refusing:
+            await self._reject_request(503, STOPPED_RETRY_AFTER_S)
+            return False
         self.server.in_flight += 1
         try:
             is_reusable = await self._handle_request(request)
         finally:
             self.server.in_flight -= 1
-            if not self.server.in_flight:
-                self.server.idle.set()
+            self.server.notify_if_idle()
         if is_reusable:
             self.protocol.start_next_cycle()
         return is_reusable
@@ -268,27 +290,38 @@
                 handling.cancel()
                 return
 
+    def _begin_receiving(self) -> None:
+        """Count the request that has begun to arrive."""
+        if not self.is_receiving:
+            self.is_receiving = True
+            self.server.receiving += 1
+
+    def _end_receiving(self) -> None:
+        if self.is_receiving:
+            self.is_receiving = False
+            self.server.receiving -= 1
+            self.server.notify_if_idle()
+
     async def _read_request(self, claim: ByteClaim) -> CallerRequest | None:
         """Return the next complete request, or ``None`` when the connection ended or timed out."""
         limits = self.server.limits
         head: h11.Request | None = None
         body = bytearray()
         chunk_count = 0
-        has_begun = False
         deadline = anyio.current_time() + limits.idle_timeout_s
         while True:
             event = self.protocol.next_event()
             if event is h11.NEED_DATA:
-                data = await self._receive(deadline, idle=not has_begun)
+                data = await self._receive(deadline, idle=not self.is_receiving)
                 if not data:
                     return None
-                if not has_begun:
-                    has_begun = True
+                if not self.is_receiving:
+                    self._begin_receiving()
                     deadline = anyio.current_time() + limits.head_timeout_s
                 self.protocol.receive_data(data)
             elif isinstance(event, h11.Request):
                 head = event
-                has_begun = True
+                self._begin_receiving()
                 if _head_size(event) > limits.head_bytes:
                     raise h11.RemoteProtocolError("the request head exceeds head_bytes", 431)
                 deadline = anyio.current_time() + limits.idle_timeout_s
@@ -330,13 +363,16 @@
                 self.server.idle_receive_scopes.discard(scope)
         return b""
 
-    async def _reject_request(self, status: int) -> None:
-        """Respond to a rejected request, if its connection can still take a response."""
+    async def _reject_request(self, status: int, retry_after_s: float) -> None:
+        """Respond to a rejected request, if its connection can still take a response.
+
+        :param retry_after_s: when the caller may return after a 503, in seconds.
+        """
         if self.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         headers: Headers = (("content-length", "0"), ("connection", "close"))
         if status == 503:
-            headers = (*headers, ("retry-after", f"{BODY_BUFFER_RETRY_AFTER_S:.2f}"))
+            headers = (*headers, ("retry-after", f"{retry_after_s:.2f}"))
         response = h11.Response(status_code=status, headers=encode_headers(headers))
         try:
             data = self.protocol.send(response) or b""
--- a/tests/wire/test_http1_server.py
+++ b/tests/wire/test_http1_server.py
@@ -12,6 +12,7 @@
 
 from bergamotchute_model.identifiers import Address
 from bergamotchute_wire.http1_server import CallerRequest, Http1Server, ResponseWriter, ServerLimits
+from support.entry_fixture import wait_until
 
 SEND_COUNT = 2_000
 """Sends of 8 kB, far more than the socket buffers and the server's limits can hold."""
@@ -89,6 +90,52 @@
     serve(respond_slowly, body)
 
 
+def test_server_seems_idle_while_a_request_arrives() -> None:
+    """A stopping entry ended, and cut requests whose upload was almost complete."""
+
+    async def body(server: Http1Server, address: Address) -> None:
+        async with await connect(address) as stream:
+            await stream.send(REQUEST[:-1])
+            await wait_until(lambda: server.receiving > 0)
+            await server.close()
+            async with anyio.create_task_group() as tasks:
+                is_idle = anyio.Event()
+
+                async def wait() -> None:
+                    await server.wait_until_idle()
+                    is_idle.set()
+
+                tasks.start_soon(wait)
+                await anyio.sleep(0.05)
+                assert not is_idle.is_set()
+                await stream.send(REQUEST[-1:])
+                assert (await read_all(stream)).endswith(b"hi")
+
+    serve(echo, body)
+
+
+def test_request_that_is_complete_after_the_last_moment_is_handled() -> None:
+    """A stopping entry passed on what it read in its last 0.2 s, and cut it."""
+    handled: list[CallerRequest] = []
+
+    async def record(request: CallerRequest, writer: ResponseWriter) -> None:
+        handled.append(request)
+        await writer.respond(200)
+
+    async def body(server: Http1Server, address: Address) -> None:
+        async with await connect(address) as stream:
+            await stream.send(REQUEST[:-1])
+            await wait_until(lambda: server.receiving > 0)
+            server.refuse()
+            await stream.send(REQUEST[-1:])
+            data = await read_all(stream)
+            assert data.startswith(b"HTTP/1.1 503")
+            assert b"retry-after" in data
+        assert not handled
+
+    serve(record, body)
+
+
 def test_pipelined_requests_are_answered_in_order() -> None:
     async def body(_: Http1Server, address: Address) -> None:
         async with await connect(address) as stream:
