Handle signals until a stopping process has ended

Callers saw all their requests cut when a second SIGTERM, or a SIGHUP, reached an entry that was stopping.

Cause: the handlers were removed after the first signal to stop, so that the next one had its default effect and killed the process. Found by the test of the stop with further signals.

Change: signals are handled until all tasks have ended; SIGHUP still reloads the settings, further signals to stop are logged.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_runner.py
@@ -7,7 +7,7 @@
 import sys
 import time
 import uuid
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING
@@ -132,9 +132,9 @@
         _serve_metrics(tasks, settings, handler)
         ready = Http1Server(ready_handler(process))
         tasks.start_soon(ready.serve, Address.parse(settings.listen.ready))
-        await _wait_for_stop_signal(tasks, file, process.links.set_seeds, environment.log)
-        await process.drain()
-        await _stop_tasks(tasks, environment.log)
+        await _run_until_stopped(
+            tasks, file, process.links.set_seeds, environment.log, process.drain
+        )
 
 
 async def run_control(
@@ -176,9 +176,13 @@
         tasks.start_soon(control.serve, Address.parse(settings.listen.control))
         directory = Http1Server(directory_handler(process))
         tasks.start_soon(directory.serve, Address.parse(settings.listen.directory))
-        await _wait_for_stop_signal(tasks, file, process.voter.set_seeds, environment.log)
-        await process.drain()
-        await _stop_tasks(tasks, environment.log)
+
+        async def drain() -> None:
+            await process.drain()
+            control.refuse()
+            directory.refuse()
+
+        await _run_until_stopped(tasks, file, process.voter.set_seeds, environment.log, drain)
 
 
 async def run_rank_agent(
@@ -205,8 +209,7 @@
         )
         tasks.start_soon(process.run)
         _serve_metrics(tasks, settings, NodeMetrics(process.gauges).handle_request)
-        await _wait_for_stop_signal(tasks, file, process.links.set_seeds, environment.log)
-        await _stop_tasks(tasks, environment.log)
+        await _run_until_stopped(tasks, file, process.links.set_seeds, environment.log)
 
 
 def _serve_metrics(tasks: TaskGroup, settings: NodeSettings, handler: RequestHandler) -> None:
@@ -220,17 +223,48 @@
 """Applies new seeds, the only setting that may change while the process runs."""
 
 
-async def _wait_for_stop_signal(
-    tasks: TaskGroup, file: SettingsFile, use_seeds: UseSeeds, log: EventLog
+async def _run_until_stopped(
+    tasks: TaskGroup,
+    file: SettingsFile,
+    use_seeds: UseSeeds,
+    log: EventLog,
+    drain: Callable[[], Awaitable[None]] | None = None,
 ) -> None:
-    """Wait for SIGTERM or SIGINT; reload the settings on SIGHUP and when the file changes."""
+    """Wait for SIGTERM or SIGINT, drain, and cancel all tasks.
+
+    The settings are reloaded on SIGHUP and when the file changes, also while the process drains.
+
+    :param drain: returns when no request is in progress any more.
+    """
     tasks.start_soon(_poll_settings, file, use_seeds, log)
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-        async for received in signals:
-            if received is not signal.SIGHUP:
-                log.emit(events.PROCESS_DRAINING, signal=received.name)
-                return
-            _reload_settings(file, use_seeds, log)
+        await _handle_signals(signals, file, use_seeds, log)
+        # Without a receiver a further signal would end the process with its requests unanswered.
+        tasks.start_soon(_handle_further_signals, signals, file, use_seeds, log)
+        if drain is not None:
+            await drain()
+        await anyio.sleep(CLOSE_TIMEOUT_S)
+        log.emit(events.PROCESS_STOPPED)
+        tasks.cancel_scope.cancel()
+
+
+async def _handle_signals(
+    signals: AsyncIterator[signal.Signals], file: SettingsFile, use_seeds: UseSeeds, log: EventLog
+) -> None:
+    """Reload the settings on SIGHUP; return after a signal to stop."""
+    async for received in signals:
+        if received is not signal.SIGHUP:
+            log.emit(events.PROCESS_DRAINING, signal=received.name)
+            return
+        _reload_settings(file, use_seeds, log)
+
+
+async def _handle_further_signals(
+    signals: AsyncIterator[signal.Signals], file: SettingsFile, use_seeds: UseSeeds, log: EventLog
+) -> None:
+    """Reload the settings on SIGHUP while the process drains; log further signals to stop."""
+    while True:
+        await _handle_signals(signals, file, use_seeds, log)
 
 
 async def _poll_settings(file: SettingsFile, use_seeds: UseSeeds, log: EventLog) -> None:
@@ -248,9 +282,3 @@
         return
     use_seeds(settings.seed_link_addresses)
     log.emit(events.SETTINGS_RELOADED, used=True, seeds=",".join(settings.seeds))
-
-
-async def _stop_tasks(tasks: TaskGroup, log: EventLog) -> None:
-    await anyio.sleep(CLOSE_TIMEOUT_S)
-    log.emit(events.PROCESS_STOPPED)
-    tasks.cancel_scope.cancel()
--- a/tests/processes/test_stopping_entry.py
+++ b/tests/processes/test_stopping_entry.py
@@ -157,3 +157,12 @@
     """Callers lost orders that ran; they were read too late to be answered before the end."""
     assert_nothing_is_lost(stop_during_uploads(system, lambda _: None))
     assert system.running["entry-9"].wait(WAIT_TIMEOUT_S) == 0
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
+def test_second_signal_ends_a_stopping_entry_with_its_requests(
+    system: PlatformProcesses, number: signal.Signals
+) -> None:
+    """A signal during the stop killed the process, as its handlers were removed by then."""
+    assert_nothing_is_lost(stop_during_uploads(system, lambda send: send(number)))
+    assert system.running["entry-9"].wait(WAIT_TIMEOUT_S) == 0
