Bound what a client keeps of an endpoint that sends without end

Cause here: each caller of an HTTP client had to bound what it reads, and three did not. Interim responses kept an agent's call to its rank, and an attempt of our own interface, busy until their timeout; an agent of our own interface kept an event without end, an entry all events of a stream.

Ruled out: the clients of entries on the platform; all nine shapes stay within their bounds, before and after, while others are served.

Change: one bound of interim responses and chunks for all clients; an event, an answer and all answers of running attempts together have limits. Agents of our own interface use the entries' client, as the library they used has no such bound.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/agent.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/agent.py
@@ -62,6 +62,9 @@
 
 SILENCE_CHECK_INTERVAL_S = 0.5
 
+MAX_EVENT_BYTES = 262_144
+"""Bytes without the end of an event after which a stream fails; an event has some hundred bytes."""
+
 
 EntryOutbox: TypeAlias = Outbox[AttemptMessage]
 
@@ -304,6 +307,10 @@
                     if not message.idempotent and len(outcome_body) <= MAX_OUTCOME_BODY_BYTES:
                         outcome_body += data
                     await self._forward_chunk(execution, data, splitter)
+                    if splitter is not None and len(splitter.buffer) > MAX_EVENT_BYTES:
+                        return self._failure_message(
+                            execution, Verdict.MAY_HAVE_RUN, "endpoint_broke", "event too large"
+                        )
                 if splitter is not None and splitter.buffer:
                     return self._failure_message(
                         execution, Verdict.MAY_HAVE_RUN, "endpoint_broke", "cut inside an event"
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
@@ -39,7 +39,7 @@
 from bergamotchute_policy.response_times import ResponseTimes
 from bergamotchute_policy.retry import RetryBudget
 from bergamotchute_wire.byte_budget import ByteBudget
-from bergamotchute_wire.http1_client import connect_exchange
+from bergamotchute_wire.http1_client import MAX_RESPONSE_CHUNKS, connect_exchange
 from bergamotchute_wire.http1_messages import (
     EndpointFailure,
     ResponseHead,
@@ -90,12 +90,6 @@
 It equals the default limit for the body of a caller's request.
 """
 
-MAX_RESPONSE_CHUNKS = 16_384
-"""Most chunks of a buffered response.
-
-At this bound, an endpoint that sends tiny chunks without end costs 0.3 s of CPU time.
-"""
-
 MAX_BUFFERED_BYTES = 33_554_432
 """Bytes of all buffered responses together: a sixth of the memory of the smallest entry VM."""
 
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/process_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/process_runner.py
@@ -11,7 +11,6 @@
 from typing import Any
 
 import anyio
-import httpx
 from anyio.abc import TaskGroup
 
 from bergamotchute_consensus.file_disk import FileDisk
@@ -31,7 +30,7 @@
 from bergamotchute_model.attempt_messages import AttemptMessage
 from bergamotchute_model.control_messages import ControlMessage
 from bergamotchute_wire.asgi_server import serve_asgi_app
-from bergamotchute_wire.endpoint_client import SINGLE_USE_LIMITS, http_endpoint_call
+from bergamotchute_wire.endpoint_client import http_endpoint_call
 from bergamotchute_wire.message_codec import MessageCodec
 from bergamotchute_wire.web_socket_transport import (
     LinkRoute,
@@ -114,11 +113,8 @@
 async def run_agent(settings: AgentSettings) -> int:
     """Run an agent until a stop signal; return the exit status."""
     environment = _create_environment(settings)
-    async with (
-        httpx.AsyncClient(limits=SINGLE_USE_LIMITS, trust_env=False) as client,
-        anyio.create_task_group() as tasks,
-    ):
-        call_endpoint = http_endpoint_call(client, settings.endpoint_url)
+    async with anyio.create_task_group() as tasks:
+        call_endpoint = http_endpoint_call(settings.endpoint_url)
         process = compose_agent(settings, environment, call_endpoint, tasks)
         process.log.emit(events.PROCESS_STARTED, endpoint=settings.name)
         routes = {ATTEMPTS_PATH: LinkRoute(ATTEMPT_CODEC, process.agent.serve_link)}
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/request_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/request_runner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from random import Random
 
 import anyio
@@ -34,6 +34,7 @@
 from bergamotchute_policy.endpoint_tracker import AttemptOutcome
 from bergamotchute_policy.retry import FailedAttempt, RetryBudget, retry_delay_s
 from bergamotchute_policy.work import Dispatch, RequestSize
+from bergamotchute_wire.byte_budget import ByteBudget, ByteClaim
 
 CREDIT_BYTES = 262_144
 """Flow control window of one answer: the bytes that may be in transit or unread."""
@@ -41,6 +42,15 @@
 MAX_BUFFERED_BYTES = CREDIT_BYTES // 2
 """How much of an answer that can't be resumed is buffered until the answer is complete."""
 
+MAX_ANSWER_BYTES = 16_777_216
+"""Largest answer that is kept for its callers; a larger one is a failure of the endpoint."""
+
+MAX_ANSWERS_BYTES = 67_108_864
+"""Bytes of all answers of running attempts together."""
+
+CHUNK_OVERHEAD_BYTES = 160
+"""Memory that a chunk takes beside its data."""
+
 RETRYABLE_STATUSES = frozenset({502, 503, 504})
 """HTTP statuses with which an endpoint reports that it did not serve the request."""
 
@@ -67,6 +77,7 @@
     :param entry_epoch: the incarnation of this entry.
     :param budget: limits retries to a ratio of the first attempts.
     :param serial: the serial number of the last attempt of this entry.
+    :param held: the bytes that the answers of running attempts hold.
     """
 
     scheduling: SchedulingController
@@ -76,6 +87,7 @@
     random: Random
     budget: RetryBudget
     serial: int = 0
+    held: ByteBudget = field(default_factory=lambda: ByteBudget(MAX_ANSWERS_BYTES))
 
     async def run_idempotent(self, exchange: Exchange) -> None:
         """Run an idempotent request, retrying it at other endpoints until it completes.
@@ -115,7 +127,8 @@
         outcome = AttemptOutcome.CANCELLED
         event_count_before = exchange.answer.total_events
         try:
-            result = await self._send_attempt(exchange, dispatch, attempt)
+            with self.held.open_claim() as claim:
+                result = await self._send_attempt(exchange, dispatch, attempt, claim)
             outcome = _attempt_outcome(result)
         finally:
             token_count = exchange.answer.total_events - event_count_before
@@ -141,7 +154,7 @@
                     return None
 
     async def _send_attempt(
-        self, exchange: Exchange, dispatch: Dispatch, attempt: AttemptId
+        self, exchange: Exchange, dispatch: Dispatch, attempt: AttemptId, claim: ByteClaim
     ) -> AttemptResult:
         connector = self.find_connector(dispatch.endpoint, dispatch.incarnation)
         if connector is None:
@@ -157,7 +170,7 @@
             attempt=attempt.number,
             resumed_at=message.resume_offset,
         )
-        writer = _AnswerWriter(exchange)
+        writer = _AnswerWriter(exchange, claim)
         try:
             channel = await connector.send_attempt(message, writer.on_message)
         except AttemptNotSent:
@@ -166,7 +179,7 @@
             return await self._wait_for_end(exchange, connector, channel, writer)
         finally:
             connector.end(channel)
-            if writer.result is None and exchange.request.idempotent:
+            if not writer.has_ended and exchange.request.idempotent:
                 with anyio.CancelScope(shield=True):
                     await connector.cancel(attempt)
 
@@ -257,11 +270,15 @@
     :data:`MAX_BUFFERED_BYTES`, until it is complete, so that a retry can still replace it.
 
     :param exchange: the attempt resumes its answer if earlier attempts have written a part.
+    :param claim: the bytes that the attempt adds to the answer.
+    :param has_ended: whether the agent sent the last message of the attempt.
     :param result: how the attempt ended by its own messages; ``None`` while it runs.
     """
 
-    def __init__(self, exchange: Exchange) -> None:
+    def __init__(self, exchange: Exchange, claim: ByteClaim) -> None:
         self.answer = exchange.answer
+        self.claim = claim
+        self.has_ended = False
         self.is_resumed = bool(exchange.answer.status)
         self.may_retry = exchange.request.idempotent
         self.head: tuple[int, Headers] | None = None
@@ -273,10 +290,13 @@
 
     def on_message(self, message: AnswerMessage) -> bool:
         """Handle one message; return whether the attempt has ended."""
+        self.has_ended = isinstance(message, ResponseEnd | AttemptFailed)
         if isinstance(message, ResponseChunk | ResponseEnd) and not self.has_head:
             self.result = AttemptResult(Verdict.MAY_HAVE_RUN, "headless", True)
             return True
         match message:
+            case ResponseChunk() if not self._try_hold(len(message.data)):
+                self.result = AttemptResult(Verdict.MAY_HAVE_RUN, "answer_too_large", True)
             case ResponseChunk():
                 self.on_chunk(message)
             case ResponseHead():
@@ -292,6 +312,11 @@
                 self.result = AttemptResult(verdict, code, verdict is not Verdict.NOT_RUN)
         return self.result is not None
 
+    def _try_hold(self, size: int) -> bool:
+        """Return whether a chunk of this size may be kept."""
+        held_bytes = self.answer.total_bytes + self.held_bytes + size
+        return held_bytes <= MAX_ANSWER_BYTES and self.claim.try_grow(size + CHUNK_OVERHEAD_BYTES)
+
     def on_head(self, message: ResponseHead) -> AttemptResult | None:
         """Handle the head; return the attempt's result if the head shows that it failed."""
         is_event_stream = (
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/endpoint_client.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/endpoint_client.py
@@ -2,24 +2,26 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from dataclasses import dataclass
-from typing import TypeAlias
+from typing import TypeAlias, TypeVar
+from urllib.parse import urlsplit
 
-import httpx
+import anyio
 
 from bergamotchute_model.headers import Headers
+from bergamotchute_model.identifiers import Address
+from bergamotchute_wire.http1_client import EndpointExchange, connect_exchange
+from bergamotchute_wire.http1_messages import EndpointFailure, RequestHead
+
+Result = TypeVar("Result")
 
 CONNECT_TIMEOUT_S = 2.0
 """Bound on connecting to the endpoint, which runs on the same VM."""
 
-SINGLE_USE_LIMITS = httpx.Limits(max_connections=None, max_keepalive_connections=0)
-"""Opens a connection for each call.
-
-On a reused one, a response that the endpoint writes once more would be taken for that of the next
-call; and if the endpoint closed it at that moment, it would be unknown whether the call arrived.
-"""
+HTTP_PORT = 80
+HTTPS_PORT = 443
 
 UNFORWARDED_HEADERS = frozenset(
     {"connection", "content-length", "host", "keep-alive", "te", "trailer", "transfer-encoding"}
@@ -78,47 +80,65 @@
     )
 
 
-def http_endpoint_call(client: httpx.AsyncClient, base_url: str) -> CallEndpoint:
-    """Return a function that calls one endpoint.
+def http_endpoint_call(base_url: str) -> CallEndpoint:
+    """Return a function that calls one endpoint, over a connection of its own for each call.
+
+    On a reused connection, a response that the endpoint writes once more would be taken for that of
+    the next call; and if the endpoint closed it at that moment, it would be unknown whether the call
+    arrived.
 
-    :param client: opens a connection for each call, see :data:`SINGLE_USE_LIMITS`.
     :param base_url: such as ``http://127.0.0.1:9001``.
     """
+    url = urlsplit(base_url)
+    uses_tls = url.scheme == "https"
+    address = Address(url.hostname or "", url.port or (HTTPS_PORT if uses_tls else HTTP_PORT))
 
     @asynccontextmanager
     async def call(request: EndpointRequest) -> AsyncIterator[EndpointResponse]:
-        timeout = httpx.Timeout(
-            request.silence_timeout_s, connect=CONNECT_TIMEOUT_S, pool=CONNECT_TIMEOUT_S
-        )
-        http_request = client.build_request(
-            request.method,
-            base_url + request.path,
-            headers=list(request.headers),
-            content=request.body,
-            timeout=timeout,
+        headers = (
+            ("host", url.netloc),
+            ("content-length", str(len(request.body))),
+            *request.headers,
         )
         try:
-            response = await client.send(http_request, stream=True)
-        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
-            raise EndpointUnreachable(str(error) or type(error).__name__) from error
-        except httpx.HTTPError as error:
-            raise EndpointCallInterrupted(str(error) or type(error).__name__) from error
+            exchange = await connect_exchange(address, CONNECT_TIMEOUT_S, uses_tls)
+        except EndpointFailure as failure:
+            raise EndpointUnreachable(failure.reason) from failure
         try:
-            headers = forwardable_headers(response.headers)
-            yield EndpointResponse(response.status_code, headers, _read_chunks(response))
+            head = RequestHead(request.method, request.path, headers)
+            await _within(request.silence_timeout_s, exchange.send(head, request.body))
+            response = await _within(request.silence_timeout_s, exchange.read_response_head())
+            yield EndpointResponse(
+                response.status,
+                forwardable_headers(response.headers),
+                _read_chunks(exchange, request.silence_timeout_s),
+            )
         finally:
-            await response.aclose()
+            await exchange.close()
 
     return call
 
 
-async def _read_chunks(response: httpx.Response) -> AsyncIterator[bytes]:
+async def _within(silence_timeout_s: float, step: Awaitable[Result]) -> Result:
+    """Wait for a step of a call.
+
+    :raises EndpointCallInterrupted: when it fails, or takes longer than the timeout in seconds.
+    """
+    try:
+        with anyio.fail_after(silence_timeout_s):
+            return await step
+    except EndpointFailure as failure:
+        raise EndpointCallInterrupted(failure.reason) from failure
+    except TimeoutError as error:
+        raise EndpointCallInterrupted(f"no data for {silence_timeout_s:.0f} s") from error
+
+
+async def _read_chunks(
+    exchange: EndpointExchange, silence_timeout_s: float
+) -> AsyncIterator[bytes]:
     """Yield the body.
 
     :raises EndpointCallInterrupted: when the body ends early.
     """
-    try:
-        async for chunk in response.aiter_raw():
-            yield chunk
-    except httpx.HTTPError as error:
-        raise EndpointCallInterrupted(str(error) or type(error).__name__) from error
+    while (chunk := await _within(silence_timeout_s, exchange.read_body_chunk())) is not None:
+        yield chunk
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/http1_client.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/http1_client.py
@@ -21,6 +21,12 @@
 MAX_INTERIM_RESPONSES = 16
 """Limit on 1xx responses before the final one; an endpoint that sends more is faulty."""
 
+MAX_RESPONSE_CHUNKS = 16_384
+"""Most chunks of a buffered response.
+
+At this bound, an endpoint that sends tiny chunks without end costs 0.3 s of CPU time.
+"""
+
 
 def encode_request(protocol: h11.Connection, head: RequestHead, body: bytes) -> bytes:
     """Return the bytes of a complete request."""
@@ -147,14 +153,21 @@
     return False
 
 
-async def connect_exchange(address: Address, connect_timeout_s: float) -> EndpointExchange:
+async def connect_exchange(
+    address: Address, connect_timeout_s: float, tls: bool = False
+) -> EndpointExchange:
     """Connect to an endpoint for one exchange, which the caller closes.
 
     :param connect_timeout_s: bound on connecting, in seconds.
+    :param tls: whether the endpoint serves HTTPS.
     :raises EndpointFailure: when the connection can't be opened; nothing was sent.
     """
     try:
         with anyio.fail_after(connect_timeout_s):
+            if tls:
+                return EndpointExchange(
+                    await anyio.connect_tcp(address.host, address.port, tls=True)
+                )
             return EndpointExchange(await anyio.connect_tcp(address.host, address.port))
     except (OSError, TimeoutError) as error:
         raise EndpointFailure(
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/persistent_connection.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/persistent_connection.py
@@ -10,7 +10,12 @@
 from anyio.abc import ByteStream, SocketAttribute
 
 from bergamotchute_model.identifiers import Address
-from bergamotchute_wire.http1_client import RECEIVE_BYTES, encode_request
+from bergamotchute_wire.http1_client import (
+    MAX_INTERIM_RESPONSES,
+    MAX_RESPONSE_CHUNKS,
+    RECEIVE_BYTES,
+    encode_request,
+)
 from bergamotchute_wire.http1_messages import EndpointFailure, RequestHead
 
 MAX_RESPONSE_BYTES = 1_048_576
@@ -112,6 +117,7 @@
     ) -> tuple[int, bytes]:
         status = 0
         body = bytearray()
+        interim_count = chunk_count = 0
         while True:
             event = protocol.next_event()
             if event is h11.NEED_DATA:
@@ -120,11 +126,16 @@
                 status = event.status_code
             elif isinstance(event, h11.Data):
                 body += event.data
-                if len(body) > MAX_RESPONSE_BYTES:
-                    raise h11.RemoteProtocolError("the response body exceeds the size limit")
+                chunk_count += 1
+                if len(body) > MAX_RESPONSE_BYTES or chunk_count > MAX_RESPONSE_CHUNKS:
+                    raise h11.RemoteProtocolError("the response has too many bytes or chunks")
             elif isinstance(event, h11.EndOfMessage):
                 return status, bytes(body)
-            elif not isinstance(event, h11.InformationalResponse):
+            elif isinstance(event, h11.InformationalResponse):
+                interim_count += 1
+                if interim_count > MAX_INTERIM_RESPONSES:
+                    raise h11.RemoteProtocolError("too many interim responses")
+            else:
                 raise anyio.EndOfStream
 
     async def _close(self) -> None:
--- a/tests/direct/test_answers_without_length.py
+++ b/tests/direct/test_answers_without_length.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable
 
 import anyio
-import httpx
 import pytest
 from anyio.abc import SocketAttribute, SocketStream
 
@@ -148,9 +147,9 @@
 
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
         port = listener.extra(SocketAttribute.local_port)
-        async with httpx.AsyncClient() as client, anyio.create_task_group() as tasks:
+        async with anyio.create_task_group() as tasks:
             tasks.start_soon(listener.serve, accept)
-            call = http_endpoint_call(client, f"http://127.0.0.1:{port}")
+            call = http_endpoint_call(f"http://127.0.0.1:{port}")
             if with_reset:
                 with pytest.raises(EndpointCallInterrupted):
                     await read_body(call)
--- a/tests/wire/test_kept_connections.py
+++ b/tests/wire/test_kept_connections.py
@@ -5,16 +5,11 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
-import httpx
 import pytest
 from anyio.abc import SocketAttribute, SocketStream
 
 from bergamotchute_model.identifiers import Address
-from bergamotchute_wire.endpoint_client import (
-    SINGLE_USE_LIMITS,
-    EndpointRequest,
-    http_endpoint_call,
-)
+from bergamotchute_wire.endpoint_client import EndpointRequest, http_endpoint_call
 from bergamotchute_wire.persistent_connection import PersistentConnection
 
 REFUSAL = b"HTTP/1.1 503 X\r\ncontent-length: 7\r\n\r\nrefused"
@@ -84,15 +79,14 @@
 @pytest.mark.parametrize("repeat_delay_s", [0.0, 0.05])
 def test_attempt_of_an_agent_gets_the_refusal_of_an_earlier_one(repeat_delay_s: float) -> None:
     async def body(endpoint: RepeatingEndpoint, address: Address) -> None:
-        async with httpx.AsyncClient(limits=SINGLE_USE_LIMITS) as client:
-            call = http_endpoint_call(client, f"http://{address}")
-            bodies: list[bytes] = []
-            for _ in range(2):
-                request = EndpointRequest("POST", "/", (), b"{}", 5.0)
-                async with call(request) as response:
-                    bodies.append(b"".join([chunk async for chunk in response.chunks]))
-                await endpoint.repeated.wait()
-                await anyio.sleep(0.05)
-            assert bodies == [b"refused", b"done"]
+        call = http_endpoint_call(f"http://{address}")
+        bodies: list[bytes] = []
+        for _ in range(2):
+            request = EndpointRequest("POST", "/", (), b"{}", 5.0)
+            async with call(request) as response:
+                bodies.append(b"".join([chunk async for chunk in response.chunks]))
+            await endpoint.repeated.wait()
+            await anyio.sleep(0.05)
+        assert bodies == [b"refused", b"done"]
 
     run_with_endpoint(repeat_delay_s, body)
