Start from the newest log segment that replaces the others

Cause: removed names become durable independently, so any subset of the replaced segments may be left. A start read all that were left and took the gap between them for lost entries.

Evidence: test_replaced_segments_that_are_left_stop_a_start, all subsets, torn and whole, failed before.

--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/storage.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/storage.py
@@ -128,8 +128,12 @@
             f"{_SNAPSHOT_PREFIX}{snapshot.index:020d}", encode_snapshot(snapshot)
         )
         self._set_snapshot(snapshot)
-        kept: list[Record] = [self.hard_state, LogBase(snapshot.index, snapshot.term)]
-        self._begin_segment(kept + list(self.log.entries))
+        self._replace_segments()
+
+    def _replace_segments(self) -> None:
+        """Write a new segment with the entries after the snapshot, then remove old files."""
+        base = LogBase(self.snapshot.index, self.snapshot.term)
+        self._begin_segment([self.hard_state, base, *self.log.entries])
         self._remove_obsolete_files()
 
     def _set_snapshot(self, snapshot: Snapshot) -> None:
@@ -201,13 +205,18 @@
             )
 
     def _read_segments(self, names: list[str]) -> None:
-        """Replay all segments, and rewrite the last one.
+        """Replay the segments from the newest one that begins with a snapshot's index.
 
-        After a failed sync, bytes that can be read may not be on the disk. The synced copy makes
-        them durable.
+        That one replaces those before it. Any of them may be left, torn or whole, as removed names
+        become durable independently. The last segment is rewritten: after a failed sync, bytes that
+        can be read may not be on the disk, and the synced copy makes them durable.
         """
-        for name in names:
-            data = self.disk.read(name)
+        contents: dict[str, bytes] = {}
+        for name in reversed(names):
+            contents[name] = self.disk.read(name)
+            if _begins_log(contents[name]):
+                break
+        for name, data in reversed(contents.items()):
             scanned = scan_frames(name, data)
             self._replay_frames(name, scanned.frames)
         self.segment_name = names[-1]
@@ -223,7 +232,7 @@
             if frame.is_sync_mark:
                 continue
             records = decode_records(frame.payload)
-            if frame.sequence != self.sequence + 1 and not self._can_begin_log(frame, records):
+            if frame.sequence != self.sequence + 1 and not self._can_begin_log(records):
                 raise CorruptStorageError(
                     name, 0, f"frame {frame.sequence} follows frame {self.sequence}"
                 )
@@ -231,9 +240,9 @@
             self._check_gap(name, records)
             self._replay(records)
 
-    def _can_begin_log(self, frame: Frame, records: list[Record]) -> bool:
-        """Return whether the log may start with this frame, which names a snapshot's index."""
-        return self.sequence == 0 and any(isinstance(record, LogBase) for record in records)
+    def _can_begin_log(self, records: list[Record]) -> bool:
+        """Return whether the log may start with a frame of these records."""
+        return self.sequence == 0 and _names_snapshot(records)
 
     def _check_gap(self, name: str, records: list[Record]) -> None:
         last = self.log.last_index
@@ -265,6 +274,16 @@
     return name.startswith(prefix) and not name.endswith(_TEMPORARY_SUFFIX)
 
 
+def _begins_log(data: bytes) -> bool:
+    """Return whether a segment begins with a snapshot's index and the entries after it."""
+    frame = read_frame(data, 0)
+    return frame is not None and _names_snapshot(decode_records(frame.payload))
+
+
+def _names_snapshot(records: list[Record]) -> bool:
+    return any(isinstance(record, LogBase) for record in records)
+
+
 def _drop_covered_entries(log: ReplicaLog, base: LogBase) -> None:
     """Drop the entries that a snapshot covers, or all if the log lacks its last entry."""
     if base.index < log.base_index:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
@@ -156,6 +156,7 @@
         self.received_introductions: dict[Address, tuple[float, Introduction]] = {}
         self.step_listeners: list[Callable[[], None]] = []
         self.leader_last_known_at = float("-inf")
+        self.has_refused_folder = False
 
     @property
     def leader_address(self) -> str:
@@ -185,6 +186,7 @@
         try:
             await self.run_blocking(lambda: storages.append(Storage(self.disk, self._new_identity)))
         except CorruptStorageError as error:
+            self.has_refused_folder = True
             self.log.emit(events.VOTER_FOLDER_DAMAGED, detail=str(error))
             await anyio.sleep_forever()
         except DiskError as error:
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -205,3 +205,35 @@
     again = FileDisk(tmp_path / "data")
     assert Storage(again, lambda: "other").recovered.entries == (entry(1),)
     again.close()
+
+
+def test_replaced_segments_that_are_left_stop_a_start() -> None:
+    """A control VM that was killed while it removed them never took part again."""
+    disk = filled_disk(20)
+    segments = [name for name in disk.file_names() if name.startswith("log-")]
+    assert len(segments) >= 3
+    held = {name: bytes(disk.files[name].data) for name in segments}
+    open_storage(disk).write([Persist(21, snapshot=Snapshot(15, 1, Membership(), b"state"))])
+    for left in range(2 ** len(segments)):
+        again = MemoryDisk(Random(1))
+        for name in disk.file_names():
+            again.append(name, bytes(disk.files[name].data))
+        for number, name in enumerate(segments):
+            if left & 1 << number:
+                again.append(name, held[name][: -9 if left % 3 == 0 else None])
+        recovered = open_storage(again).recovered
+        assert recovered.snapshot.index == 15
+        assert [each.index for each in recovered.entries] == list(range(16, 21))
+
+
+@pytest.mark.parametrize("number", [1, 2])
+def test_start_goes_unnoticed_with_a_segment_missing_that_nothing_replaces(number: int) -> None:
+    disk = filled_disk(8)
+    open_storage(disk).write([Persist(9, snapshot=Snapshot(2, 1, Membership(), b"state"))])
+    storage = open_storage(disk)
+    for index in range(9, 25):
+        storage.write([Persist(index, None, (entry(index, data=b"x" * 90),))])
+    segments = [name for name in disk.file_names() if name.startswith("log-")]
+    disk.remove(segments[number])
+    with pytest.raises(CorruptStorageError):
+        open_storage(disk)
--- a/tests/support/memory_disk.py
+++ b/tests/support/memory_disk.py
@@ -80,9 +80,20 @@
         del self.files[name]
 
     def lose_power(self) -> None:
-        """Drop or tear unsynced data; the disk can be used again afterwards."""
-        if self.random.random() < 0.5:
-            self.files = dict(self.durable_names)
+        """Drop or tear unsynced data; the disk can be used again afterwards.
+
+        Each name that was created, renamed or removed since the folder was synced is kept or lost
+        independently of the others.
+        """
+        chance = self.random.choice((0.0, 0.5, 1.0))
+        kept: dict[str, MemoryFile] = {}
+        for name in sorted(self.files.keys() | self.durable_names.keys()):
+            newest, durable = self.files.get(name), self.durable_names.get(name)
+            held = newest if self.random.random() < chance else durable
+            if held is not None:
+                # A renamed file may be left under both names; they no longer share their bytes.
+                kept[name] = MemoryFile(bytearray(held.data), held.synced_bytes)
+        self.files = kept
         self.durable_names = dict(self.files)
         for held in self.files.values():
             self._lose_unsynced(held)
