--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/storage.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/storage.py
@@ -197,8 +197,13 @@
             raise CorruptStorageError(
                 _SEGMENT_PREFIX, 0, "all log segments are missing although the log was started"
             )
+        logged_index = self.log.base_index
         if snapshots:
             self._set_snapshot(decode_snapshot(self._read_single_frame_file(max(snapshots))))
+        if self.snapshot.index > logged_index:
+            # The process ended while it saved the snapshot. Entries after it don't follow on those
+            # of the segments, which may end earlier.
+            self._replace_segments()
         if self.log.base_index > self.snapshot.index:
             raise CorruptStorageError(
                 _SNAPSHOT_PREFIX, 0, f"no snapshot covers index {self.log.base_index}"
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -20,6 +20,7 @@
 from bergamotchute_consensus.storage import Storage
 from bergamotchute_consensus.storage_errors import CorruptStorageError, DiskError
 from support.memory_disk import MemoryDisk, PowerLossError
+from support.storage_history import StorageHistory
 
 FILES = ("log-00000000000000000001",)
 
@@ -207,6 +208,9 @@
     again.close()
 
 
+HISTORIES = 400
+
+
 def test_replaced_segments_that_are_left_stop_a_start() -> None:
     """A control VM that was killed while it removed them never took part again."""
     disk = filled_disk(20)
@@ -237,3 +241,24 @@
     disk.remove(segments[number])
     with pytest.raises(CorruptStorageError):
         open_storage(disk)
+
+
+def test_entries_after_a_snapshot_ahead_of_the_log_are_refused() -> None:
+    """A control VM that lost power while it took over a leader's snapshot never started again."""
+    for operation in range(1, 20):
+        disk = filled_disk(3)
+        disk.power_loss_operation = disk.operation_count + operation
+        with contextlib.suppress(PowerLossError):
+            open_storage(disk).write([Persist(4, snapshot=Snapshot(10, 1, Membership(), b"state"))])
+        disk.lose_power()
+        storage = open_storage(disk)
+        recovered = storage.recovered
+        index = 1 + max(recovered.snapshot.index, *(each.index for each in recovered.entries), 0)
+        storage.write([Persist(5, None, (entry(index),))])
+        assert open_storage(disk).recovered.entries[-1].index == index
+
+
+def test_cut_at_any_operation_loses_or_invents_something() -> None:
+    """Random histories of writes, snapshots, segments and starts, each cut at random operations."""
+    for seed in range(HISTORIES):
+        StorageHistory(seed).run()
