Count a request's time from when it was read, not from the first configuration

Callers of an entry that had just started were kept up to 1.2 s longer than their route's timeout.

Cause: the deadline was computed after the wait for the first configuration, which may take 1.2 s after a loss of all VMs.

Change: the time at which a request was read is passed to the filters.

Evidence: test_wait_for_the_first_configuration_is_added_to_the_timeout_of_a_route failed before and passes now.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -266,12 +266,13 @@
 
     async def handle_request(self, request: CallerRequest, writer: ResponseWriter) -> None:
         """Respond to one request of a caller."""
+        arrived_at = self.now()
         metadata = self.request_format.read_request(request.head)
         with anyio.move_on_after(FIRST_CONFIGURATION_TIMEOUT_S):
             await self.configured.wait()
         kind: RouteKind | None = None
         try:
-            admitted = admit_request(self.routing_table, request, metadata, self.random)
+            admitted = admit_request(self.routing_table, request, metadata, self.random, arrived_at)
             kind = admitted.route.kind
             await self.forwarder.forward_request(admitted, writer)
             self.forwarder.metrics.on_request(kind, writer.status if writer.finished else 0)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/filters.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/filters.py
@@ -7,8 +7,6 @@
 
 from random import Random
 
-import anyio
-
 from bergamotchute_daemon.direct.admitted_request import AdmittedRequest, RequestRefused
 from bergamotchute_daemon.direct.request_format import RequestMetadata
 from bergamotchute_daemon.direct.routing_table import RoutingTable
@@ -55,12 +53,13 @@
     request: CallerRequest,
     metadata: RequestMetadata,
     random: Random,
+    arrived_at: float,
 ) -> AdmittedRequest:
     """Apply the filters to a request.
 
+    :param arrived_at: when the request was read completely, on the runtime's clock.
     :raises RequestRefused: if a filter refuses the request.
     """
-    now = anyio.current_time()
     held = require_routing_table(routing_table)
     route = find_route(held, request)
     team, priority = identify_team(held, route, metadata)
@@ -76,8 +75,8 @@
         service=service,
         team=team,
         priority=priority,
-        arrived_at=now,
-        first_sent_at=now - (route.timeout_s - time_left_s),
-        deadline=now + time_left_s,
+        arrived_at=arrived_at,
+        first_sent_at=arrived_at - (route.timeout_s - time_left_s),
+        deadline=arrived_at + time_left_s,
         version=held.configuration.version,
     )
--- a/tests/direct/test_direct_entry.py
+++ b/tests/direct/test_direct_entry.py
@@ -7,9 +7,11 @@
 from random import Random
 
 import anyio
+import pytest
 import trio
 import trio.testing
 
+from bergamotchute_daemon.direct.admitted_request import AdmittedRequest
 from bergamotchute_daemon.direct.direct_entry import FIRST_CONFIGURATION_TIMEOUT_S, DirectEntry
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.node_composition_root import NodeEnvironment, compose_direct_entry
@@ -156,6 +158,32 @@
     run_with_entry(body)
 
 
+def test_wait_for_the_first_configuration_is_added_to_the_timeout_of_a_route() -> None:
+    """A request was kept up to 1.2 s longer than its route's timeout."""
+    route = (
+        b'{"version": 5, "services": [{"name": "desk"}], "routes": [{"host": "api.example",'
+        b' "pathPrefix": "/a/", "kind": "safe", "timeoutMs": 800, "service": "desk"}]}'
+    )
+
+    async def body(entry: DirectEntry, _: list[NodeMessage]) -> None:
+        answer = RecordingWriter()
+        deadlines: list[float] = []
+
+        async def forward(request: AdmittedRequest, writer: RecordingWriter) -> None:
+            deadlines.append(request.deadline)
+            await writer.respond(200)
+
+        entry.forwarder.forward_request = forward  # type: ignore[method-assign,assignment]
+        begun_at = anyio.current_time()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(entry.handle_request, REQUEST, answer)
+            await anyio.sleep(0.5)
+            entry.on_message(CONTROL_ADDRESS, ConfigurationText(5, zlib.compress(route)))
+        assert deadlines == [pytest.approx(begun_at + 0.8)]
+
+    run_with_entry(body)
+
+
 def test_a_request_is_refused_if_the_entry_gets_no_configuration() -> None:
     async def body(entry: DirectEntry, _: list[NodeMessage]) -> None:
         answer = RecordingWriter()
--- a/tests/support/entry_fixture.py
+++ b/tests/support/entry_fixture.py
@@ -199,7 +199,10 @@
         try:
             metadata = REQUEST_FORMAT.read_request(request.head)
             await self.forwarder.forward_request(
-                admit_request(self.routing_table, request, metadata, Random(1)), writer
+                admit_request(
+                    self.routing_table, request, metadata, Random(1), anyio.current_time()
+                ),
+                writer,
             )
         except RequestRefused as refusal:
             await writer.respond(refusal.status, refusal.headers, refusal.reason.encode())
