Hold the pass with the own fence before another commander's switch is aborted

Cause: a hold belongs to the commander whose fence the holding rank has answered last; the successor took it for its own. Ruled out by a model: to disarm the holding rank first is not enough, as its hold may have been ended already.

Change: the successor holds the pass once more with its own fence, and disarms only if the rank answers that it is held.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/map_switch.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/map_switch.py
@@ -310,7 +310,9 @@
 ) -> bool:
     """Abort a switch that another commander left unfinished: disarm the ranks, then end the holds.
 
-    Ranks are disarmed only while a pass no later than the switch is held.
+    Ranks are disarmed only while a pass no later than the switch is held. The other commander may
+    still end its own hold, so the pass is held once more with this commander's fence: the rank that
+    answers it refuses the other's order from then on.
 
     :param statuses: the newest status of each rank that can be reached.
     :param newest_version: the highest map version that any rank has had.
@@ -321,13 +323,15 @@
     armed = [status.armed for status in statuses.values() if status.armed is not None]
     held_steps = {rank: status.held for rank, status in statuses.items() if status.held is not None}
     earliest_step = min((step for _, step in armed), default=None)
-    if earliest_step is not None and all(step > earliest_step for step in held_steps.values()):
-        # The pass of the switch must not begin while only some of the ranks are disarmed.
-        first_rank = next((rank for rank in statuses if rank not in held_steps), min(statuses))
-        status = await order_sender.send_order(first_rank, RankAction.HOLD, 0, earliest_step, ())
-        if status is None or status.held != earliest_step:
-            return False
-        held_steps[first_rank] = earliest_step
+    if earliest_step is None or any(step <= earliest_step for step in held_steps.values()):
+        rank, step = min(held_steps.items(), key=lambda rank_and_step: rank_and_step[1])
+    else:
+        rank = next((each for each in statuses if each not in held_steps), min(statuses))
+        step = earliest_step
+    status = await order_sender.send_order(rank, RankAction.HOLD, 0, step, ())
+    if status is None or status.held != step:
+        return False
+    held_steps[rank] = step
     for version in {version for version, _ in armed} or {newest_version + 1}:
         if not await disarm(order_sender, statuses, version):
             return False
