Move the calls to endpoints out of the forwarder

Sending a request to an endpoint and judging its response are a module of their own now; the forwarder decides on attempts, replacements and retries. No behaviour changes; the tests of tests/direct, tests/adapter and tests/wire pass.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
@@ -11,6 +11,7 @@
 
 from bergamotchute_daemon.direct.admitted_request import AdmittedRequest, RequestRefused
 from bergamotchute_daemon.direct.endpoint_attempt import EndpointAttempt
+from bergamotchute_daemon.direct.endpoint_calls import HTTP_OK, EndpointCalls
 from bergamotchute_daemon.direct.endpoint_chooser import (
     RETRY_AFTER_JITTER_S,
     ChosenEndpoint,
@@ -20,26 +21,18 @@
 from bergamotchute_daemon.direct.prompt_guard import PromptGuard
 from bergamotchute_daemon.direct.rate_permits import RatePermits
 from bergamotchute_daemon.direct.read_or_replace import ReadResult, Received, read_or_replace
-from bergamotchute_daemon.direct.request_format import (
-    ForwardMetadata,
-    RequestFormat,
-    ResponseMetadata,
-)
 from bergamotchute_daemon.direct.request_progress import AttemptFailure, RequestProgress
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.node_metrics import NodeMetrics
-from bergamotchute_daemon.rate_limit_log import rate_for_log
 from bergamotchute_model import events
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
-from bergamotchute_model.headers import EVENT_STREAM_TYPE, Headers
+from bergamotchute_model.headers import Headers
 from bergamotchute_model.prompt_parts import Suspect
 from bergamotchute_model.verdict import Verdict
 from bergamotchute_policy.crash_suspects import SuspectAction, SuspectDecision
 from bergamotchute_policy.direct_placement import DirectPlacement
 from bergamotchute_policy.response_times import ResponseTimes
 from bergamotchute_policy.retry import RetryBudget
-from bergamotchute_wire.byte_budget import ByteBudget
-from bergamotchute_wire.http1_client import MAX_RESPONSE_CHUNKS, connect_exchange
 from bergamotchute_wire.http1_messages import (
     EndpointFailure,
     ResponseHead,
@@ -47,9 +40,6 @@
 )
 from bergamotchute_wire.http1_server import ResponseWriter
 
-CONNECT_TIMEOUT_S = 0.3
-"""Timeout for connecting to an endpoint; zones are 1 ms apart, and a lost packet takes longer."""
-
 HEAD_TIMEOUT_OBJECTIVE_RATIO = 2.5
 """Timeout for the response head of an idempotent request, as a multiple of the route's objective.
 
@@ -71,9 +61,6 @@
 ENDPOINT_WAIT_TIMEOUT_S = 1.3
 """Longest time that one request waits for an endpoint; endpoints send heartbeats every 1.2 s."""
 
-GROUP_STALL_THRESHOLD_S = 0.7
-"""Time after which a failure or a *not run* response counts as a stall of the whole rank group."""
-
 MIN_BUDGET_ENTRIES = 10
 """Entries that share the retry budget until more are known."""
 
@@ -84,25 +71,12 @@
 QUARANTINED_STATUS = 400
 """Status for a request that crashes endpoints; callers don't retry it, anywhere."""
 
-MAX_RESPONSE_BYTES = 4_194_304
-"""Largest response, other than a stream, that is buffered whole; a larger one is a failure.
-
-It equals the default limit for the body of a caller's request.
-"""
-
-MAX_BUFFERED_BYTES = 33_554_432
-"""Bytes of all buffered responses together: a sixth of the memory of the smallest entry VM."""
-
-
-_HTTP_OK = 200
-
 
 @dataclass
 class DirectForwarder:
     """Forwards requests to endpoints, and retries where that is safe.
 
     :param endpoints: returns the endpoints of a service, from the latest heartbeats.
-    :param on_endpoint_leaving: called with an endpoint whose response announces that it is leaving.
     :param retry_ratio: retries allowed per request of a service, in the long run.
     :param retry_capacity: the largest burst of retries of a service, over all entries.
     :param retry_refill_per_s: retries added to the budget of a service per second at any load, over
@@ -112,11 +86,10 @@
     :param unsent: the requests that wait for an endpoint, by the scope of their wait.
     """
 
-    request_format: RequestFormat
+    calls: EndpointCalls
     placement: DirectPlacement
     chooser: EndpointChooser
     endpoints: Callable[[str], Collection[EndpointHeartbeat]]
-    on_endpoint_leaving: Callable[[EndpointHeartbeat], None]
     random: Random
     log: EventLog
     metrics: NodeMetrics
@@ -132,7 +105,6 @@
     unsent: dict[anyio.CancelScope, AdmittedRequest] = field(default_factory=dict)
     changed: anyio.Event = field(default_factory=anyio.Event)
     retry_budgets: dict[str, RetryBudget] = field(default_factory=dict)
-    held: ByteBudget = field(default_factory=lambda: ByteBudget(MAX_BUFFERED_BYTES))
 
     async def forward_request(self, request: AdmittedRequest, writer: ResponseWriter) -> None:
         """Forward a request and write the response.
@@ -303,7 +275,7 @@
         try:
             return await step(attempt)
         except EndpointFailure as failure:
-            await self._record_endpoint_failure(attempt, failure)
+            await self.calls.record_failure(attempt, failure)
             verdict = Verdict.MAY_HAVE_RUN if failure.may_have_arrived else Verdict.NOT_RUN
             return AttemptFailure(verdict, failure.reason)
 
@@ -313,7 +285,7 @@
         """Forward an attempt's whole response, or return the attempt that took over meanwhile."""
         try:
             if attempt.head is None:
-                await self._send_request(attempt)
+                await self.calls.send_request(attempt)
                 objective_timeout_s = (
                     HEAD_TIMEOUT_OBJECTIVE_RATIO * attempt.request.route.objective_s
                 )
@@ -322,7 +294,7 @@
                     max(MIN_HEAD_TIMEOUT_S, objective_timeout_s),
                     attempt.connection.read_response_head,
                 )
-                failure = await self._on_response_head(attempt, head)
+                failure = await self.calls.on_response_head(attempt, head)
                 if failure is not None:
                     return failure
             if attempt.is_stream:
@@ -335,128 +307,6 @@
         self._record_completed_request(attempt)
         return None
 
-    async def _send_request(self, attempt: EndpointAttempt) -> None:
-        """Connect to the endpoint and send the request.
-
-        :raises EndpointFailure: if the connection can't be opened, or breaks.
-        """
-        request, progress = attempt.request, attempt.progress
-        endpoint, chosen = attempt.endpoint, attempt.chosen
-        self.log.emit(
-            events.REQUEST_DISPATCHED,
-            request_id=request.metadata.request_id,
-            endpoint=endpoint.endpoint,
-            attempt=attempt.number,
-            born_ms=endpoint.born_ms,
-            fullness=round(chosen.candidate.fullness, 2),
-            capacity=self.placement.capacity(endpoint, anyio.current_time()),
-            reserved=chosen.reservation is not None,
-            refusals=chosen.refusals,
-            waited_ms=round(chosen.waited_s * 1000),
-            permit_waited_ms=round(chosen.permit_waited_s * 1000),
-            requests_per_s=rate_for_log(self.rate_permits.requests_per_s(endpoint)),
-        )
-        attempt.exchange = await connect_exchange(endpoint.address, CONNECT_TIMEOUT_S)
-        progress.sent_count += 1
-        attempt.sent_at = anyio.current_time()
-        forward_metadata = ForwardMetadata(
-            endpoint=endpoint,
-            time_left_s=request.deadline - attempt.sent_at,
-            team=request.team,
-            resume_after=progress.stream.last_event_id,
-            urgency=min(9, request.priority),
-            body_bytes=len(request.body),
-        )
-        await attempt.exchange.send(
-            self.request_format.write_request(request.head, forward_metadata), request.body
-        )
-
-    async def _record_endpoint_failure(
-        self, attempt: EndpointAttempt, failure: EndpointFailure
-    ) -> None:
-        """Record what the failure of an attempt tells of its endpoint, once."""
-        if attempt.has_failed:
-            return
-        attempt.has_failed = True
-        now = anyio.current_time()
-        if now - attempt.started_at > GROUP_STALL_THRESHOLD_S:
-            self.placement.on_no_progress(attempt.endpoint, now)
-        else:
-            self.placement.on_failure(attempt.endpoint, now)
-        if failure.connection_ended and attempt.progress.stream.events == attempt.events_before:
-            await self.prompt_guard.on_connection_ended(attempt.request, attempt.endpoint)
-
-    async def _on_response_head(
-        self, attempt: EndpointAttempt, head: ResponseHead
-    ) -> AttemptFailure | None:
-        """Set the head of an attempt's response, or return why it can't be forwarded."""
-        request, endpoint = attempt.request, attempt.endpoint
-        response_metadata = self.request_format.read_response(head)
-        if response_metadata.request_id != request.metadata.request_id:
-            return AttemptFailure(
-                Verdict.MAY_HAVE_RUN, "the response has the request id of another request"
-            )
-        self._apply_response_metadata(endpoint, response_metadata)
-        self.rate_permits.on_response(endpoint, response_metadata, attempt.sent_at)
-        failure = self._find_failure(head, response_metadata)
-        if failure is not None:
-            now = anyio.current_time()
-            if response_metadata.not_run and now - attempt.sent_at > GROUP_STALL_THRESHOLD_S:
-                self.placement.on_no_progress(endpoint, now)
-            elif response_metadata.not_run:
-                self.placement.on_slots_full(endpoint, now)
-            elif response_metadata.wrong_endpoint:
-                self.placement.on_failure(endpoint, now)
-            return failure
-        if attempt.writer.started and not _is_event_stream(head):
-            if head.status >= 500:
-                self.placement.on_failure(endpoint, anyio.current_time())
-            return AttemptFailure(
-                Verdict.MAY_HAVE_RUN, f"status {head.status} does not continue the stream"
-            )
-        attempt.head = head
-        if attempt.is_stream:
-            return None
-        if head.status >= 500:
-            body = await self._read_body(attempt)
-            self.placement.on_failure(endpoint, anyio.current_time())
-            return AttemptFailure(Verdict.MAY_HAVE_RUN, f"status {head.status}", head, body)
-        return None
-
-    def _apply_response_metadata(
-        self, endpoint: EndpointHeartbeat, response_metadata: ResponseMetadata
-    ) -> None:
-        """Update what is known of an endpoint from the head of its response."""
-        now = anyio.current_time()
-        if response_metadata.requests is not None:
-            self.placement.on_load_reported(endpoint, response_metadata.requests, now)
-        if response_metadata.leaving:
-            self.on_endpoint_leaving(endpoint)
-        if response_metadata.retry_after_s is not None:
-            self.placement.on_pause_requested(endpoint, response_metadata.retry_after_s, now)
-            self.log.emit(
-                events.ENDPOINT_PAUSED,
-                endpoint=endpoint.endpoint,
-                born_ms=endpoint.born_ms,
-                retry_after_s=response_metadata.retry_after_s,
-            )
-
-    def _find_failure(
-        self, head: ResponseHead, response_metadata: ResponseMetadata
-    ) -> AttemptFailure | None:
-        """Return why a response can't be forwarded to the caller, or ``None`` if it can."""
-        if response_metadata.not_run or response_metadata.wrong_endpoint:
-            return AttemptFailure(Verdict.NOT_RUN, f"status {head.status}, not run")
-        if 200 <= head.status < 300 and not response_metadata.signed:
-            return AttemptFailure(Verdict.MAY_HAVE_RUN, "the response is not signed")
-        if head.status in (408, 421, 429, 503):
-            # From this entry these statuses mean that the request has not run. The endpoint did
-            # not confirm that, so they must not reach the caller.
-            return AttemptFailure(
-                Verdict.MAY_HAVE_RUN, f"status {head.status} without a not-run confirmation"
-            )
-        return None
-
     async def _read_or_replace(
         self,
         attempt: EndpointAttempt,
@@ -478,7 +328,7 @@
             try:
                 return await read()
             except EndpointFailure as failure:
-                await self._record_endpoint_failure(attempt, failure)
+                await self.calls.record_failure(attempt, failure)
                 raise
 
         while True:
@@ -535,9 +385,9 @@
 
         :raises EndpointFailure: if the endpoint failed.
         """
-        await self._send_request(attempt)
+        await self.calls.send_request(attempt)
         head = await attempt.connection.read_response_head()
-        failure = await self._on_response_head(attempt, head)
+        failure = await self.calls.on_response_head(attempt, head)
         if failure is not None:
             return failure
         if attempt.is_stream:
@@ -545,7 +395,7 @@
             if attempt.body is None:
                 return AttemptFailure(Verdict.MAY_HAVE_RUN, "the stream ended without an event")
         else:
-            attempt.body = await self._read_body(attempt)
+            attempt.body = await self.calls.read_body(attempt)
         return None
 
     def _can_fail_over(self, attempt: EndpointAttempt) -> bool:
@@ -560,32 +410,13 @@
         known = self.endpoints(request.service.name)
         return self.placement.has_healthy_endpoint(known, excluded, anyio.current_time())
 
-    async def _read_body(self, attempt: EndpointAttempt) -> bytes:
-        """Read the body of a response that is no stream, once.
-
-        :raises EndpointFailure: if the body is too large, or ends early.
-        """
-        if attempt.body is not None:
-            return attempt.body
-        claim = attempt.resources.enter_context(self.held.open_claim())
-        body = bytearray()
-        chunk_count = 0
-        while (data := await attempt.connection.read_body_chunk()) is not None:
-            body += data
-            chunk_count += 1
-            if len(body) > MAX_RESPONSE_BYTES or chunk_count > MAX_RESPONSE_CHUNKS:
-                raise EndpointFailure("the response has too many bytes or chunks", True)
-            if not claim.try_grow(len(data)):
-                raise EndpointFailure("the memory limit for buffered responses is reached", True)
-        return bytes(body)
-
     async def _forward_buffered(self, attempt: EndpointAttempt) -> None:
         """Read a response that is no stream to its end, and forward it.
 
         :raises EndpointFailure: if the body is too large, or ends early.
         """
         assert attempt.head is not None
-        body = await self._read_body(attempt)
+        body = await self.calls.read_body(attempt)
         attempt.progress.record_chunk(anyio.current_time())
         await self._forward_response(attempt.writer, attempt.head, body)
         if attempt.head.status < 300:
@@ -769,7 +600,7 @@
     def _record_completed_request(self, attempt: EndpointAttempt) -> None:
         request, progress = attempt.request, attempt.progress
         response_started_at = progress.response_started_at or request.arrived_at
-        if attempt.writer.status == _HTTP_OK:
+        if attempt.writer.status == HTTP_OK:
             self.response_times.record(request.route.name, anyio.current_time() - attempt.sent_at)
         self.metrics.on_attempt(Verdict.COMPLETED)
         self.metrics.on_response(
@@ -801,12 +632,6 @@
         self.replacement = replacement
 
 
-def _is_event_stream(head: ResponseHead) -> bool:
-    """Return whether a response can go on with a stream that has begun."""
-    content_type = head.get_header("content-type")
-    return head.status == _HTTP_OK and content_type.lower().startswith(EVENT_STREAM_TYPE)
-
-
 def _headers_without_length(head: ResponseHead) -> Headers:
     """Return the headers to forward; the length is set anew, as a resumed stream has another."""
     headers = without_hop_by_hop_headers(head.headers)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
@@ -82,6 +82,7 @@
     """Return an entry that sends requests to endpoints itself, without starting it."""
     from bergamotchute_daemon.direct.direct_entry import DirectEntry
     from bergamotchute_daemon.direct.direct_forwarder import DirectForwarder
+    from bergamotchute_daemon.direct.endpoint_calls import EndpointCalls
     from bergamotchute_daemon.direct.endpoint_chooser import EndpointChooser
     from bergamotchute_daemon.direct.prompt_guard import PromptGuard
     from bergamotchute_daemon.direct.rate_permits import RatePermits
@@ -103,9 +104,27 @@
         random=environment.random,
         log=environment.log,
     )
-    forwarder = DirectForwarder(
+    prompt_guard = PromptGuard(
+        table=PromptEvidenceTable(environment.log),
+        post=lambda evidence: links.post_to_all_that(
+            lambda group: group.accepts_prompt_evidence, evidence
+        ),
+        log=environment.log,
+        stops_group=lambda service: placement.has_rank_group(
+            process.endpoints_by_service.get(service, ())
+        ),
+    )
+    calls = EndpointCalls(
         request_format=request_format,
         placement=placement,
+        on_endpoint_leaving=lambda endpoint: process.on_endpoint_leaving(endpoint),
+        log=environment.log,
+        prompt_guard=prompt_guard,
+        rate_permits=rate_permits,
+    )
+    forwarder = DirectForwarder(
+        calls=calls,
+        placement=placement,
         chooser=EndpointChooser(
             placement=placement,
             slots=SlotReservations(environment.dial_slots, environment.random, environment.log),
@@ -114,20 +133,10 @@
             random=environment.random,
         ),
         endpoints=lambda service: process.endpoints(service),
-        on_endpoint_leaving=lambda endpoint: process.on_endpoint_leaving(endpoint),
         random=environment.random,
         log=environment.log,
         metrics=NodeMetrics(lambda: process.gauges()),
-        prompt_guard=PromptGuard(
-            table=PromptEvidenceTable(environment.log),
-            post=lambda evidence: links.post_to_all_that(
-                lambda group: group.accepts_prompt_evidence, evidence
-            ),
-            log=environment.log,
-            stops_group=lambda service: placement.has_rank_group(
-                process.endpoints_by_service.get(service, ())
-            ),
-        ),
+        prompt_guard=prompt_guard,
         rate_permits=rate_permits,
         retry_ratio=RETRY_BUDGET_RATIO * settings.retry_ratio,
         retry_capacity=RETRY_BURST_RATIO * settings.retry_slack,
--- a/tests/direct/test_endpoint_announcements.py
+++ b/tests/direct/test_endpoint_announcements.py
@@ -242,7 +242,7 @@
     """Several endpoints send endless bodies at once; the entry must not run out of memory."""
 
     async def body(path: EntryFixture) -> None:
-        path.forwarder.held.limit_bytes = 1_000_000
+        path.calls.held.limit_bytes = 1_000_000
 
         async def stuck(request: ReceivedRequest, stream: SocketStream) -> None:
             await stream.send(answer(request, body=b"", content_length="10000000"))
@@ -255,12 +255,12 @@
         await path.add_endpoint("runner-1", stuck)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(path.send_request, "order")
-            await wait_until(lambda: path.forwarder.held.held >= 900_000)
+            await wait_until(lambda: path.calls.held.held >= 900_000)
             path.endpoints.clear()
             await path.add_endpoint("runner-2", large)
             assert (await path.send_request("order")).status == 502
             tasks.cancel_scope.cancel()
-        await wait_until(lambda: not path.forwarder.held.held)
+        await wait_until(lambda: not path.calls.held.held)
         assert (await path.send_request("order")).status == 200
 
     run_with_entry(body)
--- a/tests/direct/test_silent_endpoints.py
+++ b/tests/direct/test_silent_endpoints.py
@@ -90,7 +90,7 @@
 
 
 def assert_nothing_is_held(entry: EntryFixture) -> None:
-    assert not entry.forwarder.held.held
+    assert not entry.calls.held.held
     for endpoint in entry.endpoints:
         assert not entry.placement.load(endpoint).in_flight
 
@@ -121,19 +121,24 @@
 REFUSALS = [refuse_full, fail, close_at_once, answer_another_request]
 
 
+def refuse_before(first: SilentEndpoint, refuse: Refusal) -> EndpointScript:
+    """Return a script that refuses the request; then the first endpoint goes on."""
+
+    async def run(request: ReceivedRequest, stream: SocketStream) -> None:
+        await refuse(request, stream)
+        await anyio.aclose_forcefully(stream)
+        first.goes_on.set()
+
+    return run
+
+
 @pytest.mark.parametrize("refuse", [*REFUSALS, send_empty_stream])
 def test_silent_stream_is_cut_when_the_next_endpoint_refuses_it(refuse: Refusal) -> None:
     """A caller lost a stream whose endpoint was about to go on."""
 
     async def body(entry: EntryFixture) -> None:
         first = silent_stream()
-
-        async def refuse_and_tell(request: ReceivedRequest, stream: SocketStream) -> None:
-            await refuse(request, stream)
-            await anyio.aclose_forcefully(stream)
-            first.goes_on.set()
-
-        response = await ask_both(entry, first, refuse_and_tell, "stream")
+        response = await ask_both(entry, first, refuse_before(first, refuse), "stream")
         assert (response.body, response.whole) == (WHOLE_STREAM, True)
         assert len(entry.received_requests) == 2
         assert_nothing_is_held(entry)
@@ -147,13 +152,7 @@
 
     async def body(entry: EntryFixture) -> None:
         first = silent_head()
-
-        async def refuse_and_tell(request: ReceivedRequest, stream: SocketStream) -> None:
-            await refuse(request, stream)
-            await anyio.aclose_forcefully(stream)
-            first.goes_on.set()
-
-        response = await ask_both(entry, first, refuse_and_tell, "status")
+        response = await ask_both(entry, first, refuse_before(first, refuse), "status")
         assert (response.status, response.body) == (200, b"first")
         assert_nothing_is_held(entry)
 
--- a/tests/support/entry_fixture.py
+++ b/tests/support/entry_fixture.py
@@ -13,6 +13,7 @@
 
 from bergamotchute_daemon.direct.admitted_request import RequestRefused
 from bergamotchute_daemon.direct.direct_forwarder import DirectForwarder
+from bergamotchute_daemon.direct.endpoint_calls import EndpointCalls
 from bergamotchute_daemon.direct.endpoint_chooser import EndpointChooser
 from bergamotchute_daemon.direct.filters import admit_request
 from bergamotchute_daemon.direct.prompt_guard import PromptGuard
@@ -170,23 +171,26 @@
             random=Random(1),
             log=self.log,
         )
+        prompt_guard = PromptGuard(
+            PromptEvidenceTable(self.log),
+            self.posted_evidence.append,
+            self.log,
+            stops_group=lambda _: self.has_rank_group,
+        )
+        self.calls = EndpointCalls(
+            REQUEST_FORMAT, self.placement, self._on_leaving, self.log, prompt_guard, rate_permits
+        )
         self.forwarder = DirectForwarder(
-            request_format=REQUEST_FORMAT,
+            calls=self.calls,
             placement=self.placement,
             chooser=EndpointChooser(
                 self.placement, self.slots, rate_permits, lambda _: self.endpoints, Random(1)
             ),
             endpoints=lambda _: self.endpoints,
-            on_endpoint_leaving=self._on_leaving,
             random=Random(1),
             log=self.log,
             metrics=NodeMetrics(dict),
-            prompt_guard=PromptGuard(
-                PromptEvidenceTable(self.log),
-                self.posted_evidence.append,
-                self.log,
-                stops_group=lambda _: self.has_rank_group,
-            ),
+            prompt_guard=prompt_guard,
             rate_permits=rate_permits,
             retry_ratio=0.2,
             retry_capacity=100.0,
--- a/tests/wire/test_endless_responses.py
+++ b/tests/wire/test_endless_responses.py
@@ -137,6 +137,6 @@
             assert sound.status in (200, 503)
         await wait_until(lambda: len(sent) == len(entry.received_requests) - (sound.status == 200))
         assert max(sent) <= MAX_SENT_BYTES
-        assert not entry.forwarder.held.held
+        assert not entry.calls.held.held
 
     run_with_entry(body)
