--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
@@ -338,7 +338,7 @@
             if not self._can_fail_over(attempt):
                 continue
             outcome = await read_or_replace(
-                read_on, lambda: self._find_replacement(attempt), EndpointAttempt.close
+                read_on, lambda: self._find_replacement(attempt), self._drop_attempt
             )
             if isinstance(outcome, Received):
                 return outcome.value
@@ -363,20 +363,30 @@
         if chosen is None:
             return None
         attempt = self._create_attempt(request, silent.writer, progress, chosen)
-        is_ready = False
         try:
             reason = AttemptFailure(Verdict.MAY_HAVE_RUN, "no data")
             if not self._decide_retry(request, progress, reason):
+                await attempt.close()
                 return None
             failure = await self._run_step(attempt, self._begin_response)
-            if isinstance(failure, AttemptFailure):
-                self._record_failed_attempt(attempt, failure)
-                return None
-            is_ready = True
-            return attempt
-        finally:
-            if not is_ready:
-                await attempt.close()
+        except BaseException:
+            await self._drop_attempt(attempt)
+            raise
+        if isinstance(failure, AttemptFailure):
+            await attempt.close()
+            self._record_failed_attempt(attempt, failure)
+            return None
+        return attempt
+
+    async def _drop_attempt(self, attempt: EndpointAttempt) -> None:
+        """Close an attempt that is not needed, as a silent endpoint went on."""
+        await attempt.close()
+        self.log.emit(
+            events.ATTEMPT_DROPPED,
+            request_id=attempt.request.metadata.request_id,
+            endpoint=attempt.endpoint.endpoint,
+            attempt=attempt.number,
+        )
 
     async def _begin_response(self, attempt: EndpointAttempt) -> AttemptFailure | None:
         """Send the request and read what shows that the endpoint serves it.
--- a/packages/bergamotchute-model/src/bergamotchute_model/events.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/events.py
@@ -147,6 +147,11 @@
 ATTEMPT_FAILED = _define_event_kind(
     1202, "attempt_failed", "An attempt ended without a whole answer.", logging.WARNING
 )
+ATTEMPT_DROPPED = _define_event_kind(
+    1205,
+    "attempt_dropped",
+    "An attempt that was to replace a silent one was closed, as the silent one went on.",
+)
 ATTEMPT_BARRED = _define_event_kind(
     1203, "attempt_barred", "An attempt was barred; it can never start."
 )
--- a/tests/direct/test_silent_endpoints.py
+++ b/tests/direct/test_silent_endpoints.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -160,7 +161,11 @@
 
 
 @pytest.mark.parametrize("route", ["stream", "status"])
-def test_endpoint_that_goes_on_is_cut_while_another_one_has_not_begun(route: str) -> None:
+def test_endpoint_that_goes_on_is_cut_while_another_one_has_not_begun(
+    route: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO)
+
     async def body(entry: EntryFixture) -> None:
         first = silent_stream() if route == "stream" else silent_head()
         second = silent_head()
@@ -174,6 +179,8 @@
         assert (response.body, response.whole) == (expected, True)
         await second.closed_by_entry.wait()
         assert_nothing_is_held(entry)
+        dropped = [each for each in caplog.records if each.getMessage() == "attempt_dropped"]
+        assert len(dropped) == 1
 
     run_with_entry(body)
 
