Let a late refusal not end the attempt that takes over from a silent endpoint

Callers would have been refused although another endpoint was about to answer: a rank group that stalls refuses its requests after 1.5 s, and the first form of the takeover took this refusal for what comes first and dropped the other attempt.

Change: while another attempt may still answer, a refusal or an error of the silent endpoint only ends that endpoint's part.

Evidence: test_late_refusal_ends_the_attempt_that_takes_over, four cases, failed before and pass now.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
@@ -293,6 +293,7 @@
                     attempt,
                     max(MIN_HEAD_TIMEOUT_S, objective_timeout_s),
                     attempt.connection.read_response_head,
+                    _answers_request,
                 )
                 failure = await self.calls.on_response_head(attempt, head)
                 if failure is not None:
@@ -312,6 +313,7 @@
         attempt: EndpointAttempt,
         timeout_s: float,
         read: Callable[[], Awaitable[ReadResult]],
+        is_usable: Callable[[ReadResult], bool] = lambda _: True,
     ) -> ReadResult:
         """Read from an endpoint; after each timeout, have another one take over if it can.
 
@@ -338,7 +340,7 @@
             if not self._can_fail_over(attempt):
                 continue
             outcome = await read_or_replace(
-                read_on, lambda: self._find_replacement(attempt), self._drop_attempt
+                read_on, lambda: self._find_replacement(attempt), self._drop_attempt, is_usable
             )
             if isinstance(outcome, Received):
                 return outcome.value
@@ -642,6 +644,11 @@
         self.replacement = replacement
 
 
+def _answers_request(head: ResponseHead) -> bool:
+    """Return whether a response is an answer, not a refusal or a failure of the endpoint."""
+    return head.status < 500 and head.status not in (408, 421, 429)
+
+
 def _headers_without_length(head: ResponseHead) -> Headers:
     """Return the headers to forward; the length is set anew, as a resumed stream has another."""
     headers = without_hop_by_hop_headers(head.headers)
--- a/tests/direct/test_silent_endpoints.py
+++ b/tests/direct/test_silent_endpoints.py
@@ -185,6 +185,33 @@
     run_with_entry(body)
 
 
+@pytest.mark.parametrize("route", ["stream", "status"])
+@pytest.mark.parametrize("status", [503, 500])
+def test_late_refusal_ends_the_attempt_that_takes_over(route: str, status: int) -> None:
+    """A rank group that stalls refuses its requests after a while; another group had them by then."""
+
+    async def body(entry: EntryFixture) -> None:
+        headers = {"bergamotchute_not_executed": "1"} if status == 503 else {}
+        first = SilentEndpoint(
+            lambda _: b"", lambda request: answer(request, status, b"", **headers)
+        )
+
+        async def answer_later(request: ReceivedRequest, stream: SocketStream) -> None:
+            first.goes_on.set()
+            await anyio.sleep(0.05)
+            if route == "stream":
+                data = chunked(event(1)) + chunked(event(2)) + chunked(event(3)) + LAST_CHUNK
+                await stream.send(stream_head(request) + data)
+            else:
+                await stream.send(answer(request, body=WHOLE_STREAM))
+
+        response = await ask_both(entry, first, answer_later, route)
+        assert (response.status, response.body, response.whole) == (200, WHOLE_STREAM, True)
+        assert_nothing_is_held(entry)
+
+    run_with_entry(body)
+
+
 def test_silent_endpoint_keeps_a_stream_that_another_one_continues() -> None:
     async def body(entry: EntryFixture) -> None:
         first = silent_stream()
