--- a/tests/adapter/test_configuration_format.py
+++ b/tests/adapter/test_configuration_format.py
@@ -11,7 +11,7 @@
 
 from bergamotchute_model.versioned_configuration import RouteKind, RouteRule, RouteShare, TeamRule
 from bergamotchute_platform import configuration_format
-from bergamotchute_platform.configuration_format import ConfigurationReader, read_configuration
+from bergamotchute_platform.configuration_format import ConfigurationReader
 
 JsonObject = dict[str, Any]
 
@@ -72,7 +72,7 @@
 def read(change: Callable[[JsonObject], None] = lambda _: None) -> Any:
     plain = copy.deepcopy(VALID)
     change(plain)
-    return read_configuration(json.dumps(plain).encode())
+    return ConfigurationReader().read(json.dumps(plain).encode())
 
 
 def test_a_configuration_is_read_with_times_in_seconds() -> None:
@@ -127,7 +127,7 @@
 @pytest.mark.parametrize("text", [b"", b"[]", b'{"version": 3', b"\xff\xfe", b"null"])
 def test_an_incomplete_or_non_object_text_is_rejected(text: bytes) -> None:
     with pytest.raises(ValueError, match=r"\S"):
-        read_configuration(text)
+        ConfigurationReader().read(text)
 
 
 def test_route_that_the_last_configuration_had_is_read_again(
--- a/tests/adapter/test_odd_values.py
+++ b/tests/adapter/test_odd_values.py
@@ -11,7 +11,7 @@
 from adapter.test_configuration_format import VALID
 from bergamotchute_daemon.direct.event_stream import EventStream
 from bergamotchute_model.node_messages import HeartbeatsReceived, NodeMessage
-from bergamotchute_platform.configuration_format import read_configuration
+from bergamotchute_platform.configuration_format import ConfigurationReader
 from bergamotchute_platform.control_calls import read_heartbeat
 from bergamotchute_platform.rank_calls import parse_counts, parse_experts, parse_status
 from bergamotchute_platform.request_format import REQUEST_FORMAT
@@ -109,7 +109,13 @@
 
 @pytest.mark.parametrize("body", [DEEP, DEEP[:100_000], b'{"slots": ' + b"9" * 5000 + b"}"])
 def test_body_that_no_parser_takes_ends_the_process(body: bytes) -> None:
-    for read in (read_runner_1, parse_status, parse_counts, parse_experts, read_configuration):
+    for read in (
+        read_runner_1,
+        parse_status,
+        parse_counts,
+        parse_experts,
+        ConfigurationReader().read,
+    ):
         assert_refused(read, body)
 
 
@@ -136,7 +142,7 @@
 ) -> None:
     plain = {"limits": {}, **VALID}
     body = with_value(plain, "@", *path).replace(b'"@"', literal.encode())
-    assert_refused(read_configuration, body)
+    assert_refused(ConfigurationReader().read, body)
 
 
 @pytest.mark.parametrize(
@@ -152,12 +158,12 @@
 def test_configuration_with_a_number_out_of_range_is_accepted(
     path: tuple[Any, ...], value: int
 ) -> None:
-    assert_refused(read_configuration, with_value(VALID, value, *path))
+    assert_refused(ConfigurationReader().read, with_value(VALID, value, *path))
 
 
 @pytest.mark.parametrize("field", ["slots", "step_ms", "read_per_s"])
 def test_engine_that_serves_nothing_divides_by_zero(field: str) -> None:
-    assert_refused(read_configuration, with_value(VALID, 0, "services", 0, "engine", field))
+    assert_refused(ConfigurationReader().read, with_value(VALID, 0, "services", 0, "engine", field))
 
 
 @pytest.mark.parametrize("path", [("size",), ("step",), ("map",), ("running",), ("group", "epoch")])
