Say when an attempt is dropped: also when its request ended

attempt_dropped is logged too when the caller leaves or the deadline passes during a takeover; its description and the method named the silent endpoint going on as the only reason.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
@@ -381,7 +381,7 @@
         return attempt
 
     async def _drop_attempt(self, attempt: EndpointAttempt) -> None:
-        """Close an attempt that is not needed, as a silent endpoint went on."""
+        """Close an attempt that is not needed: the silent endpoint went on, or the request ended."""
         await attempt.close()
         self.log.emit(
             events.ATTEMPT_DROPPED,
--- a/packages/bergamotchute-model/src/bergamotchute_model/events.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/events.py
@@ -150,7 +150,7 @@
 ATTEMPT_DROPPED = _define_event_kind(
     1205,
     "attempt_dropped",
-    "An attempt that was to replace a silent one was closed, as the silent one went on.",
+    "An attempt that was to replace a silent one was closed: that one went on, or the request ended.",
 )
 ATTEMPT_BARRED = _define_event_kind(
     1203, "attempt_barred", "An attempt was barred; it can never start."
