Log the index behind an acknowledgement and a read, and answers that match no request

The logs could not tell whether a control VM had taken an answer to another request for its own, whether it had read an older state, or whether a dead voter cost a quorum.

- configuration_put names the log index and the leader; configuration_read is new and names the index that a read was answered from.
- forwarded_answer_unmatched: an answer of the leader that no request here waits for.
Such answers were dropped without a line.
- membership_changed names the voters and learners.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_log.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_log.py
@@ -39,10 +39,12 @@
 class CommittedCommand:
     """A committed command's result.
 
+    :param index: a log index at which the command is committed, or whose state already holds it.
     :param attempts: how often the command was tried, also while no leader was known.
     """
 
     result: CommandResult
+    index: int
     attempts: int
 
 
@@ -50,7 +52,7 @@
 class _CommandInProgress:
     """A command that was proposed and whose result is not known yet, and the calls that wait.
 
-    :param answered: set once ``result`` is known.
+    :param answered: set once ``result`` and ``index`` are known.
     :param callers: count of the calls that wait for the result.
     :param attempts: how often the command was tried, also while no leader was known.
     :param is_sent: whether an attempt is under way that has neither failed nor expired.
@@ -62,6 +64,7 @@
     encoded: bytes
     answered: anyio.Event = field(default_factory=anyio.Event)
     result: CommandResult | None = None
+    index: int = 0
     callers: int = 0
     attempts: int = 0
     is_sent: bool = False
@@ -91,7 +94,7 @@
         """
         known = self.voter.state.state.known_result(command)
         if known is not None:
-            return CommittedCommand(known, 0)
+            return CommittedCommand(known, self.voter.state.applied_index, 0)
         encoded = COMMAND_CODEC.encode(command)
         waiting = self.in_progress.get(encoded)
         if waiting is None:
@@ -105,10 +108,11 @@
             self._forget_if_abandoned(waiting)
         raise self._unavailable(timeout_s, waiting.attempts)
 
-    async def confirm(self, timeout_s: float) -> None:
-        """Return once this voter's state holds everything that was committed before the call.
+    async def confirm(self, timeout_s: float) -> int:
+        """Wait until this voter's state holds everything that was committed before the call.
 
         :param timeout_s: how long to try, in seconds.
+        :return: how often the confirmation was tried.
         :raises ControlUnavailable: when no quorum confirmed the state in time.
         """
         attempts = 0
@@ -117,7 +121,7 @@
                 attempts += 1
                 with anyio.move_on_after(ATTEMPT_TIMEOUT_S):
                     if await self._read_once():
-                        return
+                        return attempts
                 await anyio.sleep(RETRY_DELAY_S)
         raise self._unavailable(timeout_s, attempts)
 
@@ -134,7 +138,7 @@
                 self._send(waiting, leader)
             with anyio.move_on_after(RETRY_DELAY_S):
                 await waiting.answered.wait()
-        return CommittedCommand(waiting.result, waiting.attempts)
+        return CommittedCommand(waiting.result, waiting.index, waiting.attempts)
 
     def _send(self, waiting: _CommandInProgress, leader: str) -> None:
         waiting.attempts += 1
@@ -144,8 +148,8 @@
         waiting.resend_at = anyio.current_time() + ATTEMPT_TIMEOUT_S + transfer_s
         attempt = waiting.attempts
 
-        def succeed(_: int, result: bytes) -> None:
-            self._on_result(waiting, RESULT_CODEC.decode(result))
+        def succeed(index: int, result: bytes) -> None:
+            self._on_result(waiting, index, RESULT_CODEC.decode(result))
 
         def fail(*_: object) -> None:
             if attempt == waiting.attempts:
@@ -154,9 +158,10 @@
 
         self.voter.submit_request(RequestPurpose.COMMAND, waiting.encoded, succeed, fail)
 
-    def _on_result(self, waiting: _CommandInProgress, result: CommandResult) -> None:
+    def _on_result(self, waiting: _CommandInProgress, index: int, result: CommandResult) -> None:
         if waiting.result is None:
             waiting.result = result
+            waiting.index = index
             waiting.answered.set()
         self.in_progress.pop(waiting.encoded, None)
 
@@ -170,7 +175,7 @@
         for waiting in list(self.in_progress.values()):
             result = self.voter.state.state.known_result(waiting.command)
             if result is not None:
-                self._on_result(waiting, result)
+                self._on_result(waiting, self.voter.state.applied_index, result)
 
     async def _read_once(self) -> bool:
         """Send a read once; return whether it was confirmed."""
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
@@ -158,14 +158,17 @@
             changed=isinstance(result, ConfigurationPut) and result.changed,
             bytes=len(text),
             attempts=committed.attempts,
+            index=committed.index,
+            leader=self.voter.leader_address,
             took_ms=round(1000 * (anyio.current_time() - began)),
         )
         return True
 
     async def read_configuration(self) -> ConfigurationStore | None:
         """Return the newest configuration, or ``None`` when no quorum confirms it in time."""
+        began = anyio.current_time()
         try:
-            await self.control.confirm(COMMIT_TIMEOUT_S)
+            attempts = await self.control.confirm(COMMIT_TIMEOUT_S)
         except ControlUnavailable as error:
             self.log.emit(
                 events.CONFIGURATION_READ_UNCONFIRMED,
@@ -174,7 +177,16 @@
                 detail=str(error),
             )
             return None
-        return self.voter.state.state.configuration
+        held = self.voter.state.state.configuration
+        self.log.emit(
+            events.CONFIGURATION_READ,
+            version=held.version,
+            attempts=attempts,
+            index=self.voter.state.applied_index,
+            leader=self.voter.leader_address,
+            took_ms=round(1000 * (anyio.current_time() - began)),
+        )
+        return held
 
     async def on_heartbeat(self, heartbeat: EndpointHeartbeat) -> bool:
         """Process an endpoint's heartbeat; return whether it may be acknowledged.
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
@@ -39,7 +39,7 @@
 )
 from bergamotchute_consensus.founding import founding_voters
 from bergamotchute_consensus.log_entry import EntryContent
-from bergamotchute_consensus.membership import Member, RemoveMember
+from bergamotchute_consensus.membership import Member, RemoveMember, decode_membership
 from bergamotchute_consensus.messages import (
     ConsensusMessage,
     ForwardedAnswer,
@@ -322,7 +322,13 @@
         """Apply an entry; answer its proposer and the reads that waited for it."""
         result = self.state.apply(action.entry)
         if action.entry.content is EntryContent.MEMBERSHIP:
-            self.log.emit(events.MEMBERSHIP_CHANGED, revision=action.entry.index)
+            membership = decode_membership(action.entry.data)
+            self.log.emit(
+                events.MEMBERSHIP_CHANGED,
+                revision=action.entry.index,
+                voters=_member_names(membership.voters),
+                learners=_member_names(membership.learners),
+            )
         if action.token:
             encoded = b"" if result is None else RESULT_CODEC.encode(result)
             for token in self.proposed_commands.take_tokens(action.token):
@@ -484,6 +490,15 @@
         replica = self.replica
         if replica is None or message.recipient != replica.state.local_member.replica:
             return
+        if message.token not in self.requests.waiting:
+            self.log.emit(
+                events.FORWARDED_ANSWER_UNMATCHED,
+                peer=str(message.sender.address),
+                request=message.token,
+                revision=message.index,
+                outcome="success" if message.success else "failure",
+            )
+            return
         if not message.success:
             self.requests.fail(message.token, message.committed_maybe, None)
         elif message.result:
@@ -570,3 +585,7 @@
             elif change is not None:
                 token = self.requests.add(lambda *_: None, lambda *_: None, now)
                 self._post_event(MembershipChangeRequested(token, change))
+
+
+def _member_names(members: tuple[Member, ...]) -> str:
+    return ",".join(f"{member.address}/{member.replica[:8]}" for member in members)
--- a/packages/bergamotchute-model/src/bergamotchute_model/events.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/events.py
@@ -183,6 +183,12 @@
     "A voter found its folder damaged and takes no part; empty the folder to make it new.",
     logging.ERROR,
 )
+FORWARDED_ANSWER_UNMATCHED = _define_event_kind(
+    1307,
+    "forwarded_answer_unmatched",
+    "A leader's answer matches no request that waits here: it came late or twice.",
+    logging.WARNING,
+)
 FILE_APPLIED = _define_event_kind(1310, "file_applied", "A file came into force.")
 FILE_REFUSED = _define_event_kind(1311, "file_refused", "A file was refused.", logging.WARNING)
 PLANNED_CHANGE_BEGUN = _define_event_kind(
@@ -240,6 +246,9 @@
     "The log could not confirm an operator's configuration in time.",
     logging.WARNING,
 )
+CONFIGURATION_READ = _define_event_kind(
+    1434, "configuration_read", "A quorum confirmed the configuration that an operator was sent."
+)
 CONFIGURATION_READ_UNCONFIRMED = _define_event_kind(
     1433,
     "configuration_read_unsure",
--- a/tests/daemon/test_control_process.py
+++ b/tests/daemon/test_control_process.py
@@ -55,6 +55,22 @@
     run_control(body)
 
 
+def test_the_log_names_the_index_of_an_acknowledgement_and_of_a_read() -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(3)
+        for number in range(3):
+            assert await group.processes[number].put_configuration(3 + number, b"text")
+            await configuration_at(group, (number + 1) % 3)
+            records = group.processes[number].log.recent_records
+            put = next(each for each in records if each.event == "configuration_put")
+            records = group.processes[(number + 1) % 3].log.recent_records
+            read = next(each for each in reversed(records) if each.event == "configuration_read")
+            assert put.fields["version"] == read.fields["version"] == 3 + number
+            assert 0 < int(put.fields["index"]) <= int(read.fields["index"])
+
+    run_control(body)
+
+
 def test_an_isolated_process_returns_no_configuration() -> None:
     async def body(group: ControlGroup) -> None:
         await group.found(5)
