Let each run of a control VM number its requests to the leader apart

What operators saw: a version was acknowledged that no voter held, or a read returned an older version than the newest acknowledged one (CONFIG), after a control VM had been restarted.

Cause: each process numbered its requests to the leader from 1. The leader's answer names its recipient by the replica's identity, which stays with the folder, so an answer to the process before the restart completed whatever request of the new process had the same number. It is the class of names that begin anew while messages under them are still on their way.

Change: a token holds the incarnation of the process, the same that its log lines hold, and the number. The leader repeats tokens without reading them, also one of an earlier build, so both builds work beside each other. Weighed: an answer that names kind and digest of what it answers needs new fields, which leaders of earlier builds don't send; a counter in the folder costs a sync at each start and can't be written to a full disk.

--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/messages.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/messages.py
@@ -157,7 +157,8 @@
 class ForwardedRequest:
     """Voter to leader: a request that the voter received.
 
-    :param token: correlates the :class:`ForwardedAnswer`.
+    :param token: names the request and the run of the process that sent it; the
+        :class:`ForwardedAnswer` repeats it.
     :param command: the command to commit; empty for other purposes.
     :param packed_command: the command compressed with zlib, in place of ``command``.
     """
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/_pending_requests.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/_pending_requests.py
@@ -32,8 +32,15 @@
 
 @dataclass
 class PendingRequests:
-    """Pending requests by token, and reads that wait for the state to reach an index."""
+    """Pending requests by token, and reads that wait for the state to reach an index.
 
+    An answer may arrive after the process that asked has been restarted on the same folder, so a
+    token names the run of the process as well as the request.
+
+    :param incarnation: identifies this run of the process; unique to each start.
+    """
+
+    incarnation: str
     waiting: dict[str, PendingRequest] = field(default_factory=dict)
     waiting_reads: list[tuple[int, PendingRequest]] = field(default_factory=list)
     request_count: int = 0
@@ -41,7 +48,7 @@
     def add(self, on_success: OnSuccess, on_failure: OnFailure, now: float) -> str:
         """Record a request and return its token."""
         self.request_count += 1
-        token = str(self.request_count)
+        token = f"{self.incarnation}-{self.request_count}"
         self.waiting[token] = PendingRequest(on_success, on_failure, now + REQUEST_TIMEOUT_S)
         return token
 
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
@@ -141,7 +141,7 @@
         self.run_blocking = run_blocking
         self.replica_settings = replica_settings or ReplicaSettings()
         self.state = VoterState()
-        self.requests = PendingRequests()
+        self.requests = PendingRequests(log.incarnation)
         self.proposed_commands = ProposedCommands()
         self.packer = MessagePacker()
         self.membership_planner = self._new_membership_planner()
