Count a voter as emptied only when its address answers under another identity

What operators saw: a healthy control VM loses its vote, so that the group bears one loss less until it has joined again. An introduction of the identity that the VM had before its disk was lost is enough, if it comes late: from a frozen VM, over a link that lost packets, or passed on by a follower. The same class as the answers to an earlier process: a message is believed without knowing of which life of its VM it speaks.

Cause: the leader removed the voter at an address as soon as another identity had introduced itself from there.

Evidence: test_a_late_introduction_of_an_emptied_process_removes_no_healthy_voter, which failed before (the healthy voter had no vote).

Change: a newcomer becomes a learner first, and not while a member at its address answers. A voter is removed as emptied once it doesn't answer and a learner at its address does, which a message for a former identity can't bring about. The unit test that expected removal upon the introduction is replaced by one that expects it upon the answer, and that expects no removal without one.

--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/membership_plan.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/membership_plan.py
@@ -12,7 +12,6 @@
     PromoteLearner,
     RemoveMember,
 )
-from bergamotchute_model.identifiers import Address
 
 
 @dataclass(frozen=True)
@@ -69,7 +68,6 @@
     membership: Membership,
     health: Mapping[str, MemberHealth],
     gone: Collection[str],
-    newcomers: Mapping[Address, str],
     min_voters: int,
 ) -> MembershipChange | None:
     """Return the next change when no operator names the voters, or ``None`` for no change now.
@@ -79,12 +77,11 @@
     the remaining voters must have a quorum that holds all committed entries.
 
     :param gone: identities that have been silent for long.
-    :param newcomers: identities of replicas that ask to join, by address.
     :param min_voters: number of voters below which a silent voter is kept.
     """
     for voter in membership.voters:
-        is_emptied = newcomers.get(voter.address, voter.replica) != voter.replica
         is_lost = voter.replica in gone and len(membership.voters) > min_voters
+        is_emptied = is_replaced_at_its_address(membership, voter, health)
         if (is_emptied or is_lost) and _has_quorum_without(membership, voter, health):
             return RemoveMember(voter.replica)
     if len(membership.voters) < MAX_VOTERS:
@@ -94,6 +91,19 @@
     return None
 
 
+def is_replaced_at_its_address(
+    membership: Membership, member: Member, health: Mapping[str, MemberHealth]
+) -> bool:
+    """Return whether the process at a member's address answers under another identity.
+
+    Only an answer proves it: an introduction may have been sent before the member's own.
+    """
+    return not health[member.replica].reachable and any(
+        other.address == member.address and health[other.replica].reachable
+        for other in membership.members
+    )
+
+
 def can_lose(membership: Membership, health: Mapping[str, MemberHealth]) -> int:
     """Return how many more voters may fail before no quorum holds all committed entries."""
     whole = sum(_is_in_sync(health, voter) for voter in membership.voters)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/_membership_planner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/_membership_planner.py
@@ -16,6 +16,7 @@
 from bergamotchute_consensus.membership_plan import (
     MemberHealth,
     can_lose,
+    is_replaced_at_its_address,
     next_automatic_change,
     next_configured_change,
 )
@@ -65,7 +66,7 @@
             return (
                 self._next_automatic_change(state, now)
                 or self._remove_learner(state, now)
-                or self._add_newcomer(state)
+                or self._add_newcomer(state, now)
             )
         self._read_configured_voters(control)
         return (
@@ -73,18 +74,17 @@
                 state.membership, self.configured_voters, self.health(state, now)
             )
             or self._remove_learner(state, now)
-            or self._add_newcomer(state)
+            or self._add_newcomer(state, now)
         )
 
     def _next_automatic_change(self, state: ReplicaState, now: float) -> MembershipChange | None:
-        newcomers = {member.address: member.replica for member in self.newcomers.values()}
         gone = {
             replica
             for replica, peer in state.progress_by_replica.items()
             if now - peer.last_reply_at > VOTER_REMOVAL_TIMEOUT_S
         }
         return next_automatic_change(
-            state.membership, self.health(state, now), gone, newcomers, self.min_voters
+            state.membership, self.health(state, now), gone, self.min_voters
         )
 
     def health(self, state: ReplicaState, now: float) -> dict[str, MemberHealth]:
@@ -137,11 +137,9 @@
 
     def _remove_learner(self, state: ReplicaState, now: float) -> MembershipChange | None:
         """Remove a learner whose data folder was emptied, or that has been silent too long."""
-        identity_by_address = {member.address: member.replica for member in self.newcomers.values()}
+        health = self.health(state, now)
         for learner in state.membership.learners:
-            is_replaced = (
-                identity_by_address.get(learner.address, learner.replica) != learner.replica
-            )
+            is_replaced = is_replaced_at_its_address(state.membership, learner, health)
             heard_at = state.progress_by_replica[learner.replica].last_reply_at
             gone = (
                 learner.replica not in self.configured_voters
@@ -151,10 +149,22 @@
                 return RemoveMember(learner.replica)
         return None
 
-    def _add_newcomer(self, state: ReplicaState) -> MembershipChange | None:
+    def _add_newcomer(self, state: ReplicaState, now: float) -> MembershipChange | None:
+        """Add a replica that introduced itself, unless a member at its address still answers.
+
+        Such an introduction is late: the process that sent it runs no longer.
+        """
+        health = self.health(state, now)
         for replica, member in list(self.newcomers.items()):
             del self.newcomers[replica]
-            known = state.membership.find_member(replica) is not None
-            if not known and len(state.membership.learners) < MAX_LEARNERS:
+            learners = [
+                each for each in state.membership.learners if each.address != member.address
+            ]
+            is_known = state.membership.find_member(replica) is not None
+            is_late = any(
+                each.address == member.address and health[each.replica].reachable
+                for each in state.membership.members
+            )
+            if not is_known and not is_late and len(learners) < MAX_LEARNERS:
                 return AddLearner(member)
         return None
--- a/tests/consensus/test_automatic_membership.py
+++ b/tests/consensus/test_automatic_membership.py
@@ -33,39 +33,42 @@
 
 def test_learner_with_the_whole_log_becomes_a_voter() -> None:
     group = Membership(voters(1, 2, 3), voters(4))
-    change = next_automatic_change(group, health(group), set(), {}, 3)
+    change = next_automatic_change(group, health(group), set(), 3)
     assert change == PromoteLearner("r4")
 
 
 def test_lagging_learner_is_not_promoted() -> None:
     group = Membership(voters(1, 2, 3), voters(4))
-    assert next_automatic_change(group, health(group, 4), set(), {}, 3) is None
+    assert next_automatic_change(group, health(group, 4), set(), 3) is None
 
 
 def test_voter_that_is_silent_for_long_is_removed() -> None:
     group = Membership(voters(1, 2, 3, 4, 5))
-    change = next_automatic_change(group, health(group, 5), {"r5"}, {}, 3)
+    change = next_automatic_change(group, health(group, 5), {"r5"}, 3)
     assert change == RemoveMember("r5")
 
 
 def test_no_voter_is_removed_below_the_minimum() -> None:
     group = Membership(voters(1, 2, 3))
-    assert next_automatic_change(group, health(group, 3), {"r3"}, {}, 3) is None
+    assert next_automatic_change(group, health(group, 3), {"r3"}, 3) is None
 
 
 def test_voter_is_kept_while_the_others_have_no_quorum() -> None:
     group = Membership(voters(1, 2, 3, 4, 5))
-    assert next_automatic_change(group, health(group, 3, 4, 5), {"r5"}, {}, 3) is None
+    assert next_automatic_change(group, health(group, 3, 4, 5), {"r5"}, 3) is None
 
 
-def test_voter_with_an_emptied_folder_is_removed_at_once() -> None:
-    group = Membership(voters(1, 2, 3, 4, 5))
-    newcomers = {member(5).address: "fresh"}
-    change = next_automatic_change(group, health(group, 5), set(), newcomers, 3)
-    assert change == RemoveMember("r5")
+def test_voter_with_an_emptied_folder_is_removed_once_its_address_answers_under_another_identity() -> (
+    None
+):
+    group = Membership(voters(1, 2, 3, 4, 5), (member(5, "fresh"),))
+    lagging = health(group, 5) | {"fresh": MemberHealth(True, False)}
+    assert next_automatic_change(group, lagging, set(), 3) == RemoveMember("r5")
+    unanswered = lagging | {"fresh": UNREACHABLE}
+    assert next_automatic_change(group, unanswered, set(), 3) is None
 
 
-def test_voter_that_introduces_itself_again_is_not_removed() -> None:
-    group = Membership(voters(1, 2, 3))
-    newcomers = {member(3).address: "r3"}
-    assert next_automatic_change(group, health(group), set(), newcomers, 3) is None
+def test_healthy_voter_is_kept_beside_a_learner_of_its_address() -> None:
+    group = Membership(voters(1, 2, 3), (member(3, "former"),))
+    without_answer = health(group) | {"former": UNREACHABLE}
+    assert next_automatic_change(group, without_answer, set(), 3) is None
--- a/tests/daemon/test_control_process.py
+++ b/tests/daemon/test_control_process.py
@@ -5,6 +5,7 @@
 import anyio
 import pytest
 
+from bergamotchute_consensus.messages import Introduction
 from bergamotchute_daemon.node_runner import NODES_PATH
 from bergamotchute_model.endpoint_heartbeat import EndpointPhase
 from bergamotchute_model.identifiers import Address
@@ -162,6 +163,30 @@
     run_control(body)
 
 
+def test_a_late_introduction_of_an_emptied_process_removes_no_healthy_voter() -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(5)
+        emptied = next(number for number in range(5) if number != group.leader)
+        former = group.processes[emptied].voter.replica
+        assert former is not None
+        late = Introduction(former.state.local_member, former.state.hard_state.cluster, False, ())
+        group.wipe(emptied)
+        await anyio.sleep(0.3)
+        group.start(emptied)
+        await group.wait_until(lambda: group.votes(emptied) and group.voter_count() == 5)
+        assert group.leader is not None
+        for _ in range(100):
+            group.processes[group.leader].voter.on_introduction(late)
+            await anyio.sleep(0.1)
+            assert group.votes(emptied)
+            assert group.voter_count() == 5
+        replica = group.processes[group.leader].voter.replica
+        assert replica is not None
+        assert not replica.state.membership.learners, "no replica runs under the former identity"
+
+    run_control(body)
+
+
 def test_a_member_removed_while_it_was_down_rejoins() -> None:
     async def body(group: ControlGroup) -> None:
         await group.found(5)
