Let a silent voter leave before its successor gets the vote

Cause: next_automatic_change promoted a learner while a dead voter was still there, which left only after 10 s of silence. Six voted then, one of them dead, and four were needed. docs/design/consensus.md had the right order, but only the configured changes followed it.

Evidence: test_a_majority_of_the_counted_processes_has_a_leader_once_a_lost_one_is_replaced, which failed before with the leader on either side of the split (no leader within 5 s).

Change: where one more vote raises the quorum, a voter that has been silent for an election timeout is removed first. Only where more than min_voters vote, as the loss of a disk between the two changes would otherwise leave no quorum; only one voter for each learner that is ready; and only after a new leader has had time to hear it. The test of a lost VM that is replaced asserted six voters on the way; it asserts now that there are never more than five.

--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/membership_plan.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/membership_plan.py
@@ -20,10 +20,12 @@
 
     :param reachable: the member replied recently; always true for the leader itself.
     :param caught_up: the member holds all committed entries.
+    :param silent: the member had time to reply and didn't; a new leader has to wait to know.
     """
 
     reachable: bool
     caught_up: bool
+    silent: bool = False
 
 
 def next_configured_change(
@@ -87,7 +89,7 @@
     if len(membership.voters) < MAX_VOTERS:
         for learner in membership.learners:
             if _is_in_sync(health, learner):
-                return PromoteLearner(learner.replica)
+                return _add_vote(membership, learner, health, min_voters)
     return None
 
 
@@ -104,6 +106,27 @@
     )
 
 
+def _add_vote(
+    membership: Membership,
+    learner: Member,
+    health: Mapping[str, MemberHealth],
+    min_voters: int,
+) -> MembershipChange:
+    """Return the change towards a learner's vote: a silent voter leaves first.
+
+    With another vote an odd number of voters needs a larger quorum. After a split, the voters that
+    are left might not have it if one of them is dead.
+
+    :param min_voters: number of voters that must remain, so that one may lose its disk meanwhile.
+    """
+    raises_quorum = len(membership.voters) % 2 == 1
+    if raises_quorum and len(membership.voters) > min_voters:
+        for voter in membership.voters:
+            if health[voter.replica].silent and _has_quorum_without(membership, voter, health):
+                return RemoveMember(voter.replica)
+    return PromoteLearner(learner.replica)
+
+
 def can_lose(membership: Membership, health: Mapping[str, MemberHealth]) -> int:
     """Return how many more voters may fail before no quorum holds all committed entries."""
     whole = sum(_is_in_sync(health, voter) for voter in membership.voters)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/_membership_planner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/_membership_planner.py
@@ -95,6 +95,7 @@
             replica: MemberHealth(
                 peer.acknowledged_round > 0 and now - peer.last_reply_at < timeout,
                 peer.match_index >= settled,
+                now - peer.last_reply_at >= timeout,
             )
             for replica, peer in state.progress_by_replica.items()
         }
--- a/tests/consensus/test_automatic_membership.py
+++ b/tests/consensus/test_automatic_membership.py
@@ -12,7 +12,7 @@
 from bergamotchute_model.identifiers import Address
 
 IN_SYNC = MemberHealth(True, True)
-UNREACHABLE = MemberHealth(False, False)
+UNREACHABLE = MemberHealth(False, False, silent=True)
 
 
 def member(number: int, identity: str = "") -> Member:
@@ -72,3 +72,30 @@
     group = Membership(voters(1, 2, 3), (member(3, "former"),))
     without_answer = health(group) | {"former": UNREACHABLE}
     assert next_automatic_change(group, without_answer, set(), 3) is None
+
+
+def test_silent_voter_leaves_before_its_successor_gets_the_vote() -> None:
+    group = Membership(voters(1, 2, 3, 4, 5), voters(6))
+    assert next_automatic_change(group, health(group, 2), set(), 3) == RemoveMember("r2")
+    group = Membership(voters(1, 3, 4, 5), voters(6))
+    assert next_automatic_change(group, health(group), set(), 3) == PromoteLearner("r6")
+
+
+def test_only_one_silent_voter_leaves_for_one_successor() -> None:
+    group = Membership(voters(1, 2, 3, 4, 5, 6, 7), voters(8))
+    assert next_automatic_change(group, health(group, 2, 3), set(), 3) == RemoveMember("r2")
+    group = Membership(voters(1, 3, 4, 5, 6, 7), voters(8))
+    assert next_automatic_change(group, health(group, 3), set(), 3) == PromoteLearner("r8")
+
+
+def test_silent_voter_stays_beside_a_successor_where_the_loss_of_a_disk_would_leave_no_quorum() -> (
+    None
+):
+    group = Membership(voters(1, 2, 3), voters(4))
+    assert next_automatic_change(group, health(group, 3), set(), 3) == PromoteLearner("r4")
+
+
+def test_voter_that_a_new_leader_has_not_heard_yet_is_not_removed() -> None:
+    group = Membership(voters(1, 2, 3, 4, 5), voters(6))
+    unheard = health(group) | {"r2": MemberHealth(False, False)}
+    assert next_automatic_change(group, unheard, set(), 3) == PromoteLearner("r6")
--- a/tests/daemon/test_control_process.py
+++ b/tests/daemon/test_control_process.py
@@ -156,8 +156,16 @@
         group.kill(1)
         await anyio.sleep(1)
         group.start(5)
-        await group.wait_until(lambda: group.voter_count() == 6)
-        await group.wait_until(lambda: group.voter_count() == 5)
+        counts: set[int] = set()
+
+        def is_replaced() -> bool:
+            counts.add(group.voter_count())
+            return group.votes(5) and group.voter_count() == 5
+
+        await group.wait_until(is_replaced)
+        assert counts <= {0, 4, 5}, "the lost process still votes beside its successor"
+        await anyio.sleep(15)
+        assert group.voter_count() == 5
         assert await configuration_at(group, 5) == (3, b"three")
 
     run_control(body)
@@ -187,6 +195,34 @@
     run_control(body)
 
 
+@pytest.mark.parametrize("is_leader_cut_off", [False, True])
+def test_a_majority_of_the_counted_processes_has_a_leader_once_a_lost_one_is_replaced(
+    is_leader_cut_off: bool,
+) -> None:
+    """Guards against a dead voter that raises the quorum after its successor has got the vote."""
+
+    async def body(group: ControlGroup) -> None:
+        await group.found(5)
+        lost = next(number for number in range(5) if number != group.leader)
+        group.kill(lost)
+        await anyio.sleep(1)
+        group.start(5)
+        await group.wait_until(lambda: group.votes(5))
+        counted = [number for number in range(6) if number != lost]
+        leader_first = sorted(counted, key=lambda number: number != group.leader)
+        minority = leader_first[:2] if is_leader_cut_off else leader_first[3:]
+        majority = [number for number in counted if number not in minority]
+        for number in minority:
+            for other in majority:
+                group.network.cut(f"control-{number}", f"control-{other}")
+        await group.wait_until(lambda: group.leader in majority, wait_timeout_s=5.0)
+        await anyio.sleep(2)
+        assert group.leader in majority
+        assert await group.processes[majority[0]].put_configuration(3, b"three")
+
+    run_control(body)
+
+
 def test_a_member_removed_while_it_was_down_rejoins() -> None:
     async def body(group: ControlGroup) -> None:
         await group.found(5)
