Check the membership twice a second

A lost control VM counts as lost until its successor votes, which takes an introduction, a learner, the removal and the vote, one check each; the users allow 4 s from the start of the VM, of which the process needs part. A check costs the leader some comparisons a member.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
@@ -82,7 +82,7 @@
 """How long a relay may use a view after a quorum has confirmed it."""
 
 INTRODUCTION_INTERVAL_S = 0.5
-MEMBERSHIP_CHECK_INTERVAL_S = 1.0
+MEMBERSHIP_CHECK_INTERVAL_S = 0.5
 INTRODUCTION_LIFETIME_S = 3.0
 LEADERLESS_TIMEOUT_S = 4.0
 """Time without a leader after which a member introduces itself again; several elections fit in."""
