--- a/tests/daemon/test_control_process.py
+++ b/tests/daemon/test_control_process.py
@@ -149,6 +149,30 @@
     run_control(body)
 
 
+def test_a_process_that_refuses_its_folder_says_so_while_the_others_serve() -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(3)
+        assert await group.processes[0].put_configuration(3, b"three")
+        damaged = next(number for number in range(3) if number != group.leader)
+        group.kill(damaged)
+        disk = group.disks[damaged]
+        log_file = next(name for name in disk.file_names() if name.startswith("log-"))
+        disk.files[log_file].data[40] ^= 1
+        process = group.start(damaged)
+        await anyio.sleep(5)
+        assert process.gauges()["folder_refused"] == 1.0
+        assert process.gauges()["voters"] == 0.0
+        assert any(each.event == "voter_refuses" for each in process.log.recent_records)
+        assert await configuration_at(group, damaged) is None
+        assert not await process.put_configuration(4, b"four")
+        healthy = next(number for number in range(3) if number != damaged)
+        assert group.processes[healthy].gauges()["folder_refused"] == 0.0
+        assert await group.processes[healthy].put_configuration(4, b"four")
+        assert await configuration_at(group, healthy) == (4, b"four")
+
+    run_control(body)
+
+
 def test_a_permanently_lost_process_is_replaced_by_another() -> None:
     async def body(group: ControlGroup) -> None:
         await group.found(5)
