--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
@@ -39,7 +39,7 @@
 )
 from bergamotchute_consensus.founding import founding_voters
 from bergamotchute_consensus.log_entry import EntryContent
-from bergamotchute_consensus.membership import Member, RemoveMember
+from bergamotchute_consensus.membership import Member, RemoveMember, decode_membership
 from bergamotchute_consensus.messages import (
     ConsensusMessage,
     ForwardedAnswer,
@@ -82,7 +82,7 @@
 """How long a relay may use a view after a quorum has confirmed it."""
 
 INTRODUCTION_INTERVAL_S = 0.5
-MEMBERSHIP_CHECK_INTERVAL_S = 1.0
+MEMBERSHIP_CHECK_INTERVAL_S = 0.5
 INTRODUCTION_LIFETIME_S = 3.0
 LEADERLESS_TIMEOUT_S = 4.0
 """Time without a leader after which a member introduces itself again; several elections fit in."""
@@ -141,7 +141,7 @@
         self.run_blocking = run_blocking
         self.replica_settings = replica_settings or ReplicaSettings()
         self.state = VoterState()
-        self.requests = PendingRequests()
+        self.requests = PendingRequests(log.incarnation)
         self.proposed_commands = ProposedCommands()
         self.packer = MessagePacker()
         self.membership_planner = self._new_membership_planner()
@@ -322,7 +322,13 @@
         """Apply an entry; answer its proposer and the reads that waited for it."""
         result = self.state.apply(action.entry)
         if action.entry.content is EntryContent.MEMBERSHIP:
-            self.log.emit(events.MEMBERSHIP_CHANGED, revision=action.entry.index)
+            membership = decode_membership(action.entry.data)
+            self.log.emit(
+                events.MEMBERSHIP_CHANGED,
+                revision=action.entry.index,
+                voters=_member_names(membership.voters),
+                learners=_member_names(membership.learners),
+            )
         if action.token:
             encoded = b"" if result is None else RESULT_CODEC.encode(result)
             for token in self.proposed_commands.take_tokens(action.token):
@@ -484,6 +490,15 @@
         replica = self.replica
         if replica is None or message.recipient != replica.state.local_member.replica:
             return
+        if message.token not in self.requests.waiting:
+            self.log.emit(
+                events.FORWARDED_ANSWER_UNMATCHED,
+                peer=str(message.sender.address),
+                request=message.token,
+                revision=message.index,
+                outcome="success" if message.success else "failure",
+            )
+            return
         if not message.success:
             self.requests.fail(message.token, message.committed_maybe, None)
         elif message.result:
@@ -570,3 +585,7 @@
             elif change is not None:
                 token = self.requests.add(lambda *_: None, lambda *_: None, now)
                 self._post_event(MembershipChangeRequested(token, change))
+
+
+def _member_names(members: tuple[Member, ...]) -> str:
+    return ",".join(f"{member.address}/{member.replica[:8]}" for member in members)
