Send a follower no text that may be older than its version

What a caller could see: a new entry that was told of a version by one control VM, and whose request for the text got no answer, asks all control VMs. One that was cut off, or whose state was built up again after a disk failure, sent an older text, which the entry put in force though a newer configuration had been acknowledged before the entry started.

Cause: a request for the text names no version, and was answered from whatever state the control VM held, also before a quorum had confirmed it for this follower. Only the announcement of a version waited for that.

Now the text waits as the version does: for the confirmation, and for a state that is as new as what the link has told. test_a_follower_receives_no_text_that_may_be_older_than_its_version got the text of version 3 from a cut-off control VM before; 4 was acknowledged.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -74,6 +74,7 @@
     :param confirmed: whether a quorum confirmed the local state since the link opened.
     :param version: the newest configuration version reported to the follower.
     :param sent_text_version: the version whose text was last sent to the follower.
+    :param awaits_text: whether the follower asked for a text that the local state lacked.
     :param node: the state that the follower reported; ``None`` before its first report.
     :param peer: the address of a control VM; ``None`` for an entry or agent.
     :param is_load_subscriber: whether the follower receives the loads of endpoints.
@@ -86,6 +87,7 @@
     confirmed: bool = False
     version: int = 0
     sent_text_version: int = 0
+    awaits_text: bool = False
     node: EntryState | AgentState | None = None
     peer: Address | None = None
     is_load_subscriber: bool = False
@@ -256,9 +258,14 @@
                 self.permits.answer_request(follower.outbox, message)
 
     def _send_configuration(self, follower: Follower) -> None:
-        """Send a follower the text, unless its link carries the same one already."""
+        """Send a follower the text, unless its link carries the same one already.
+
+        The text has to wait for a state that is at least as new as what the follower was told:
+        followers ask all control VMs, and after a disk failure the state is built up again.
+        """
         version = self.voter.state.state.configuration.version
-        if version > follower.sent_text_version:
+        follower.awaits_text = not follower.confirmed or version < follower.version
+        if not follower.awaits_text and version > follower.sent_text_version:
             follower.sent_text_version = version
             follower.outbox.post(self._packed_configuration())
 
@@ -457,6 +464,8 @@
         if version > follower.version:
             follower.version = version
             follower.outbox.post(ConfigurationVersion(version))
+        if follower.awaits_text:
+            self._send_configuration(follower)
 
     def send_control_group(self, group: ControlGroup) -> None:
         """Send the followers the control VMs in the group and whether this one is the leader."""
--- a/tests/daemon/test_control_process.py
+++ b/tests/daemon/test_control_process.py
@@ -10,12 +10,21 @@
 from bergamotchute_model.endpoint_heartbeat import EndpointPhase
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.node_messages import (
+    ConfigurationText,
     ConfigurationVersion,
     DepartureSeen,
     DeparturesRecorded,
     NodeMessage,
+    QueryConfiguration,
+)
+from support.control_group import (
+    FOLLOWING_ENTRY,
+    PORT,
+    ControlGroup,
+    heartbeat,
+    host,
+    run_control,
 )
-from support.control_group import PORT, ControlGroup, heartbeat, host, run_control
 
 
 async def configuration_at(group: ControlGroup, number: int) -> tuple[int, bytes] | None:
@@ -312,6 +321,49 @@
     run_control(body)
 
 
+def test_a_follower_receives_no_text_that_may_be_older_than_its_version() -> None:
+    """Guards against a new entry that serves by an older configuration.
+
+    An entry asks all control VMs for a text that it was told of and that doesn't arrive.
+    """
+
+    async def body(group: ControlGroup) -> None:
+        await group.found(5)
+        await group.processes[0].put_configuration(3, b"three")
+        isolated = next(number for number in range(5) if number != group.leader)
+        await group.wait_until(
+            lambda: group.processes[isolated].voter.state.state.configuration.version == 3
+        )
+        group.isolate(isolated)
+        assert group.leader is not None
+        assert await group.processes[group.leader].put_configuration(4, b"four")
+        heard: list[NodeMessage] = []
+        dial = group.network.dial("entry", NODES_PATH)
+        async with (
+            dial(Address(host(isolated), PORT)) as link,
+            anyio.create_task_group() as tasks,
+        ):
+            await link.send(FOLLOWING_ENTRY)
+            await link.send(QueryConfiguration())
+
+            async def receive() -> None:
+                while True:
+                    heard.append(await link.receive())
+
+            tasks.start_soon(receive)
+            await anyio.sleep(2)
+            assert not any(isinstance(message, ConfigurationText) for message in heard)
+            for other in range(5):
+                group.network.reconnect(f"control-{isolated}", f"control-{other}")
+            await group.wait_until(lambda: ConfigurationVersion(4) in heard)
+            await anyio.sleep(0.1)
+            texts = [message for message in heard if isinstance(message, ConfigurationText)]
+            assert [text.version for text in texts] == [4]
+            tasks.cancel_scope.cancel()
+
+    run_control(body)
+
+
 def test_a_draining_leader_hands_over_leadership() -> None:
     async def body(group: ControlGroup) -> None:
         await group.found(5)
