--- a/tests/support/control_walk.py
+++ b/tests/support/control_walk.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import zlib
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -39,6 +40,7 @@
 WALK_DURATION_S = 30.0
 MOVE_INTERVALS_S = (0.2, 0.5, 1.5, 4.0)
 WAIT_FOR_REDUNDANCY_S = 10.0
+MEMBERSHIP_CHECK_INTERVAL_S = 0.1
 DISK_REOPENING_S = 5.0
 """A voter whose disk failed opens its folder again after this time."""
 
@@ -426,12 +428,17 @@
         count = self.random.randint(1, self.group.disks_to_lose)
         return self.random.sample(self.numbers, count)
 
+    async def _next_disks_that_may_be_lost(self) -> list[int]:
+        """Wait for a moment at which disks may be lost; return none if there isn't one soon."""
+        for _ in range(round(WAIT_FOR_REDUNDANCY_S / MEMBERSHIP_CHECK_INTERVAL_S)):
+            if lost := self._disks_that_may_be_lost():
+                return lost
+            await anyio.sleep(MEMBERSHIP_CHECK_INTERVAL_S)
+        return []
+
     async def lose_disks(self) -> None:
         """Empty disks; their VMs start again at the same addresses."""
-        lost: list[int] = []
-        with anyio.move_on_after(WAIT_FOR_REDUNDANCY_S):
-            while not (lost := self._disks_that_may_be_lost()):
-                await anyio.sleep(0.1)
+        lost = await self._next_disks_that_may_be_lost()
         self.totals["lost disks"] += len(lost)
         for number in lost:
             self._trouble(number, 3.0)
@@ -443,10 +450,7 @@
 
     async def replace(self) -> None:
         """Lose a VM for good; another one starts at another address."""
-        lost: list[int] = []
-        with anyio.move_on_after(WAIT_FOR_REDUNDANCY_S):
-            while not (lost := self._disks_that_may_be_lost()[:1]):
-                await anyio.sleep(0.1)
+        lost = (await self._next_disks_that_may_be_lost())[:1]
         if not lost or lost[0] < SEED_COUNT - 1 or self.next_number > 8:
             return
         self.totals["replaced VMs"] += 1
@@ -465,7 +469,7 @@
         :raises LivenessViolation: when one is.
         """
         while True:
-            await anyio.sleep(0.1)
+            await anyio.sleep(MEMBERSHIP_CHECK_INTERVAL_S)
             leader = self.group.leader
             replica = self.group.processes[leader].voter.replica if leader is not None else None
             if replica is None or not replica.state.is_membership_committed:
@@ -533,10 +537,11 @@
                     return
 
     async def _wait_for_votes(self) -> None:
-        while self.group.voter_count() != len(self.numbers) or not all(
-            map(self.group.votes, self.numbers)
-        ):
-            await anyio.sleep(0.1)
+        await self.group.wait_until(
+            lambda: self.group.voter_count() == len(self.numbers)
+            and all(map(self.group.votes, self.numbers)),
+            wait_timeout_s=math.inf,
+        )
 
 
 class WalkedEntry:
@@ -642,7 +647,5 @@
     if not isinstance(error, BaseExceptionGroup):
         return error
     errors = [_first_error(each) for each in error.exceptions]
-    violations = [
-        each for each in errors if isinstance(each, HistoryViolation | LivenessViolation)
-    ]
+    violations = [each for each in errors if isinstance(each, HistoryViolation | LivenessViolation)]
     return (violations or errors)[0]
