--- a/tests/support/control_walk.py
+++ b/tests/support/control_walk.py
@@ -162,8 +162,11 @@
             (self.slow_disk, 3),
             (self.lose_disks, 3),
             (self.replace, 1),
-            (self.start_entry, 8),
         ]
+        self.moves = [each for each in self.moves if self.random.random() < 0.7]
+        self.moves.append((self.start_entry, 8))
+        self.duration_s = self.random.choice(WALK_DURATIONS_S)
+        self.well_s = SILENCE_S
 
     async def run(self) -> None:
         """Found a group, make random moves, then heal all faults and check that it works.
@@ -174,15 +177,14 @@
         await self.group.found(len(self.numbers))
         self.network.faults = self._draw_faults()
         moves = [move for move, _ in self.moves]
-        weights = [weight if self.random.random() < 0.7 else 0 for _, weight in self.moves]
-        weights[-1] = self.moves[-1][1]
+        weights = [weight for _, weight in self.moves]
         async with anyio.create_task_group() as clients:
             for lane in range(self.random.randint(1, 4)):
                 clients.start_soon(self._put_in_turn, lane)
             for _ in range(self.random.randint(1, 4)):
                 clients.start_soon(self._read_in_turn)
             clients.start_soon(self._watch_membership)
-            end = anyio.current_time() + self.random.choice(WALK_DURATIONS_S)
+            end = anyio.current_time() + self.duration_s
             async with anyio.create_task_group() as faults:
                 while anyio.current_time() < end:
                     await anyio.sleep(self.random.expovariate(1 / self.move_interval_s))
@@ -454,7 +456,10 @@
         if held != members or not all(map(replica.state.membership.is_voter, held)):
             return []
         count = self.random.randint(1, self.group.disks_to_lose)
-        return self.random.sample(self.numbers, count)
+        lost = self.random.sample(self.numbers, count)
+        if self.unsteady in self.numbers and self.random.random() < 0.5:
+            return [self.unsteady]
+        return lost
 
     async def _next_disks_that_may_be_lost(self) -> list[int]:
         """Wait for a moment at which disks may be lost; return none if there isn't one soon."""
@@ -509,7 +514,7 @@
                 if own is None or own.state.local_member.replica not in removed:
                     continue
                 well_s = anyio.current_time() - self.troubled_until.get(number, float("-inf"))
-                if self.group.is_up(number) and well_s > SILENCE_S:
+                if self.group.is_up(number) and well_s > self.well_s:
                     raise LivenessViolation(f"control VM {number} was removed while it was well")
 
     def _heal(self) -> None:
@@ -575,6 +580,57 @@
         )
 
 
+class RestartingWalk(ControlWalk):
+    """A walk on which one control VM restarts often and what voters ask the leader comes late."""
+
+    def __init__(self, seed: int, totals: Counter[str], size: int, tasks: TaskGroup) -> None:
+        super().__init__(seed, totals, size, tasks)
+        self.moves = [
+            (self.restart_in_series, 6),
+            (self.restart, 4),
+            (self.cut, 1),
+            (self.freeze, 1),
+            (self.start_entry, 2),
+        ]
+        self.move_interval_s = 1.0
+        self.duration_s = 10.0
+
+    def _draw_faults(self) -> MessageFaults:
+        return MessageFaults(
+            self.random,
+            lost_ratio=self.random.choice((0.0, 0.02)),
+            often_late=EXCHANGES[0],
+            often_late_ratio=self.random.choice((0.3, 0.6)),
+            longest_range=2,
+        )
+
+
+class EmptyingWalk(ControlWalk):
+    """A walk on which disks are emptied again and again and introductions come late."""
+
+    def __init__(self, seed: int, totals: Counter[str], size: int, tasks: TaskGroup) -> None:
+        super().__init__(seed, totals, size, tasks)
+        self.moves = [
+            (self.lose_disks, 6),
+            (self.replace, 1),
+            (self.restart, 1),
+            (self.start_entry, 2),
+        ]
+        self.move_interval_s = 1.0
+        self.duration_s = 25.0
+        self.clients_pause_s = 0.3
+        self.well_s = 3.0
+
+    def _draw_faults(self) -> MessageFaults:
+        return MessageFaults(
+            self.random,
+            doubled_ratio=self.random.choice((0.0, 0.05)),
+            often_late=(Introduction,),
+            often_late_ratio=0.6,
+            longest_range=4,
+        )
+
+
 class WalkedEntry:
     """An entry that follows control VMs and puts their configurations in force."""
 
@@ -653,7 +709,9 @@
             seen.check_first_version()
 
 
-def run_walk(seed: int, totals: Counter[str], size: int = 3) -> None:
+def run_walk(
+    seed: int, totals: Counter[str], size: int = 3, kind: type[ControlWalk] = ControlWalk
+) -> None:
     """Run one walk under a mock clock.
 
     :raises HistoryViolation: when a client saw what the history doesn't allow.
@@ -662,7 +720,7 @@
 
     async def main() -> None:
         async with anyio.create_task_group() as tasks:
-            await ControlWalk(seed, totals, size, tasks).run()
+            await kind(seed, totals, size, tasks).run()
             tasks.cancel_scope.cancel()
 
     setattr(_run, "_ALLOW_DETERMINISTIC_SCHEDULING", True)  # noqa: B010 - trio declares it Final.
