Send the text of a configuration only once a quorum confirmed the state

What callers saw: an entry that has just started may answer by a configuration that was replaced long ago (CONFIG), for instance with 404 for a route that was added since.

Cause: an entry that learned a version from one control VM asks every linked control VM when the text is late. Each answered from its state at once, also one that no quorum had confirmed since the link opened. An entry without a configuration puts any text in force.

Evidence: test_control_vm_without_quorum_sends_no_text_to_a_new_entry; before, a control VM that was cut from the other two sent version 3 after version 4 had been acknowledged.

The check is the one that a version needs before it is reported.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -256,9 +256,12 @@
                 self.permits.answer_request(follower.outbox, message)
 
     def _send_configuration(self, follower: Follower) -> None:
-        """Send a follower the text, unless its link carries the same one already."""
+        """Send a confirmed follower the text, unless its link carries the same one already.
+
+        A follower asks every control VM once a text is late, also those whose state is old.
+        """
         version = self.voter.state.state.configuration.version
-        if version > follower.sent_text_version:
+        if follower.confirmed and version > follower.sent_text_version:
             follower.sent_text_version = version
             follower.outbox.post(self._packed_configuration())
 
--- a/tests/daemon/test_dissemination.py
+++ b/tests/daemon/test_dissemination.py
@@ -421,3 +421,23 @@
         assert used == [2, 10]
 
     anyio.run(main)
+
+
+def test_control_vm_without_quorum_sends_no_text_to_a_new_entry() -> None:
+    """An entry asks every linked control VM while a text that one of them reported is late."""
+
+    async def body(group: ControlGroup) -> None:
+        await group.found(3)
+        assert group.leader is not None
+        number = (group.leader + 1) % 3
+        assert await group.processes[group.leader].put_configuration(3, b"three")
+        await anyio.sleep(1.0)
+        group.isolate(number)
+        assert await group.processes[group.leader].put_configuration(4, b"four")
+        received: list[NodeMessage] = []
+        with anyio.move_on_after(5.0):
+            await follow_as(group, number, entry(), received, (QueryConfiguration(),))
+        assert received
+        assert not [message for message in received if isinstance(message, ConfigurationText)]
+
+    run_control(body)
