Have followers confirmed again once a data folder was reopened in the same process

The followers on open links stayed confirmed, so that the text was answered from the older state, also one older than the version that the same link had reported.

Evidence: test_reopened_folder_sends_no_text_older_than_the_version_reported; before, the link that had reported version 9 sent the text of version 5.

Change: whenever the folder was opened, the followers lose their confirmation and one read of the log serves them all, as for new links. The departures are told again, as their count begins anew too. Ruled out by tests that passed before: a read, and a change that is sent again.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
@@ -50,6 +50,7 @@
     async def run(self) -> None:
         """Run the control VM until cancelled."""
         self.voter.step_listeners.append(self.node_hub.on_log_applied)
+        self.voter.folder_opened_listeners.append(self.node_hub.on_folder_opened)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.voter.run)
             tasks.start_soon(self._check_state)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -71,7 +71,8 @@
 class Follower:
     """A process connected over a link.
 
-    :param confirmed: whether a quorum confirmed the local state since the link opened.
+    :param confirmed: whether a quorum confirmed the local state since the link opened and the
+        data folder was last opened.
     :param version: the newest configuration version reported to the follower.
     :param sent_text_version: the version whose text was last sent to the follower.
     :param node: the state that the follower reported; ``None`` before its first report.
@@ -409,6 +410,13 @@
             self.peers.post_all(message)
             self._post_to_entries(message)
 
+    def on_folder_opened(self) -> None:
+        """Have the state confirmed again: it begins anew from the snapshot in the data folder."""
+        self.notified_departure_changes = -1
+        for follower in self.followers:
+            follower.confirmed = False
+        self.confirmation_needed.set()
+
     def on_log_applied(self) -> None:
         """Send the followers what the log changed since the last call."""
         state = self.voter.state.state
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
@@ -155,6 +155,7 @@
         self.wake_event = anyio.Event()
         self.received_introductions: dict[Address, tuple[float, Introduction]] = {}
         self.step_listeners: list[Callable[[], None]] = []
+        self.folder_opened_listeners: list[Callable[[], None]] = []
         self.leader_last_known_at = float("-inf")
         self.has_refused_folder = False
 
@@ -208,6 +209,8 @@
             me, self.replica_settings, self.random, recovered, anyio.current_time()
         )
         self.state.reset(recovered.snapshot)
+        for listener in self.folder_opened_listeners:
+            listener()
         self.membership_planner = self._new_membership_planner()
         self.disk_writer = DiskWriter(storage, self._post_event, self.run_blocking)
 
