Let an entry without a configuration use none older than the one it was told of

What callers saw: an entry that had just started served an old configuration, for instance 404 for a route that was added since (CONFIG), until the newest text arrived.

Cause: an entry asks every linked control VM once a text is late, and put the first text in force that was newer than none.

Change: without a configuration in force a text must be at least as new as the version that was reported before it was asked for. With one in force any newer text is progress, as before. A text that is ignored is logged (view_outdated). In a storm the first text is not awaited anew: what counts is the version at the time of the request.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/configuration_follower.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/configuration_follower.py
@@ -31,6 +31,7 @@
     :param post: sends a message to one control VM.
     :param post_all: sends a message to every linked control VM.
     :param on_configuration: called with each newer configuration.
+    :param asked_version: the newest version that was reported before a text was last requested.
     :param awaited: when the text was last requested from each control VM that has not sent it, on
         the runtime's clock.
     """
@@ -43,6 +44,7 @@
     version: int = 0
     requested_version: int = 0
     requested_at: float = float("-inf")
+    asked_version: int = 0
     awaited: dict[Address, float] = field(default_factory=dict)
 
     def on_version(self, address: Address, message: ConfigurationVersion) -> None:
@@ -59,14 +61,25 @@
 
     def _request(self, address: Address) -> None:
         self.requested_at = self.awaited[address] = anyio.current_time()
+        self.asked_version = self.requested_version
         self.post(address, QueryConfiguration())
 
     def on_text(self, address: Address, message: ConfigurationText) -> None:
         """Put a newer configuration in force; ignore an older one.
 
-        Versions that were reported while this text was on its way are requested now, as one.
+        Versions that were reported while this text was on its way are requested now, as one. A
+        process without a configuration serves nothing; it waits for the version for which it asked
+        or a newer one.
         """
         self.awaited.pop(address, None)
+        if not self.version and message.version < self.asked_version:
+            self.log.emit(
+                events.VIEW_OUTDATED,
+                revision=message.version,
+                peer=str(address),
+                newest=self.asked_version,
+            )
+            return
         if message.version > self.version:
             self._use(message)
         if message.version < self.requested_version and self.version < self.requested_version:
@@ -89,4 +102,5 @@
             waited_s = anyio.current_time() - self.requested_at
             if self.requested_version > self.version and waited_s > REQUEST_RETRY_DELAY_S:
                 self.requested_at = anyio.current_time()
+                self.asked_version = self.requested_version
                 self.post_all(QueryConfiguration())
--- a/packages/bergamotchute-model/src/bergamotchute_model/events.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/events.py
@@ -208,6 +208,12 @@
 VIEW_UNREADABLE = _define_event_kind(
     1403, "view_unreadable", "The files in force can't be merged here.", logging.ERROR
 )
+VIEW_OUTDATED = _define_event_kind(
+    1404,
+    "view_outdated",
+    "A configuration is older than the version that a quorum confirmed; it was not used.",
+    logging.WARNING,
+)
 MEMBER_JOINED = _define_event_kind(1410, "member_joined", "An endpoint or entry announced itself.")
 MEMBER_LAPSED = _define_event_kind(
     1411, "member_lapsed", "A member's lease lapsed.", logging.WARNING
--- a/tests/daemon/test_dissemination.py
+++ b/tests/daemon/test_dissemination.py
@@ -423,6 +423,27 @@
     anyio.run(main)
 
 
+def test_new_entry_uses_no_configuration_older_than_the_version_it_was_told() -> None:
+    async def main() -> None:
+        used: list[int] = []
+        follower = ConfigurationFollower(
+            read=lambda text: VersionedConfiguration(int(text)),
+            post=lambda *_: None,
+            post_all=lambda _: None,
+            on_configuration=lambda configuration: used.append(configuration.version),
+            log=EventLog("entry", "entry", "life", lambda: 0),
+        )
+        told, lagging = Address("10.0.0.1", PORT), Address("10.0.0.2", PORT)
+        follower.on_version(told, ConfigurationVersion(9))
+        follower.on_text(lagging, ConfigurationText(5, zlib.compress(b"5")))
+        assert used == []
+        follower.on_text(told, ConfigurationText(9, zlib.compress(b"9")))
+        follower.on_text(lagging, ConfigurationText(5, zlib.compress(b"5")))
+        assert used == [9]
+
+    anyio.run(main)
+
+
 def test_control_vm_without_quorum_sends_no_text_to_a_new_entry() -> None:
     """An entry asks every linked control VM while a text that one of them reported is late."""
 
