Give a commander that was restarted a fencing number of its own

What callers saw: could see, by reading, a rank group that stands still until a new leader of the control group: ranks refuse the orders to disarm, hold and go of a restarted commander until it has counted past those of its earlier process.

Cause: a commander numbers its orders from its assignment's fence on, from 1 in each process. If all agents of a group were restarted together, or the commander's VM was back before its loss was seen, the assignment stayed the same.

Change: agents name the run of their process, and an assignment names the run that it is for. The leader assigns anew once the commander's run changed or no agent of the group was linked; an agent takes up no assignment to an earlier run. Agents and leaders of earlier builds name no run; they are treated as before, but for a group without any linked agent.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
@@ -137,6 +137,7 @@
                 status.rank,
                 status.size,
                 status.open,
+                incarnation=self.log.incarnation,
             ),
         )
 
@@ -165,7 +166,11 @@
         self.engine = next((engine for engine in engines if engine.expert_sets), None)
 
     def _on_assigned(self, address: Address, message: CommanderAssigned) -> None:
-        """Start or stop the commander here; ignore assignments without a higher fence."""
+        """Start or stop the commander here; ignore assignments without a higher fence.
+
+        An assignment to an earlier run of this process is not taken up: its orders have been
+        counted on, so that ranks would refuse the first ones of this run.
+        """
         if self._tasks is None:
             return
         if self.assignment is not None and message.fence <= self.assignment.fence:
@@ -182,7 +187,8 @@
         if self.commanding is not None:
             self.commanding.cancel()
             self.commanding = None
-        if message.commander == self.address:
+        is_for_this_run = message.commander_incarnation in ("", self.log.incarnation)
+        if message.commander == self.address and is_for_this_run:
             self._tasks.start_soon(self._run_commander, message)
 
     async def _run_commander(self, assignment: CommanderAssigned) -> None:
--- a/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
@@ -37,6 +37,7 @@
     :param endpoint: address of the endpoint beside the agent.
     :param size: count of ranks in the group.
     :param open: whether the group accepts work.
+    :param incarnation: identifies the run of the agent's process; earlier builds name none.
     """
 
     name: str
@@ -47,6 +48,7 @@
     size: int
     open: bool
     kind: Literal["agent_state"] = "agent_state"
+    incarnation: str = ""
 
 
 @dataclass(frozen=True)
@@ -99,6 +101,7 @@
 
     :param fence: increases with each assignment; orders with an older fence are refused.
     :param earlier: the previous commander; ``None`` if the leader knows none.
+    :param commander_incarnation: the run of the commander's process; empty for any.
     """
 
     group: str
@@ -107,6 +110,7 @@
     members: tuple[GroupMember, ...]
     earlier: Address | None = None
     kind: Literal["commander_assigned"] = "commander_assigned"
+    commander_incarnation: str = ""
 
 
 @dataclass(frozen=True)
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/commander_assigner.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/commander_assigner.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from bergamotchute_model.identifiers import Address
@@ -23,11 +23,13 @@
     :param size: number of ranks in the group.
     :param places: agent and endpoint by rank, kept while an agent is temporarily not linked.
     :param assigned: the newest assignment; ``None`` before the first.
+    :param is_commanded: whether an agent has been linked at all times since that assignment.
     """
 
     size: int
     places: dict[int, GroupMember] = field(default_factory=dict)
     assigned: CommanderAssigned | None = None
+    is_commanded: bool = False
 
 
 @dataclass
@@ -60,8 +62,9 @@
     def assign_commanders(self, agents: Iterable[AgentState]) -> list[CommanderAssigned]:
         """Return the assignments that changed, given the linked agents.
 
-        A commander keeps its group while it is linked. A group gets its first commander once all
-        its ranks are known.
+        A commander keeps its group while its process is linked. A process that was restarted gets
+        another fencing number, as it begins to count its orders anew. A group gets its first
+        commander once all its ranks are known.
         """
         linked = list(agents)
         for agent in linked:
@@ -72,26 +75,41 @@
                 if rank != agent.rank and known.agent == agent.address:
                     del group.places[rank]
             group.places[agent.rank] = member
-        linked_addresses = {agent.address for agent in linked}
-        changed = (self._assign_commander(name, linked_addresses) for name in sorted(self.groups))
+        incarnations = {agent.address: agent.incarnation for agent in linked}
+        changed = (self._assign_commander(name, incarnations) for name in sorted(self.groups))
         return [assigned for assigned in changed if assigned is not None]
 
     def _assign_commander(
-        self, name: str, linked_addresses: Collection[Address]
+        self, name: str, incarnations: Mapping[Address, str]
     ) -> CommanderAssigned | None:
+        """Return the new assignment of a group, if it changes.
+
+        :param incarnations: the run of each linked agent's process, by address.
+        """
         group = self.groups[name]
         members = tuple(group.places[rank] for rank in sorted(group.places))
-        linked = [member.agent for member in members if member.agent in linked_addresses]
+        linked = [member.agent for member in members if member.agent in incarnations]
+        if not linked:
+            group.is_commanded = False
         if len(members) != group.size or not linked:
             return None
         previous = group.assigned
         commander = previous.commander if previous and previous.commander in linked else linked[0]
-        if previous is not None and (previous.commander, previous.members) == (commander, members):
+        incarnation = incarnations[commander]
+        if (
+            previous is not None
+            and group.is_commanded
+            and (previous.commander, previous.members) == (commander, members)
+            and previous.commander_incarnation == incarnation
+        ):
             return None
+        group.is_commanded = True
         self.assignment_count += 1
         fence = self.term * FENCES_PER_TERM + self.assignment_count
         earlier = previous.commander if previous is not None else None
         if earlier == commander and previous is not None:
             earlier = previous.earlier
-        group.assigned = CommanderAssigned(name, fence, commander, members, earlier)
+        group.assigned = CommanderAssigned(
+            name, fence, commander, members, earlier, commander_incarnation=incarnation
+        )
         return group.assigned
--- a/tests/policy/test_commander_choice.py
+++ b/tests/policy/test_commander_choice.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.node_messages import AgentState
 from bergamotchute_policy.commander_assigner import CommanderAssigner
@@ -40,6 +42,20 @@
     assert choice.assign_commanders([agent(0), agent(1), agent(2)]) == []
 
 
+def test_a_commander_that_was_restarted_before_its_loss_was_seen_gets_a_later_fence() -> None:
+    choice = CommanderAssigner()
+    choice.begin_term(4)
+    agents = [replace(agent(rank), incarnation=f"run-{rank}") for rank in range(3)]
+    (first,) = choice.assign_commanders(agents)
+    assert first.commander_incarnation == "run-0"
+    restarted = replace(agents[0], incarnation="run-3")
+    (second,) = choice.assign_commanders([restarted, *agents[1:]])
+    assert (second.commander, second.commander_incarnation) == (first.commander, "run-3")
+    assert second.fence > first.fence
+    follower_restarted = replace(agents[1], incarnation="run-4")
+    assert choice.assign_commanders([restarted, follower_restarted, agents[2]]) == []
+
+
 def test_a_rank_that_moved_to_another_vm_is_reassigned() -> None:
     choice = CommanderAssigner()
     choice.begin_term(4)
