--- a/tests/adapter/test_invalid_configurations.py
+++ b/tests/adapter/test_invalid_configurations.py
@@ -92,10 +92,7 @@
 )
 TENANTS = st.lists(
     st.fixed_dictionaries(
-        {
-            "name": st.sampled_from(["t", "u"]),
-            "apiKeys": st.lists(st.sampled_from("klm"), unique=True),
-        }
+        {"name": st.sampled_from(["t", "u"]), "apiKeys": st.lists(st.sampled_from("klm"))}
     ),
     max_size=2,
 )
@@ -171,6 +168,11 @@
         assert ConfigurationReader().read(body).version in (3, 4)
 
 
+def test_configuration_is_refused_because_a_tenant_names_its_key_twice() -> None:
+    plain = {**VALID, "tenants": [{"name": "parish", "apiKeys": ["a", "b", "a"]}]}
+    assert set(read_new(json.dumps(plain).encode()).teams[0].keys) == {"a", "b"}
+
+
 @dataclass
 class Answer:
     """A writer that keeps the status and the body."""
