--- a/tests/daemon/test_configuration_delay.py
+++ b/tests/daemon/test_configuration_delay.py
@@ -38,6 +38,7 @@
         state = EntryState(self.name, Address(f"10.1.0.{number + 1}", 80), "north", True)
         log = EventLog(self.name, "entry", "incarnation", lambda: 0)
         dial = group.network.dial(self.name, NODES_PATH)
+        self.started_at = anyio.current_time()
         self.in_force_at: dict[int, float] = {}
         self.links = ControlLinks(
             name=self.name,
