--- a/tests/direct/test_direct_entry.py
+++ b/tests/direct/test_direct_entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import zlib
 from collections.abc import Awaitable, Callable
 from random import Random
@@ -251,3 +252,84 @@
         assert placement.select_endpoint(entry.endpoints("model"), (), 0.0) is None
 
     run_with_entry(body)
+
+
+def configuration_with_routes(version: int, names: tuple[str, ...]) -> ConfigurationText:
+    """Return a configuration with a route and a service of each name."""
+    engine = {
+        "slots": 6,
+        "kvCapacityTokens": 247_000,
+        "step_ms": 4.84,
+        "per_seq_ms": 0.724,
+        "context_per_k": 0.022,
+        "read_per_s": 74_800.0,
+    }
+    plain = {
+        "version": version,
+        "services": [{"name": name, "engine": engine} for name in names],
+        "routes": [
+            {
+                "name": name,
+                "host": "api.example",
+                "pathPrefix": f"/{name}/",
+                "kind": "stream",
+                "timeoutMs": 800,
+                "sloMs": 200,
+                "gapTargetMs": 120,
+                "service": name,
+            }
+            for name in names
+        ],
+    }
+    return ConfigurationText(version, zlib.compress(json.dumps(plain).encode()))
+
+
+def service_heartbeat(service: str, number: int) -> EndpointHeartbeat:
+    address = Address(f"10.1.{len(service)}.{number}", 80)
+    return EndpointHeartbeat(
+        f"{service}-{number}", 1000, 1, service, address, "north", 6, EndpointPhase.READY
+    )
+
+
+@pytest.mark.parametrize("is_known_before", [False, True])
+def test_route_added_later_is_served_less_often(is_known_before: bool) -> None:
+    async def body(entry: DirectEntry, _: list[NodeMessage]) -> None:
+        later_endpoints = HeartbeatsReceived(
+            tuple(service_heartbeat("later", number) for number in range(3))
+        )
+        entry.on_message(CONTROL_ADDRESS, configuration_with_routes(5, ("first",)))
+        entry.on_message(CONTROL_ADDRESS, HeartbeatsReceived((service_heartbeat("first", 1),)))
+        if is_known_before:
+            entry.on_message(CONTROL_ADDRESS, later_endpoints)
+        # Beyond the time in which a new entry treats requests in another way.
+        await anyio.sleep(20.0)
+        forwarded: list[str] = []
+
+        async def forward(request: AdmittedRequest, writer: RecordingWriter) -> None:
+            service = request.service.name
+            chosen = await entry.forwarder.chooser.choose(request, (), False)
+            assert chosen is not None
+            forwarded.append(f"{service} at {chosen.candidate.heartbeat.service}")
+            await writer.respond(200)
+
+        entry.forwarder.forward_request = forward  # type: ignore[method-assign,assignment]
+
+        async def status(name: str) -> int:
+            head = RequestHead("GET", f"/{name}/x", (("host", "api.example"),))
+            answer = RecordingWriter()
+            await entry.handle_request(CallerRequest(head, b""), answer)  # type: ignore[arg-type]
+            return answer.status
+
+        assert [await status("first"), await status("later")] == [200, 404]
+        entry.on_message(CONTROL_ADDRESS, configuration_with_routes(6, ("first", "later")))
+        if not is_known_before:
+            entry.on_message(CONTROL_ADDRESS, later_endpoints)
+        assert [await status("first"), await status("later")] == [200, 200]
+        assert forwarded[1:] == ["first at first", "later at later"]
+        assert entry.forwarder.placement.engine_timings.keys() == {"first", "later"}
+        entry.on_message(OTHER_CONTROL_ADDRESS, configuration_with_routes(5, ("first",)))
+        assert [await status("first"), await status("later")] == [200, 200]
+        entry.on_message(CONTROL_ADDRESS, configuration_with_routes(7, ("later",)))
+        assert [await status("first"), await status("later")] == [404, 200]
+
+    run_with_entry(body)
