Let a new entry use a text that was overtaken a moment ago

What callers saw: nothing yet, as is new: an entry that starts in a storm of changes has no configuration, and answers 503, until the storm ends.

Cause: without a configuration a text had to be as new as the version known at the newest request. An entry asks again after 0.4 s, so that each text which took longer than that came too late, and the next one was asked for under a newer version.

Texts that take over 1.4 s in a storm are still outrun.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/configuration_follower.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/configuration_follower.py
@@ -22,6 +22,12 @@
 REQUEST_RETRY_DELAY_S = 0.4
 """How long to wait for a configuration's text before it is requested again."""
 
+MAX_FIRST_TEXT_AGE_S = 1.0
+"""How long ago a newer version may have been reported for a text to be the first in force.
+
+Some age is allowed as versions may follow each other faster than their texts arrive.
+"""
+
 
 @dataclass
 class ConfigurationFollower:
@@ -31,7 +37,8 @@
     :param post: sends a message to one control VM.
     :param post_all: sends a message to every linked control VM.
     :param on_configuration: called with each newer configuration.
-    :param asked_version: the newest version that was reported before a text was last requested.
+    :param reported: the versions reported while no configuration is in force, and when, on the
+        runtime's clock.
     :param awaited: when the text was last requested from each control VM that has not sent it, on
         the runtime's clock.
     """
@@ -44,7 +51,7 @@
     version: int = 0
     requested_version: int = 0
     requested_at: float = float("-inf")
-    asked_version: int = 0
+    reported: list[tuple[float, int]] = field(default_factory=list)
     awaited: dict[Address, float] = field(default_factory=dict)
 
     def on_version(self, address: Address, message: ConfigurationVersion) -> None:
@@ -52,6 +59,8 @@
         if message.version <= self.version:
             return
         now = anyio.current_time()
+        if not self.version:
+            self.reported.append((now, message.version))
         is_recent = now - self.requested_at < REQUEST_RETRY_DELAY_S
         if message.version <= self.requested_version and is_recent:
             return
@@ -61,23 +70,23 @@
 
     def _request(self, address: Address) -> None:
         self.requested_at = self.awaited[address] = anyio.current_time()
-        self.asked_version = self.requested_version
         self.post(address, QueryConfiguration())
 
     def on_text(self, address: Address, message: ConfigurationText) -> None:
         """Put a newer configuration in force; ignore an older one.
 
         Versions that were reported while this text was on its way are requested now, as one. A
-        process without a configuration serves nothing; it waits for the version for which it asked
-        or a newer one.
+        process without a configuration serves nothing; it waits for a version that was in force
+        when it started, or since a short time ago.
         """
         self.awaited.pop(address, None)
-        if not self.version and message.version < self.asked_version:
+        oldest_usable = self._oldest_usable_version()
+        if message.version < oldest_usable:
             self.log.emit(
                 events.VIEW_OUTDATED,
                 revision=message.version,
                 peer=str(address),
-                newest=self.asked_version,
+                newest=oldest_usable,
             )
             return
         if message.version > self.version:
@@ -85,6 +94,15 @@
         if message.version < self.requested_version and self.version < self.requested_version:
             self._request(address)
 
+    def _oldest_usable_version(self) -> int:
+        """Return the oldest version that may be the first in force; 0 if one is in force."""
+        if self.version:
+            return 0
+        reported_until = anyio.current_time() - MAX_FIRST_TEXT_AGE_S
+        first = [version for _, version in self.reported[:1]]
+        aged = [version for at, version in self.reported if at <= reported_until]
+        return max(first + aged, default=0)
+
     def _use(self, message: ConfigurationText) -> None:
         try:
             configuration = self.read(zlib.decompress(message.packed))
@@ -92,6 +110,7 @@
             self.log.emit(events.VIEW_UNREADABLE, revision=message.version, detail=str(error))
             return
         self.version = message.version
+        self.reported.clear()
         self.log.emit(events.VIEW_ADVANCED, revision=message.version)
         self.on_configuration(configuration)
 
@@ -102,5 +121,4 @@
             waited_s = anyio.current_time() - self.requested_at
             if self.requested_version > self.version and waited_s > REQUEST_RETRY_DELAY_S:
                 self.requested_at = anyio.current_time()
-                self.asked_version = self.requested_version
                 self.post_all(QueryConfiguration())
--- a/tests/daemon/test_dissemination.py
+++ b/tests/daemon/test_dissemination.py
@@ -9,6 +9,9 @@
 from random import Random
 
 import anyio
+import pytest
+import trio
+import trio.testing
 
 from bergamotchute_daemon.configuration_follower import ConfigurationFollower
 from bergamotchute_daemon.control_links import ControlLinks
@@ -423,6 +426,48 @@
     anyio.run(main)
 
 
+@pytest.mark.parametrize("transfer_s", [0.45, 0.75, 0.9])
+@pytest.mark.parametrize("interval_s", [0.25, 0.33, 0.5])
+def test_new_entry_gets_no_configuration_while_versions_outrun_their_texts(
+    transfer_s: float, interval_s: float
+) -> None:
+    """Load pattern: a storm of changes, and a text that takes longer than the next change."""
+    parent = Address("10.0.0.1", PORT)
+    used_at: list[float] = []
+
+    async def main() -> None:
+        newest = sent = 0
+
+        async def send_text(version: int) -> None:
+            await anyio.sleep(transfer_s)
+            packed = zlib.compress(b"%d" % version)
+            follower.on_text(parent, ConfigurationText(version, packed))
+
+        def on_query(*_: object) -> None:
+            nonlocal sent
+            if newest > sent:
+                sent = newest
+                tasks.start_soon(send_text, sent)
+
+        follower = ConfigurationFollower(
+            read=lambda text: VersionedConfiguration(int(text)),
+            post=on_query,
+            post_all=on_query,
+            on_configuration=lambda _: used_at.append(anyio.current_time()),
+            log=EventLog("entry", "entry", "life", lambda: 0),
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(follower.run)
+            for version in range(1, 20):
+                newest = version
+                follower.on_version(parent, ConfigurationVersion(version))
+                await anyio.sleep(interval_s)
+            tasks.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert used_at[0] <= 2 * transfer_s
+
+
 def test_new_entry_uses_no_configuration_older_than_the_version_it_was_told() -> None:
     async def main() -> None:
         used: list[int] = []
