Watch the endpoints of a control VM from when its next process links

What callers saw: a control VM lost power, so that nobody closed its links, and its process was back after 1 s. An endpoint that was lost with it was still READY at the other control VMs 30 s later, which is what they tell entries.

Cause: `_remove_follower` took over the monitoring of a control VM's endpoints only where no other link of its address was open. The new process had linked by the time the old link was found silent, and the new process knew nothing of these endpoints.

Evidence: tests/daemon/test_control_vm_back_before_its_loss_is_seen.py, links that stay silent for SILENCE_TIMEOUT_S: failed with 1 s down, passed with 4.5 s down; both pass now.

Why it works: a control VM that links again begins anew: what it monitored before is watched here until a newer heartbeat comes from it, as it does within its greeting for all that it receives itself. Its nodes need no such step, as their whole list follows on each link. The same happens where one process opens its link again, which so far went the same way when the old link closed first.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -231,7 +231,14 @@
                 self.log.emit(events.LINK_SILENT, peer="unexpected", message=message.kind)
 
     def _on_peer(self, follower: Follower, peer: ControlPeer) -> None:
-        """Send a control VM that linked to this one what it does not get from other processes."""
+        """Send a control VM that linked to this one what it does not get from other processes.
+
+        What it told over an earlier link may come from its earlier process, which reports nothing
+        any more. The whole list of its nodes follows on each link; of the endpoints that it
+        monitors there is no such list.
+        """
+        if any(other.peer == peer.address for other in self.followers):
+            self.endpoint_table.on_monitor_lost(peer.address, anyio.current_time())
         follower.peer = peer.address
         follower.accepts_prompt_evidence = peer.accepts_prompt_evidence
         follower.accepts_rate_limits = peer.accepts_rate_limits
--- /dev/null
+++ b/tests/daemon/test_control_vm_back_before_its_loss_is_seen.py
@@ -0,0 +1,56 @@
+"""A control VM that loses power and is back before the others have seen its links end."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from bergamotchute_daemon.control_process import ControlProcess
+from bergamotchute_model.endpoint_heartbeat import EndpointPhase
+from bergamotchute_wire.web_socket_link import SILENCE_TIMEOUT_S
+from support.control_group import ControlGroup, heartbeat, run_control
+
+SILENT_AT_THE_LATEST_S = 30.0
+
+
+def phase_at(process: ControlProcess) -> EndpointPhase | None:
+    known = process.endpoint_table.endpoints.get("runner-1")
+    return known.heartbeat.phase if known is not None else None
+
+
+@pytest.mark.parametrize("down_s", [1.0, SILENCE_TIMEOUT_S + 1.0])
+def test_an_endpoint_that_was_lost_with_its_control_vm_is_found_silent(down_s: float) -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(3)
+        leader = group.leader
+        assert leader is not None
+        lost = (leader + 1) % 3
+        others = [number for number in range(3) if number != lost]
+        assert await group.processes[lost].on_heartbeat(heartbeat(1))
+        await group.wait_until(
+            lambda: all(phase_at(group.processes[each]) for each in others), wait_timeout_s=5.0
+        )
+        await anyio.sleep(1.0)
+
+        # Without power no link is closed: the others see a link end once it has been silent.
+        name = f"control-{lost}"
+        ends = [link for link in group.network.links if link.peer == name]
+        group.isolate(lost)
+        group.scopes[lost].cancel()
+        await anyio.sleep(min(down_s, SILENCE_TIMEOUT_S))
+        if down_s > SILENCE_TIMEOUT_S:
+            for link in ends:
+                link.close_end("mute")
+            await anyio.sleep(down_s - SILENCE_TIMEOUT_S)
+        for other in others:
+            group.network.reconnect(name, f"control-{other}")
+        restarted = group.start(lost)
+        await anyio.sleep(max(0.0, SILENCE_TIMEOUT_S - down_s))
+        for link in ends:
+            link.close_end("mute")
+        await group.wait_until(lambda: bool(restarted.voter.leader_address))
+        await anyio.sleep(SILENT_AT_THE_LATEST_S)
+        for other in others:
+            assert phase_at(group.processes[other]) is not EndpointPhase.READY
+
+    run_control(body)
