Close the links of a control VM's earlier process when a new one opens

What callers saw: an entry that had gone was among the entries told to callers for as long as its control VM's process ran.

Cause: a control VM is known by its address. What its earlier process had sent over its link, read later than the whole list of its next process, was taken for a change of that list (`NodesLinked`), and so were its heartbeats and commanders.

Why it works: with ControlPeer on a new link the earlier links of its address end, and a message that was received meanwhile is dropped.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -80,9 +80,11 @@
     :param accepts_prompt_evidence: whether the follower reads :class:`PromptEvidence`.
     :param accepts_rate_limits: whether the follower reads :class:`RateLimitsReported`; a control VM
         then answers :class:`RequestPermit` as well.
+    :param scope: ends the serving of the link when it is cancelled.
     """
 
     outbox: Outbox[NodeMessage]
+    scope: anyio.CancelScope
     confirmed: bool = False
     version: int = 0
     sent_text_version: int = 0
@@ -147,23 +149,29 @@
 
     async def serve_link(self, link: Link[NodeMessage]) -> None:
         """Serve one link until it closes."""
-        follower = Follower(Outbox(link))
+        follower = Follower(Outbox(link), anyio.CancelScope())
         self.followers.append(follower)
         follower.outbox.post(self.group)
         try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(follower.outbox.run)
-                with suppress(LinkClosed):
-                    while True:
-                        message = await link.receive()
-                        if isinstance(message, DepartureSeen):
-                            tasks.start_soon(self._on_departure_seen, message)
-                        else:
-                            self._on_message(follower, message)
-                tasks.cancel_scope.cancel()
+            with follower.scope:
+                await self._serve_follower(follower, link)
         finally:
             self._remove_follower(follower, link.peer)
 
+    async def _serve_follower(self, follower: Follower, link: Link[NodeMessage]) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(follower.outbox.run)
+            with suppress(LinkClosed):
+                while True:
+                    message = await link.receive()
+                    if follower.scope.cancel_called:
+                        break
+                    if isinstance(message, DepartureSeen):
+                        tasks.start_soon(self._on_departure_seen, message)
+                    else:
+                        self._on_message(follower, message)
+            tasks.cancel_scope.cancel()
+
     def _remove_follower(self, follower: Follower, peer: str) -> None:
         self.followers.remove(follower)
         if follower.node is not None:
@@ -231,14 +239,8 @@
                 self.log.emit(events.LINK_SILENT, peer="unexpected", message=message.kind)
 
     def _on_peer(self, follower: Follower, peer: ControlPeer) -> None:
-        """Send a control VM that linked to this one what it does not get from other processes.
-
-        What it told over an earlier link may come from its earlier process, which reports nothing
-        any more. The whole list of its nodes follows on each link; of the endpoints that it
-        monitors there is no such list.
-        """
-        if any(other.peer == peer.address for other in self.followers):
-            self.endpoint_table.on_monitor_lost(peer.address, anyio.current_time())
+        """Send a control VM that linked to this one what it does not get from other processes."""
+        self._close_earlier_links(follower, peer.address)
         follower.peer = peer.address
         follower.accepts_prompt_evidence = peer.accepts_prompt_evidence
         follower.accepts_rate_limits = peer.accepts_rate_limits
@@ -248,6 +250,21 @@
             self.peers.post(peer.address, self.rate_limits.whole())
         self.log.emit(events.LINK_OPENED, peer=str(peer.address))
 
+    def _close_earlier_links(self, follower: Follower, peer: Address) -> None:
+        """Drop what a control VM told over earlier links, and what still comes over them.
+
+        They may be those of its earlier process, which reports nothing any more. The whole list of
+        its nodes follows on each link; of the endpoints that it monitors there is no such list.
+        Should one of them be the link of the current process after all, it opens another one.
+        """
+        earlier = [each for each in self.followers if each.peer == peer and each is not follower]
+        if not earlier:
+            return
+        for each in earlier:
+            each.scope.cancel()
+        self.endpoint_table.on_monitor_lost(peer, anyio.current_time())
+        self.log.emit(events.LINK_REPLACED, peer=str(peer))
+
     def _on_shared_knowledge(
         self, follower: Follower, message: PromptEvidence | RateLimitsReported | RequestPermit
     ) -> None:
--- a/packages/bergamotchute-model/src/bergamotchute_model/events.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/events.py
@@ -56,6 +56,9 @@
 LINK_SILENT = _define_event_kind(
     1012, "link_mute", "A link went silent and is being replaced.", logging.WARNING
 )
+LINK_REPLACED = _define_event_kind(
+    1013, "link_replaced", "A control VM opened a new link; its earlier ones were closed."
+)
 
 # 1100-1199: requests in an entry.
 REQUEST_RECEIVED = _define_event_kind(
--- a/tests/daemon/test_control_vm_back_before_its_loss_is_seen.py
+++ b/tests/daemon/test_control_vm_back_before_its_loss_is_seen.py
@@ -7,6 +7,7 @@
 
 from bergamotchute_daemon.control_process import ControlProcess
 from bergamotchute_model.endpoint_heartbeat import EndpointPhase
+from bergamotchute_model.identifiers import Address
 from bergamotchute_wire.web_socket_link import SILENCE_TIMEOUT_S
 from support.control_group import ControlGroup, heartbeat, run_control
 
@@ -54,3 +55,46 @@
             assert phase_at(group.processes[other]) is not EndpointPhase.READY
 
     run_control(body)
+
+
+def test_a_late_report_of_an_earlier_process_links_no_entry_again() -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(3)
+        leader = group.leader
+        assert leader is not None
+        lost, reader = (leader + 1) % 3, (leader + 2) % 3
+        await anyio.sleep(1.0)
+        hub = group.processes[reader].node_hub
+        entry = Address("10.2.0.1", 80)
+        network = group.network
+        network.frozen.add(f"control-{reader}")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(group.follow, lost, [])
+            await anyio.sleep(1.0)
+            tasks.cancel_scope.cancel()
+        await anyio.sleep(0.01)
+        old = [
+            link
+            for link in network.links
+            if link.peer == f"control-{lost}" and link.local_name == f"control-{reader}"
+        ]
+        group.kill(lost)
+        await anyio.sleep(1.0)
+        group.start(lost)
+        await anyio.sleep(1.0)
+        # The old link is read a little later than the new one.
+        for link in old:
+            held = link.receiver.receive
+
+            async def receive(held=held):  # type: ignore[no-untyped-def]
+                await anyio.sleep(0.5)
+                return await held()
+
+            link.receiver.receive = receive  # type: ignore[method-assign]
+        network.frozen.clear()
+        await anyio.sleep(30.0)
+        for number, process in group.processes.items():
+            assert "entry" not in process.node_hub.linked_nodes.local_nodes, number
+        assert entry not in hub.entry_addresses("north")
+
+    run_control(body)
