Tell a restarted control VM the crashes and limits that the others know

What callers saw: nothing at once; a control VM that was back 1 s after it lost power knew 0 crashes and 0 limits 20 s later, and so would its entries, which then probe each deadly part again.

Cause: the whole evidence was posted when the other VM announced itself on its own link, into the outbox of the link to it. That one was still open to its earlier process, or not open yet, so the message was lost; the greeting of the link that opened later doesn't hold it, as it is sent before the reader has announced anything.

Evidence: tests/daemon/test_evidence_after_a_restart.py [True] failed before (0, 0) and passes now (1, 1); [False], where the links were closed, passed before.

Why it works: a control VM sends its group, which says what it reads, as the first message of each link that it accepts. Whoever opened the link answers that with all that it knows, once a link, and news goes by the same announcement. So what is sent over a link goes by what the process at its other end reads, also where one of an earlier build takes the place of a later one.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -77,7 +77,7 @@
     :param node: the state that the follower reported; ``None`` before its first report.
     :param peer: the address of a control VM; ``None`` for an entry or agent.
     :param is_load_subscriber: whether the follower receives the loads of endpoints.
-    :param accepts_prompt_evidence: whether the follower reads :class:`PromptEvidence`.
+    :param accepts_prompt_evidence: whether an entry reads :class:`PromptEvidence`.
     :param accepts_rate_limits: whether the follower reads :class:`RateLimitsReported`; a control VM
         then answers :class:`RequestPermit` as well.
     :param scope: ends the serving of the link when it is cancelled.
@@ -100,6 +100,8 @@
     """Serves the links of entries, agents and other control VMs.
 
     :param peers: links to the other control VMs, used for sending to them.
+    :param peer_groups: what each control VM told last over the link to it, while it is open. It says
+        what the process at its other end reads.
     :param commander_assigner: assigns commanders while this control VM is the leader.
     :param assigned: the newest assignment of each rank group.
     :param loads: endpoint loads that followers reported since the last
@@ -123,6 +125,7 @@
     commander_assigner: CommanderAssigner = field(default_factory=CommanderAssigner)
     assigned: dict[str, CommanderAssigned] = field(default_factory=dict)
     group: ControlGroup = field(default_factory=lambda: NO_GROUP)
+    peer_groups: dict[Address, ControlGroup] = field(default_factory=dict)
     notified_departure_changes: int = -1
     notified_version: int = 0
     sent_rank_places: dict[Address, RankLocation] = field(default_factory=dict)
@@ -139,6 +142,7 @@
     def __post_init__(self) -> None:
         self.peers.get_greeting = self._peer_greeting
         self.peers.on_message = self._on_peer_answer
+        self.peers.on_closed = self._on_peer_link_closed
 
     def _peer_greeting(self) -> Iterable[NodeMessage]:
         """Yield the local state that another control VM receives from no other process."""
@@ -239,15 +243,10 @@
                 self.log.emit(events.LINK_SILENT, peer="unexpected", message=message.kind)
 
     def _on_peer(self, follower: Follower, peer: ControlPeer) -> None:
-        """Send a control VM that linked to this one what it does not get from other processes."""
+        """Record which control VM a link is from."""
         self._close_earlier_links(follower, peer.address)
         follower.peer = peer.address
-        follower.accepts_prompt_evidence = peer.accepts_prompt_evidence
         follower.accepts_rate_limits = peer.accepts_rate_limits
-        if peer.accepts_prompt_evidence:
-            self.peers.post(peer.address, self.prompt_evidence.whole())
-        if peer.accepts_rate_limits:
-            self.peers.post(peer.address, self.rate_limits.whole())
         self.log.emit(events.LINK_OPENED, peer=str(peer.address))
 
     def _close_earlier_links(self, follower: Follower, peer: Address) -> None:
@@ -330,41 +329,69 @@
         self, evidence: PromptEvidence, sender: Follower | None = None
     ) -> None:
         """Send evidence to the entries, and to the other control VMs unless one of them sent it."""
-        readers = [each for each in self.followers if each.accepts_prompt_evidence]
-        self._pass_on(evidence, sender, readers)
+        entries = [each for each in self.followers if each.accepts_prompt_evidence]
+        peers = [peer for peer, told in self.peer_groups.items() if told.accepts_prompt_evidence]
+        self._pass_on(evidence, sender, entries, peers)
 
     def _on_rate_limits(self, sender: Follower, report: RateLimitsReported) -> None:
         """Pass on limits that are news: those of an entry to all, those of a peer to entries."""
         news = self.rate_limits.merge(report)
         if news is not None:
-            readers = [each for each in self.followers if each.accepts_rate_limits]
-            self._pass_on(news, sender, readers)
+            entries = [
+                each for each in self.followers if each.accepts_rate_limits and each.peer is None
+            ]
+            peers = [peer for peer, told in self.peer_groups.items() if told.accepts_rate_limits]
+            self._pass_on(news, sender, entries, peers)
 
     def _pass_on(
-        self, message: NodeMessage, sender: Follower | None, readers: Iterable[Follower]
+        self,
+        message: NodeMessage,
+        sender: Follower | None,
+        entries: Iterable[Follower],
+        peers: Iterable[Address],
     ) -> None:
         """Send a message to the entries, and to the other control VMs unless one of them sent it.
 
         :param sender: who told it; ``None`` for this control VM.
-        :param readers: the followers that announced that they read it.
+        :param entries: the entries that announced that they read it.
+        :param peers: the control VMs that announced it.
         """
-        for follower in readers:
-            if follower is sender:
-                continue
-            if follower.peer is None:
-                follower.outbox.post(message)
-            elif sender is None or sender.peer is None:
-                self.peers.post(follower.peer, message)
+        for entry in entries:
+            if entry is not sender:
+                entry.outbox.post(message)
+        if sender is None or sender.peer is None:
+            for peer in peers:
+                self.peers.post(peer, message)
 
     def _permit_hosts(self) -> list[Address]:
         """Return the members of the control group that answer requests for permits."""
         readers = {each.peer for each in self.followers if each.accepts_rate_limits and each.peer}
         return [each for each in self.group.addresses if each in readers | {self.address}]
 
-    def _on_peer_answer(self, _: Address, message: NodeMessage) -> None:
+    def _on_peer_answer(self, peer: Address, message: NodeMessage) -> None:
         """Handle a message that another control VM sends over the link of this one."""
         if isinstance(message, PermitAnswer):
             self.permits.on_peer_answer(message)
+        elif isinstance(message, ControlGroup):
+            self._on_peer_group(peer, message)
+
+    def _on_peer_group(self, peer: Address, group: ControlGroup) -> None:
+        """Tell a control VM what it reads of the shared knowledge, once on each link to it.
+
+        It sends its group as the first message of a link. What it announces on its own link may
+        come before this one is open, or while this one still leads to its earlier process.
+        """
+        is_first = peer not in self.peer_groups
+        self.peer_groups[peer] = group
+        if not is_first:
+            return
+        if group.accepts_prompt_evidence:
+            self.peers.post(peer, self.prompt_evidence.whole())
+        if group.accepts_rate_limits:
+            self.peers.post(peer, self.rate_limits.whole())
+
+    def _on_peer_link_closed(self, peer: Address) -> None:
+        self.peer_groups.pop(peer, None)
 
     def _on_peer_heartbeats(self, peer: Address, heartbeats: tuple[EndpointHeartbeat, ...]) -> None:
         """Record a peer's heartbeats and forward to entries those that are new to this VM."""
