Keep a part cleared when a control VM that was cut off is back

What operators saw: a part that they had cleared was quarantined again at all control VMs once a control VM that had been cut off meanwhile was back, and its requests were rejected again.

Cause: a clearance was one order to those in touch and left no trace. On the next link the one that had been cut off told its crashes and its quarantine, which were news to the others.

Why it works: a process keeps the crashes that a clearance covered, tells them on each new link, and neither counts these crashes nor takes over a quarantine of them alone. The one that was cut off learns them the same way and drops its own. By crashes and not by time, as a crash may be told long after, and one that nobody knew when the part was cleared counts. Bounded to 128 suspects of 256 crashes. It stays open that an earlier build keeps its quarantine, and tells it to entries that don't know the clearance.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -322,7 +322,8 @@
     def clear_prompt_part(self, part: Suspect) -> bool:
         """Clear a part by order of an operator, also at all others; return whether it was held."""
         is_known = self.prompt_evidence.clear(part)
-        self.post_prompt_evidence(PromptEvidence(cleared=(part,)))
+        clearances = self.prompt_evidence.clearances((part,))
+        self.post_prompt_evidence(PromptEvidence(cleared=(part,), clearances=clearances))
         return is_known
 
     def post_prompt_evidence(
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/prompt_evidence_table.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/prompt_evidence_table.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import anyio
 
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_model import events
-from bergamotchute_model.prompt_parts import Crash, PromptEvidence, QuarantinedPart, Suspect
+from bergamotchute_model.prompt_parts import (
+    Clearance,
+    Crash,
+    PromptEvidence,
+    QuarantinedPart,
+    Suspect,
+)
 from bergamotchute_policy.crash_suspects import CrashSuspects, Quarantine
 
 MAX_LOGGED_PARTS = 8
@@ -36,6 +43,8 @@
     def merge(self, evidence: PromptEvidence) -> PromptEvidence | None:
         """Add the evidence of another process; return what is news here, if anything."""
         now = anyio.current_time()
+        # Crashes and quarantines after a clearance aren't compared with those before it.
+        clearances = [each for each in evidence.clearances if self._record_clearance(each)]
         crashes = tuple(
             (crash, age_s)
             for crash, age_s in evidence.crashes
@@ -47,7 +56,8 @@
             each for each in evidence.quarantined if self._record_quarantine(each, now)
         )
         cleared = tuple(part for part in evidence.cleared if self.clear(part))
-        news = PromptEvidence(crashes, sound, probed, quarantined, cleared)
+        told = self.clearances(dict.fromkeys([*(each.part for each in clearances), *cleared]))
+        news = PromptEvidence(crashes, sound, probed, quarantined, cleared, clearances=told)
         return news if news != PromptEvidence() else None
 
     def whole(self) -> PromptEvidence:
@@ -61,7 +71,13 @@
             QuarantinedPart(part, each.until - now, each.quarantine_count, each.crashes)
             for part, each in self.suspects.quarantines.items()
         )
-        return PromptEvidence(crashes, quarantined=quarantined)
+        clearances = self.clearances(self.suspects.clearances)
+        return PromptEvidence(crashes, quarantined=quarantined, clearances=clearances)
+
+    def clearances(self, parts: Iterable[Suspect]) -> tuple[Clearance, ...]:
+        """Return what operators cleared of these parts."""
+        known = self.suspects.clearances
+        return tuple(Clearance(part, tuple(sorted(known[part]))) for part in parts if part in known)
 
     def record_crash(self, crash: Crash, age_s: float, told_by: str) -> bool:
         """Record a crash; return whether it or any of its suspects is news."""
@@ -137,6 +153,14 @@
         self.suspects.record_probe(part, now)
         return self.suspects.probed_at.get(part) != before
 
+    def _record_clearance(self, told: Clearance) -> bool:
+        was_held = bool(self.suspects.held_parts(told.part.service, (told.part.part,)))
+        is_news = self.suspects.record_clearance(told.part, told.crashes)
+        is_held = bool(self.suspects.held_parts(told.part.service, (told.part.part,)))
+        if was_held and not is_held:
+            self.record_cleared(told.part.service, (told.part.part,), "link")
+        return is_news
+
     def _record_quarantine(self, told: QuarantinedPart, now: float) -> bool:
         quarantine = Quarantine(now + told.left_s, told.quarantine_count, told.crashes)
         is_news = self.suspects.record_quarantine(told.part, quarantine)
--- a/packages/bergamotchute-model/src/bergamotchute_model/prompt_parts.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/prompt_parts.py
@@ -59,6 +59,17 @@
     crashes: tuple[tuple[str, int], ...]
 
 
+@dataclass(frozen=True)
+class Clearance:
+    """An operator cleared a suspect.
+
+    :param crashes: what was held against it, as endpoints with their incarnations.
+    """
+
+    part: Suspect
+    crashes: tuple[tuple[str, int], ...]
+
+
 @dataclass(frozen=True)
 class PromptEvidence:
     """What the sender learnt of suspects, or all that it knows.
@@ -67,7 +78,8 @@
     :param sound: suspects of which a request got an answer.
     :param probed: suspects of which a request was sent just now.
     :param quarantined: suspects that the sender rejects.
-    :param cleared: suspects that an operator cleared.
+    :param cleared: suspects that an operator clears now, whatever is held against them.
+    :param clearances: what operators cleared; earlier builds don't read it.
     """
 
     crashes: tuple[tuple[Crash, float], ...] = ()
@@ -76,3 +88,4 @@
     quarantined: tuple[QuarantinedPart, ...] = ()
     cleared: tuple[Suspect, ...] = ()
     kind: Literal["prompt_evidence"] = "prompt_evidence"
+    clearances: tuple[Clearance, ...] = ()
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/crash_suspects.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/crash_suspects.py
@@ -54,6 +54,7 @@
 MAX_CRASHES = 256
 MAX_PARTS_PER_CRASH = 64
 MAX_QUARANTINED = 128
+MAX_CLEARANCES = 128
 MAX_SOUND_PARTS_PER_TEAM = 256
 MAX_SOUND_REQUESTS_PER_TEAM = 256
 MAX_TEAMS = 128
@@ -118,7 +119,12 @@
 
 
 class CrashSuspects:
-    """Collects crashes and sound parts, and decides which requests may be sent."""
+    """Collects crashes and sound parts, and decides which requests may be sent.
+
+    A process that was cut off tells crashes and quarantines again that an operator cleared
+    meanwhile. They are known by the crashes: none that was held against a part when it was cleared
+    counts against it again.
+    """
 
     def __init__(self) -> None:
         self.crashes: OrderedDict[tuple[str, int], _KnownCrash] = OrderedDict()
@@ -127,6 +133,7 @@
         self.sound_requests_by_team: _SoundByTeam = OrderedDict()
         self.probed_at: dict[Suspect, float] = {}
         self.quarantines: OrderedDict[Suspect, Quarantine] = OrderedDict()
+        self.clearances: OrderedDict[Suspect, frozenset[tuple[str, int]]] = OrderedDict()
 
     def is_sound(self, part: Suspect) -> bool:
         """Return whether a request with the suspect got an answer."""
@@ -150,6 +157,8 @@
             is_full = len(known.suspects) >= MAX_PARTS_PER_CRASH
             if name in known.suspects or is_full or self.is_sound(part):
                 continue
+            if key in self.clearances.get(part, ()):
+                continue
             known.suspects.add(name)
             self.crashes_by_part.setdefault(part, set()).add(key)
             is_new = True
@@ -184,15 +193,54 @@
             known is not None and known.quarantine_count >= quarantine.quarantine_count
         ):
             return False
+        if self._is_cleared(part, quarantine):
+            return False
         self._put_quarantine(part, quarantine)
         return True
 
     def clear(self, part: Suspect) -> bool:
         """Clear a part by order of an operator; return whether anything was held against it."""
         is_known = part in self.crashes_by_part or part in self.quarantines
+        held = set(self.crashes_by_part.get(part, ()))
+        if part in self.quarantines:
+            held.update(self.quarantines[part].crashes)
         self._clear(part)
+        self._remember_clearance(part, held)
         return is_known
 
+    def record_clearance(self, part: Suspect, crashes: Iterable[tuple[str, int]]) -> bool:
+        """Take over that an operator cleared a part of these crashes; return whether it is news."""
+        cleared = set(crashes)
+        if cleared <= self.clearances.get(part, frozenset()):
+            return False
+        self._remember_clearance(part, cleared)
+        held = self.crashes_by_part.get(part, set())
+        for key in held & cleared:
+            self.crashes[key].suspects.discard(part.part)
+            held.discard(key)
+        if not held:
+            self.crashes_by_part.pop(part, None)
+        quarantine = self.quarantines.get(part)
+        if quarantine is not None and self._is_cleared(part, quarantine):
+            del self.quarantines[part]
+        if part not in self.crashes_by_part and part not in self.quarantines:
+            self.probed_at.pop(part, None)
+        return True
+
+    def _remember_clearance(self, part: Suspect, crashes: set[tuple[str, int]]) -> None:
+        crashes = crashes | self.clearances.pop(part, frozenset())
+        if not crashes:
+            return
+        latest = sorted(crashes, key=lambda key: key[1])[-MAX_CRASHES:]
+        self.clearances[part] = frozenset(latest)
+        if len(self.clearances) > MAX_CLEARANCES:
+            self.clearances.popitem(last=False)
+
+    def _is_cleared(self, part: Suspect, quarantine: Quarantine) -> bool:
+        """Return whether all crashes of a quarantine were held against the part when cleared."""
+        cleared = self.clearances.get(part)
+        return cleared is not None and cleared.issuperset(quarantine.crashes)
+
     def _clear(self, part: Suspect) -> None:
         for key in self.crashes_by_part.pop(part, ()):
             self.crashes[key].suspects.discard(part.part)
--- a/tests/policy/test_crash_suspects.py
+++ b/tests/policy/test_crash_suspects.py
@@ -132,6 +132,60 @@
     assert not suspects.crashes_by_part
 
 
+def quarantined(*numbers: int) -> Quarantine:
+    crashes = tuple((crash(each).endpoint, crash(each).born_ms) for each in numbers)
+    return Quarantine(130.0, 1, crashes)
+
+
+def test_cleared_crashes_told_again_count_again() -> None:
+    suspects, part = CrashSuspects(), Suspect(SERVICE, DEADLY)
+    for number in (1, 2):
+        suspects.record_crash(crash(number, DEADLY), 10.0)
+    assert action(suspects, 10.5, DEADLY) is SuspectAction.REJECT
+    assert suspects.clear(part)
+    for number in (1, 2):
+        suspects.record_crash(crash(number, DEADLY), 10.0)
+    assert not suspects.record_quarantine(part, quarantined(1, 2))
+    assert action(suspects, 11.0, DEADLY) is SuspectAction.FORWARD
+
+
+def test_crashes_after_a_clearance_count_for_nothing() -> None:
+    suspects, part = CrashSuspects(), Suspect(SERVICE, DEADLY)
+    for number in (1, 2):
+        suspects.record_crash(crash(number, DEADLY), 10.0)
+    suspects.clear(part)
+    for number in (3, 4):
+        suspects.record_crash(crash(number, DEADLY), 50.0 + number)
+    assert action(suspects, 55.0, DEADLY) is SuspectAction.REJECT
+    # Another process tells the same clearance later.
+    assert not suspects.record_clearance(part, quarantined(1, 2).crashes)
+    assert action(suspects, 55.0, DEADLY) is SuspectAction.REJECT
+
+
+def test_late_clearance_leaves_what_it_covers_or_takes_more() -> None:
+    suspects, part = CrashSuspects(), Suspect(SERVICE, DEADLY)
+    suspects.record_crash(crash(1, DEADLY), 10.0)
+    suspects.record_quarantine(part, quarantined(1, 2))
+    assert suspects.record_clearance(part, quarantined(1).crashes)
+    assert action(suspects, 20.0, DEADLY) is SuspectAction.REJECT
+    assert suspects.record_clearance(part, quarantined(1, 2).crashes)
+    assert action(suspects, 20.0, DEADLY) is SuspectAction.FORWARD
+    assert suspects.record_quarantine(part, quarantined(1, 2, 3))
+
+
+def test_clearances_grow_without_bound() -> None:
+    suspects = CrashSuspects()
+    for number in range(2 * policy.MAX_CLEARANCES):
+        suspects.record_clearance(Suspect(SERVICE, str(number)), quarantined(number).crashes)
+    assert len(suspects.clearances) == policy.MAX_CLEARANCES
+    part = Suspect(SERVICE, DEADLY)
+    for number in range(2 * policy.MAX_CRASHES):
+        suspects.record_clearance(part, quarantined(number).crashes)
+    last = 2 * policy.MAX_CRASHES - 1
+    assert len(suspects.clearances[part]) == policy.MAX_CRASHES
+    assert not suspects.record_quarantine(part, quarantined(last))
+
+
 def test_old_crashes_count_for_ever() -> None:
     suspects = CrashSuspects()
     suspects.record_crash(crash(1, "rare"), 10.0)
