Let an endpoint that goes on announcing itself be listed again

What callers saw, on our own interface: an endpoint that lived and announced itself each second stayed out of its relay's list for good, after another relay had reported its earlier process late.

Cause: incarnations are drawn and have no order, so `MembershipTable` took any other incarnation for the later one and dropped all that the replaced one sent from then on, also where that came from the endpoint itself.

Evidence: test_a_late_report_of_a_peer_takes_the_place_of_no_live_endpoint failed before and passes now; the further tests of tests/policy/test_late_announcements.py hold what must not change: late announcements of an ended process, a draining one, two processes at one relay.

Why it works: an incarnation that goes on announcing itself to this relay for a whole lease after a peer's report replaced it can't have ended before. Late announcements come within a shorter time, as the lease assumes already. It stays open that a third relay, which knows both incarnations by reports alone, keeps the one that was reported last (by reading).

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/membership_table.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/membership_table.py
@@ -34,14 +34,18 @@
 class MembershipTable:
     """Endpoints and entries by name; each update returns the resulting changes.
 
-    A later incarnation replaces an earlier one permanently: late announcements of the earlier
-    one are dropped, as are those with an older sequence number.
+    The incarnation that was heard of last replaces another one, whose late announcements are
+    dropped, as are those with an older sequence number. What a peer reports may itself be late, so
+    an incarnation that goes on announcing itself to this relay takes its place back.
 
     :param replaced_incarnations: the newest replaced incarnation, by member.
+    :param contested: by member, when the first announcement lapses that a replaced incarnation sent
+        to this relay since a peer's report replaced it, on the runtime's clock, in seconds.
     """
 
     members: dict[str, Member] = field(default_factory=dict)
     replaced_incarnations: dict[str, str] = field(default_factory=dict)
+    contested: dict[str, float] = field(default_factory=dict)
 
     def on_announce(self, announce: Announce, now: float) -> MembershipDelta:
         """Renew the leases of own children; return the changes."""
@@ -114,12 +118,16 @@
         incarnation = member_incarnation(announcement)
         known = self.members.get(name)
         if self.replaced_incarnations.get(name) == incarnation:
-            return False
+            if source or not self._takes_place_back(name, announcement, until):
+                return False
+            del self.replaced_incarnations[name]
+            del self.contested[name]
         if known is None:
             self.members[name] = Member(announcement, source, until)
             return True
         if member_incarnation(known.announcement) != incarnation:
             self.replaced_incarnations[name] = member_incarnation(known.announcement)
+            self.contested.pop(name, None)
         elif announcement.sequence < known.announcement.sequence or (
             announcement.sequence == known.announcement.sequence and known.source != source
         ):
@@ -130,6 +138,17 @@
         self.members[name] = Member(announcement, source, until)
         return changed
 
+    def _takes_place_back(self, name: str, announcement: Announcement, until: float) -> bool:
+        """Return whether a replaced incarnation has announced itself here for a whole lease.
+
+        Late announcements of a process that ended come within a shorter time. Of two that announce
+        themselves to this relay the later one stays, as does one that is not draining.
+        """
+        known = self.members.get(name)
+        if announcement.draining or (known is not None and not known.source):
+            return False
+        return until - self.contested.setdefault(name, until) >= MEMBER_LEASE_S
+
     def _drop_members(self, names: Iterable[str]) -> MembershipDelta:
         dropped = [self.members.pop(name).announcement for name in names]
         endpoints = tuple(m.endpoint for m in dropped if isinstance(m, EndpointAnnouncement))
