Correct a control VM that finds a live endpoint silent

What callers saw: nothing was run with callers; an endpoint that sent its heartbeats all the time was SILENT at two of three control VMs 30 s later, and their entries were told so.

Cause: control VMs pass on heartbeats that differ from the last one, and an endpoint's heartbeats differ in their sequence alone. When a link breaks between the first heartbeat and the second, the others take the monitoring over; the greeting of the new link repeats the heartbeat that they know, so they keep it. After the quiet timeout they tell SILENT. The control VM that hears the endpoint ignores that, as it knows a newer heartbeat, and has no news of its own.

Found while weighing what a new link may drop.

Why it works: who hears the endpoint answers a SILENT that is older than what it knows with its newest heartbeat, which takes precedence everywhere and hands the monitoring back. Weighed: handing it back for the same heartbeat in a greeting; two VMs whose greetings cross would each leave a dead endpoint to the other.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -24,7 +24,7 @@
 from bergamotchute_daemon.voter import Voter
 from bergamotchute_model import events
 from bergamotchute_model.commands import RecordDeparture
-from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
+from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat, EndpointPhase
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.node_messages import (
     AgentState,
@@ -395,7 +395,10 @@
         self.peer_groups.pop(peer, None)
 
     def _on_peer_heartbeats(self, peer: Address, heartbeats: tuple[EndpointHeartbeat, ...]) -> None:
-        """Record a peer's heartbeats and forward to entries those that are new to this VM."""
+        """Record a peer's heartbeats and forward to entries those that are new to this VM.
+
+        An endpoint that the peer found silent but that this VM has heard since is told again.
+        """
         new_heartbeats = [
             heartbeat
             for heartbeat in heartbeats
@@ -403,6 +406,12 @@
         ]
         if new_heartbeats:
             self._post_to_entries(HeartbeatsReceived(tuple(new_heartbeats)))
+        newer = [
+            self.endpoint_table.newer_local_heartbeat(heartbeat)
+            for heartbeat in heartbeats
+            if heartbeat.phase is EndpointPhase.SILENT
+        ]
+        self.send_heartbeats(tuple(heartbeat for heartbeat in newer if heartbeat is not None))
 
     def _post_to_entries(self, message: NodeMessage) -> None:
         for follower in self.followers:
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/endpoint_table.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/endpoint_table.py
@@ -109,6 +109,20 @@
                 known.monitored_by = None
                 known.silent_since = now
 
+    def newer_local_heartbeat(self, silent: EndpointHeartbeat) -> EndpointHeartbeat | None:
+        """Return the newer heartbeat of an endpoint that another control VM found silent.
+
+        ``None`` unless this process monitors the endpoint and it is ready. Only changed heartbeats
+        are passed on, so a control VM that took over the monitoring may have heard of none since.
+        """
+        known = self.endpoints.get(silent.endpoint)
+        if known is None or known.monitored_by is not None:
+            return None
+        is_newer = known.heartbeat.order > silent.order
+        return (
+            known.heartbeat if is_newer and known.heartbeat.phase is EndpointPhase.READY else None
+        )
+
     def local_heartbeats(self) -> tuple[EndpointHeartbeat, ...]:
         """Return the newest heartbeat of every endpoint that this process monitors."""
         return tuple(
