Show that disks full one after another leave changes unanswered

Control VMs on a paused clock, one disk full at a time, two rounds; limits are the stated ackMs and catchUpS of 4 s:

- three VMs: changes waited 5.8, 4.2, 11.4, 5.2 and 5.4 s with disks full for 0.4, 1.2, 2, 5.5 and 12 s each, one directly after the other; five VMs 11.7, 5.5 and 6.3 s with 1.2, 2 and 5.5 s.
- with a pause of 4 s between the disks all changes are acknowledged in time.
- after 0.4, 5.5 and 12 s a voter is still out, or no voter, 4 s after its disk has room again.

--- /dev/null
+++ b/tests/daemon/test_full_disks.py
@@ -0,0 +1,109 @@
+"""Control VMs whose disks are full for a while, one after another, while changes are made."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import anyio
+import pytest
+
+from support.control_group import ControlGroup, run_control
+
+ACKNOWLEDGEMENT_LIMIT_S = 4.0
+"""The stated limit of the time from a change being sent to its acknowledgement."""
+
+CATCH_UP_S = 4.0
+"""How long a VM still counts as lost once its disk has room again."""
+
+CHANGE_INTERVAL_S = 0.2
+
+
+@dataclass
+class Changes:
+    """Changes that an operator sends one after another, each until it is acknowledged.
+
+    :param longest_wait_s: the longest time from a change being sent to its acknowledgement.
+    :param version: the last version that was acknowledged.
+    """
+
+    group: ControlGroup
+    longest_wait_s: float = 0.0
+    version: int = 0
+
+    async def run(self) -> None:
+        """Send changes until cancelled, each attempt to the next VM."""
+        attempts = 0
+        while True:
+            began = anyio.current_time()
+            is_confirmed = False
+            try:
+                while not is_confirmed:
+                    attempts += 1
+                    process = self.group.processes[attempts % len(self.group.processes)]
+                    version = self.version + 1
+                    is_confirmed = await process.put_configuration(version, b"%d" % version)
+                self.version += 1
+            finally:
+                waited_s = anyio.current_time() - began
+                self.longest_wait_s = max(self.longest_wait_s, waited_s)
+            await anyio.sleep(CHANGE_INTERVAL_S)
+
+
+async def fill_disk(group: ControlGroup, number: int, full_s: float) -> None:
+    group.disks[number].capacity_bytes = 0
+    await anyio.sleep(full_s)
+    group.disks[number].capacity_bytes = None
+
+
+async def fill_disks_in_turn(group: ControlGroup, full_s: float, pause_s: float) -> None:
+    """Fill each disk once for ``full_s``, the next one ``pause_s`` after it has room again."""
+    for number in sorted(group.processes):
+        await fill_disk(group, number, full_s)
+        await anyio.sleep(pause_s)
+
+
+def has_a_replica(group: ControlGroup, number: int) -> bool:
+    replica = group.processes[number].voter.replica
+    return replica is not None and not replica.failed
+
+
+@pytest.mark.parametrize("size", [3, 5])
+@pytest.mark.parametrize("full_s", [0.4, 1.2, 2.0, 5.5, 12.0])
+@pytest.mark.parametrize("pause_s", [0.0, CATCH_UP_S])
+def test_disks_full_one_after_another_delay_no_change(
+    size: int, full_s: float, pause_s: float
+) -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(size)
+        changes = Changes(group)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(changes.run)
+            await anyio.sleep(1.0)
+            for _ in range(2):
+                await fill_disks_in_turn(group, full_s, pause_s)
+            await anyio.sleep(ACKNOWLEDGEMENT_LIMIT_S)
+            tasks.cancel_scope.cancel()
+        assert changes.longest_wait_s <= ACKNOWLEDGEMENT_LIMIT_S
+
+    run_control(body)
+
+
+@pytest.mark.parametrize("size", [3, 5])
+@pytest.mark.parametrize("full_s", [0.4, 1.2, 2.0, 5.5, 12.0])
+def test_a_voter_whose_disk_has_room_again_takes_part_within_the_catch_up_time(
+    size: int, full_s: float
+) -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(size)
+        changes = Changes(group)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(changes.run)
+            await anyio.sleep(1.0)
+            for number in sorted(group.processes):
+                await fill_disk(group, number, full_s)
+                await anyio.sleep(CATCH_UP_S)
+                assert has_a_replica(group, number)
+                assert group.votes(number)
+            tasks.cancel_scope.cancel()
+
+    run_control(body)
