Open a voter's folder again as soon as its disk has room

What operators saw: disks full one after another, never two at once, and changes refused or unanswered meanwhile and afterwards.

Cause: a voter whose write failed stayed out for 5 s and tried no earlier, and if the disk had no room then, for 5 s more. Disks that are never full at once so took more voters out at once than may be lost. It is the class of fixed waits that outlast what they wait for.

Change: the disk is tried after 0.1 s and then at most 0.5 s apart by writing and syncing a file of 64 KB, which costs a small VM far less than opening the folder, and the folder is opened once that works. Leftovers of an interrupted write are removed first, as they take up room. What is opened and copied before anything in it counts stays as it was. A voter that fails again within 5 s keeps the longer delay and logs the failure only each 10 s.

The log names the system's error, the size and how long the outage lasts; voter_disk_recovered is new, and so is the gauge disk_failed_s.

--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/storage.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/storage.py
@@ -29,11 +29,31 @@
 SEGMENT_BYTES = 8_388_608
 IDENTITY_FILE_NAME = "identity"
 STARTED_FILE_NAME = "started"
+PROBE_FILE_NAME = "probe.new"
+PROBE_BYTES = 65_536
 _SEGMENT_PREFIX = "log-"
 _SNAPSHOT_PREFIX = "snapshot-"
 _TEMPORARY_SUFFIX = ".new"
 
 
+def probe_disk(disk: Disk) -> None:
+    """Check that a folder accepts a small file, which costs far less than opening the folder.
+
+    Files that an interrupted write left behind are removed first, as they take up room.
+
+    :raises DiskError: when an operation of the disk fails.
+    """
+    try:
+        _remove_temporary_files(disk)
+        try:
+            disk.append(PROBE_FILE_NAME, bytes(PROBE_BYTES))
+            disk.sync(PROBE_FILE_NAME)
+        finally:
+            _remove_temporary_files(disk)
+    except OSError as error:
+        raise DiskError(f"could not write to the data folder: {error}") from error
+
+
 class Storage:
     """A replica's data folder.
 
@@ -77,7 +97,10 @@
             self._write(persists)
         except OSError as error:
             self.failed = True
-            raise DiskError(f"could not write to the data folder: {error}") from error
+            size = sum(len(entry.data) for persist in persists for entry in persist.entries)
+            raise DiskError(
+                f"could not write {size} bytes of entries to the data folder: {error}"
+            ) from error
 
     def _write(self, persists: Sequence[Persist]) -> None:
         records: list[Record] = []
@@ -184,12 +207,10 @@
         return frame.payload
 
     def _recover(self) -> None:
+        _remove_temporary_files(self.disk)
         names = self.disk.file_names()
-        for name in names:
-            if name.endswith(_TEMPORARY_SUFFIX):
-                self.disk.remove(name)
-        snapshots = [name for name in names if _is_complete_file(name, _SNAPSHOT_PREFIX)]
-        segments = [name for name in names if _is_complete_file(name, _SEGMENT_PREFIX)]
+        snapshots = [name for name in names if name.startswith(_SNAPSHOT_PREFIX)]
+        segments = [name for name in names if name.startswith(_SEGMENT_PREFIX)]
         if segments:
             self._read_segments(sorted(segments))
             self._ensure_started_file()
@@ -275,8 +296,10 @@
     return [] if persist.hard_state is None else [persist.hard_state]
 
 
-def _is_complete_file(name: str, prefix: str) -> bool:
-    return name.startswith(prefix) and not name.endswith(_TEMPORARY_SUFFIX)
+def _remove_temporary_files(disk: Disk) -> None:
+    for name in disk.file_names():
+        if name.endswith(_TEMPORARY_SUFFIX):
+            disk.remove(name)
 
 
 def _begins_log(data: bytes) -> bool:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/_disk_writer.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/_disk_writer.py
@@ -21,6 +21,7 @@
 
     :param on_outcome: called with the outcome of each batch of writes.
     :param run_blocking: runs the writes without blocking the event loop.
+    :ivar failure: why the disk failed; empty while it works.
     """
 
     def __init__(
@@ -34,6 +35,7 @@
         self.run_blocking = run_blocking
         self.waiting: list[Persist] = []
         self.wake_event = anyio.Event()
+        self.failure = ""
 
     def put(self, persist: Persist) -> None:
         """Queue a write."""
@@ -48,7 +50,8 @@
             batch, self.waiting = self.waiting, []
             try:
                 await self.run_blocking(lambda persists=batch: self.storage.write(persists))  # type: ignore[misc]
-            except DiskError:
+            except DiskError as error:
+                self.failure = str(error)
                 self.on_outcome(DiskFailed())
                 return
             self.on_outcome(Persisted(batch[-1].sequence))
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
@@ -51,6 +51,7 @@
 from bergamotchute_consensus.replica_settings import ReplicaSettings
 from bergamotchute_consensus.storage import Storage
 from bergamotchute_consensus.storage_errors import CorruptStorageError, DiskError
+from bergamotchute_daemon._disk_recovery import DiskRecovery
 from bergamotchute_daemon._disk_writer import DiskWriter, RunBlocking
 from bergamotchute_daemon._membership_planner import MembershipPlanner
 from bergamotchute_daemon._message_packer import MessagePacker
@@ -87,9 +88,6 @@
 LEADERLESS_TIMEOUT_S = 4.0
 """Time without a leader after which a member introduces itself again; several elections fit in."""
 
-DISK_REOPEN_DELAY_S = 5.0
-"""Delay before the data folder is opened again after a disk failure."""
-
 
 @dataclass(frozen=True)
 class VoterSettings:
@@ -157,6 +155,7 @@
         self.step_listeners: list[Callable[[], None]] = []
         self.leader_last_known_at = float("-inf")
         self.has_refused_folder = False
+        self.disk_recovery = DiskRecovery(disk, log, random, self._run_blocking)
 
     @property
     def leader_address(self) -> str:
@@ -178,7 +177,7 @@
             self.peers = VoterPeerLinks(self.dial, self.random, tasks)
             while True:
                 await self._run_replica()
-                await anyio.sleep(DISK_REOPEN_DELAY_S)
+                await self.disk_recovery.wait_for_disk()
 
     async def _run_replica(self) -> None:
         """Open the data folder and run the replica until the disk fails."""
@@ -190,14 +189,19 @@
             self.log.emit(events.VOTER_FOLDER_DAMAGED, detail=str(error))
             await anyio.sleep_forever()
         except DiskError as error:
-            self.log.emit(events.VOTER_DISK_FAILED, detail=str(error))
+            self.disk_recovery.on_failed(str(error))
             return
+        self.disk_recovery.on_opened()
         self._start_replica(storages[0])
         try:
             await self._run_tasks()
         finally:
             self._stop_replica()
 
+    async def _run_blocking(self, function: Callable[[], None]) -> None:
+        """Run a blocking function as :attr:`run_blocking` says when it is called."""
+        await self.run_blocking(function)
+
     def _new_identity(self) -> str:
         return f"{self.random.getrandbits(128):032x}"
 
@@ -248,10 +252,8 @@
                 await self.wake_event.wait()
             self.wake_event = anyio.Event()
             self._step_pending_events(self.replica)
-        self.log.emit(
-            events.VOTER_DISK_FAILED,
-            detail="a log write or fsync failed; reopening the data folder",
-        )
+        assert self.disk_writer is not None
+        self.disk_recovery.on_failed(self.disk_writer.failure)
 
     def _step_pending_events(self, replica: Replica) -> None:
         batch = list(self.pending_events)
--- a/packages/bergamotchute-model/src/bergamotchute_model/events.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/events.py
@@ -189,6 +189,9 @@
     "A leader's answer matches no request that waits here: it came late or twice.",
     logging.WARNING,
 )
+VOTER_DISK_RECOVERED = _define_event_kind(
+    1308, "voter_disk_recovered", "A voter opened its folder again after a failure of its disk."
+)
 FILE_APPLIED = _define_event_kind(1310, "file_applied", "A file came into force.")
 FILE_REFUSED = _define_event_kind(1311, "file_refused", "A file was refused.", logging.WARNING)
 PLANNED_CHANGE_BEGUN = _define_event_kind(
--- a/tests/daemon/test_full_disks.py
+++ b/tests/daemon/test_full_disks.py
@@ -7,6 +7,8 @@
 import anyio
 import pytest
 
+from bergamotchute_daemon.control_process import ControlProcess
+from bergamotchute_model.event_record import EventRecord
 from support.control_group import ControlGroup, run_control
 
 ACKNOWLEDGEMENT_LIMIT_S = 4.0
@@ -67,6 +69,10 @@
     return replica is not None and not replica.failed
 
 
+def records_of(process: ControlProcess, event: str) -> list[EventRecord]:
+    return [record for record in process.log.recent_records if record.event == event]
+
+
 @pytest.mark.parametrize("size", [3, 5])
 @pytest.mark.parametrize("full_s", [0.4, 1.2, 2.0, 5.5, 12.0])
 @pytest.mark.parametrize("pause_s", [0.0, CATCH_UP_S])
@@ -107,3 +113,25 @@
             tasks.cancel_scope.cancel()
 
     run_control(body)
+
+
+def test_the_log_and_a_gauge_tell_that_a_disk_failed_and_for_how_long() -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(3)
+        process = group.processes[1]
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(Changes(group).run)
+            tasks.start_soon(fill_disk, group, 1, 25.0)
+            await anyio.sleep(24.0)
+            assert 22.0 < process.gauges()["disk_failed_s"] <= 24.0
+            failures = records_of(process, "voter_disk_failed")
+            assert all("no space left on device" in str(each.fields["detail"]) for each in failures)
+            outages_s = [int(each.fields["outage_ms"]) // 1000 for each in failures]
+            assert outages_s == [0, 10, 20]
+            await anyio.sleep(2.0)
+            assert process.gauges()["disk_failed_s"] == 0.0
+            (recovered,) = records_of(process, "voter_disk_recovered")
+            assert 23_000 < int(recovered.fields["outage_ms"]) < 26_000
+            tasks.cancel_scope.cancel()
+
+    run_control(body)
