--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -262,3 +262,13 @@
     """Random histories of writes, snapshots, segments and starts, each cut at random operations."""
     for seed in range(HISTORIES):
         StorageHistory(seed).run()
+
+
+def test_a_full_or_failing_disk_leaves_a_folder_that_holds_what_was_written() -> None:
+    """The same histories on a disk that fills up or fails to sync at random operations."""
+    failures = 0
+    for seed in range(HISTORIES):
+        history = StorageHistory(seed, disk_fails=True)
+        history.run()
+        failures += history.failures
+    assert failures > HISTORIES
--- a/tests/support/storage_history.py
+++ b/tests/support/storage_history.py
@@ -12,6 +12,7 @@
 from bergamotchute_consensus.replica_state import RecoveredState
 from bergamotchute_consensus.snapshot import Snapshot
 from bergamotchute_consensus.storage import Storage
+from bergamotchute_consensus.storage_errors import DiskError
 from support.memory_disk import MemoryDisk, PowerLossError
 
 SEGMENT_BYTES = 400
@@ -57,11 +58,16 @@
 class StorageHistory:
     """One data folder over several lives of its process.
 
+    :param disk_fails: whether the disk also fills up and fails to sync now and then, after which
+        the process opens the folder again.
     :ivar cuts: how often the process ended or the VM lost power in an operation.
+    :ivar failures: how often the disk refused an operation.
     """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, disk_fails: bool = False) -> None:
         self.random = Random(seed)
+        self.disk_fails = disk_fails
+        self.failures = 0
         self.disk = MemoryDisk(Random(seed + 1))
         self.model = LogModel()
         self.term = 1
@@ -74,17 +80,42 @@
             operations = self.random.randint(1, MAX_OPERATIONS)
             self.disk.power_loss_operation = self.disk.operation_count + operations
             try:
-                storage = Storage(self.disk, lambda: "replica-a", SEGMENT_BYTES)
-                self._check(storage, allowed)
-                self._write_until_cut(storage, allowed)
+                while True:
+                    self._open_and_write(allowed)
             except PowerLossError:
                 self.cuts += 1
+            self._repair_disk()
             if self.random.random() < 0.5:
                 self.disk.kill_process()
             else:
                 self.disk.lose_power()
         self._check(Storage(self.disk, lambda: "replica-a", SEGMENT_BYTES), allowed)
 
+    def _open_and_write(self, allowed: list[LogModel]) -> None:
+        """Write until the process is cut, or until the disk fails."""
+        try:
+            storage = Storage(self.disk, lambda: "replica-a", SEGMENT_BYTES)
+            self._check(storage, allowed)
+            self._write_until_cut(storage, allowed)
+        except DiskError:
+            self.failures += 1
+            if self.random.random() < 0.6:
+                self._repair_disk()
+
+    def _let_disk_fail(self) -> None:
+        """Now and then leave the disk little room, or let it fail to sync."""
+        if not self.disk_fails or self.random.random() > 0.15:
+            return
+        used = sum(len(file.data) for file in self.disk.files.values())
+        if self.random.random() < 0.7:
+            self.disk.capacity_bytes = used + self.random.choice((0, self.random.randint(0, 600)))
+        else:
+            self.disk.sync_fails = True
+
+    def _repair_disk(self) -> None:
+        self.disk.capacity_bytes = None
+        self.disk.sync_fails = False
+
     def _check(self, storage: Storage, allowed: list[LogModel]) -> None:
         """Compare what a start recovered with what it may be, which it then is."""
         recovered = _as_model(storage.recovered)
@@ -97,6 +128,7 @@
             persist = self._draw_write(allowed[0])
             after = allowed[0].apply(persist)
             allowed.append(after)
+            self._let_disk_fail()
             storage.write([persist])
             allowed[:] = [after]
 
