Let a leader say that it gives up, and who should follow it

What operators saw: each time the leader's disk was full, changes got 503 for one to two election timeouts, 1.5 to 3 s, and longer where the next leader's disk was full soon after.

Cause: a leader whose write failed knew at once that it no longer led, but told nobody; the others waited until they missed it, and refuse a pre-vote until then. The same held for a leader that was told to stop.

Change: a last AppendEntries without entries names the voter that should stand at once, in a new field with an empty default. Earlier builds ignore it and wait as before. Nothing in it depends on the failed disk: its log position and commit index are ones that the leader had sent before. Votes are granted by the log alone as before; the clocks that it resets say only when to stand. The walks get a kind whose disks fail and whose leaders resign.

--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/_election.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/_election.py
@@ -48,10 +48,20 @@
 def resign(state: ReplicaState, now: float) -> None:
     """Step down and wait long enough that another voter wins the next election."""
     if state.is_leader:
+        _replication.send_resignation(state, now)
         become_follower(state, state.term, None, now)
         state.election_deadline += EXTRA_ELECTION_TIMEOUTS * state.settings.election_timeout_s
 
 
+def on_resignation(state: ReplicaState, successor: str, now: float) -> None:
+    """Forget the leader, which gave up; stand for election at once if it names this replica."""
+    state.leader = None
+    state.leader_message_at = float("-inf")
+    state.schedule_next_election(now)
+    if successor == state.local_member.replica:
+        state.election_deadline = now
+
+
 def check_quorum(state: ReplicaState, now: float) -> None:
     """Step down when no quorum replied within an election timeout.
 
--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/_replication.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/_replication.py
@@ -68,13 +68,25 @@
 
 
 def _send_append(state: ReplicaState, member: Member, peer: Progress, with_entries: bool) -> None:
-    previous = peer.next_index - 1
     entries = (
         state.log.batch(peer.next_index, state.settings.max_append_bytes) if with_entries else ()
     )
+    message = _new_append(state, member, peer.next_index - 1, entries)
+    _send_as_leader(state, member, message)
+    if entries and not peer.probing:
+        peer.record_sent(entries[-1].index, sum(len(entry.data) for entry in entries))
+
+
+def _new_append(
+    state: ReplicaState,
+    member: Member,
+    previous: int,
+    entries: tuple[LogEntry, ...],
+    successor: str = "",
+) -> AppendEntries:
     previous_term = state.log.term_at(previous)
     assert previous_term is not None
-    message = AppendEntries(
+    return AppendEntries(
         state.hard_state.cluster,
         state.local_member,
         member.replica,
@@ -85,10 +97,36 @@
         state.commit_index,
         state.round,
         accepts_packed=True,
+        successor=successor,
     )
-    _send_as_leader(state, member, message)
-    if entries and not peer.probing:
-        peer.record_sent(entries[-1].index, sum(len(entry.data) for entry in entries))
+
+
+def send_resignation(state: ReplicaState, now: float) -> None:
+    """Tell all members that this leader gives up, and which voter should stand at once.
+
+    A leader whose term isn't durable has sent nothing yet that names it as the leader.
+    """
+    successor = _choose_successor(state, now)
+    if not successor or state.durable_index < state.term_start_index:
+        return
+    for member in state.membership.members:
+        if member.replica != state.local_member.replica:
+            peer = state.progress_by_replica[member.replica]
+            previous = max(peer.next_index - 1, state.log.base_index)
+            message = _new_append(state, member, previous, (), successor)
+            _send_as_leader(state, member, message)
+
+
+def _choose_successor(state: ReplicaState, now: float) -> str:
+    """Return the voter that answered recently and holds most of the log; empty for none."""
+    candidates = [
+        (peer.match_index, peer.last_reply_at, replica)
+        for replica, peer in state.progress_by_replica.items()
+        if state.membership.is_voter(replica)
+        and peer.acknowledged_round > 0
+        and now - peer.last_reply_at < state.settings.election_timeout_s
+    ]
+    return max(candidates)[2] if candidates else ""
 
 
 def _send_as_leader(state: ReplicaState, member: Member, message: AppendEntries) -> None:
--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/messages.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/messages.py
@@ -62,6 +62,8 @@
     :param round: the newest quorum round that had started when this message was sent.
     :param packed_entries: the entries with zlib-compressed data, in place of ``entries``.
     :param accepts_packed: the sender can read packed contents, which earlier builds can't.
+    :param successor: the voter that should stand for election at once, as the sender gives up
+        leadership; empty while it leads.
     """
 
     previous_index: int
@@ -72,6 +74,7 @@
     kind: Literal["append"] = "append"
     packed_entries: tuple[LogEntry, ...] = ()
     accepts_packed: bool = False
+    successor: str = ""
 
 
 @dataclass(frozen=True)
--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/replica.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/replica.py
@@ -178,8 +178,13 @@
         _replication.send_entries_to_all(state)
 
     def _on_disk_failed(self, now: float) -> None:
-        """Stop taking part: the content of the disk is unknown until it is read again."""
+        """Stop taking part: the content of the disk is unknown until it is read again.
+
+        A leader still says that it gives up, which needs nothing of its disk.
+        """
         state = self.state
+        if state.is_leader:
+            _replication.send_resignation(state, now)
         _election.become_follower(state, state.term, None, now)
         state.role = ReplicaRole.FAILED
 
@@ -245,6 +250,8 @@
             case AppendEntries():
                 self._ensure_follower(message.sender, now)
                 _replication.on_append(state, message, now)
+                if message.successor:
+                    _election.on_resignation(state, message.successor, now)
             case SnapshotChunk():
                 self._ensure_follower(message.sender, now)
                 _snapshot_transfer.on_snapshot_chunk(state, message, now)
--- a/tests/consensus/test_exploration.py
+++ b/tests/consensus/test_exploration.py
@@ -4,13 +4,13 @@
 
 import pytest
 
-from support.consensus_walk import ChangingWalk, Walk, WalkTotals, WipingWalk
+from support.consensus_walk import ChangingWalk, FailingDiskWalk, Walk, WalkTotals, WipingWalk
 
 RUNS = 60
 STEPS = 300
 
 
-@pytest.mark.parametrize("kind", [Walk, WipingWalk, ChangingWalk])
+@pytest.mark.parametrize("kind", [Walk, WipingWalk, ChangingWalk, FailingDiskWalk])
 def test_invariants_hold_on_every_walk(
     kind: type[Walk], capsys: pytest.CaptureFixture[str]
 ) -> None:
--- a/tests/daemon/test_full_disks.py
+++ b/tests/daemon/test_full_disks.py
@@ -7,6 +7,7 @@
 import anyio
 import pytest
 
+from bergamotchute_consensus.replica_settings import ELECTION_TIMEOUT_S
 from bergamotchute_daemon.control_process import ControlProcess
 from bergamotchute_model.event_record import EventRecord
 from support.control_group import ControlGroup, run_control
@@ -115,6 +116,23 @@
     run_control(body)
 
 
+@pytest.mark.parametrize("size", [3, 5])
+def test_a_leader_whose_disk_fails_is_replaced_before_the_others_miss_it(size: int) -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(size)
+        leader = group.leader
+        assert leader is not None
+        other = (leader + 1) % size
+        assert await group.processes[other].put_configuration(1, b"one")
+        group.disks[leader].capacity_bytes = 0
+        began = anyio.current_time()
+        assert await group.processes[other].put_configuration(2, b"two")
+        await group.wait_until(lambda: group.leader not in (None, leader))
+        assert anyio.current_time() - began < ELECTION_TIMEOUT_S
+
+    run_control(body)
+
+
 def test_the_log_and_a_gauge_tell_that_a_disk_failed_and_for_how_long() -> None:
     async def body(group: ControlGroup) -> None:
         await group.found(3)
--- a/tests/support/consensus_walk.py
+++ b/tests/support/consensus_walk.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from bergamotchute_consensus.events import ResignationRequested
 from bergamotchute_consensus.membership import AddLearner, PromoteLearner, RemoveMember
 from bergamotchute_consensus.storage import Storage
 from support.consensus_cluster import SimulatedCluster, SimulatedNode
@@ -26,6 +27,7 @@
     leaders: int = 0
     reads: int = 0
     crashes: int = 0
+    disk_failures: int = 0
     wipes: int = 0
     changes: int = 0
     snapshots: int = 0
@@ -287,3 +289,35 @@
     ) -> None:
         super().__init__(seed, totals, sync)
         self.moves += [(self.change, 15), (self.cut_link, 3)]
+
+
+class FailingDiskWalk(Walk):
+    """A walk whose disks fill up or fail to sync, often those of leaders, which also resign."""
+
+    def __init__(self, seed: int, totals: WalkTotals) -> None:
+        super().__init__(seed, totals)
+        self.moves += [(self.fail_disk, 6), (self.resign, 1), (self.restart, 6)]
+
+    def fail_disk(self) -> None:
+        """Let a write fail after a part of its bytes; the folder is opened again by a restart."""
+        waiting = [node for node in self.up_nodes() if node.pending_persists]
+        leading = [node for node in waiting if node.is_leader]
+        if not waiting:
+            return
+        node = self.random.choice(leading or waiting)
+        if self.random.random() < 0.5:
+            node.disk.sync_fails = True
+        else:
+            used = sum(len(file.data) for file in node.disk.files.values())
+            node.disk.capacity_bytes = used + self.random.randint(0, 50)
+        self.cluster.write_pending(node)
+        node.disk.sync_fails, node.disk.capacity_bytes = False, None
+        if node.replica is not None and node.replica.failed:
+            self.cluster.crash(node, power=self.random.random() < 0.2)
+            self.totals.disk_failures += 1
+
+    def resign(self) -> None:
+        """Let a leader give up leadership."""
+        for node in self.up_nodes():
+            if node.is_leader:
+                self.cluster.step(node, ResignationRequested())
