Let a folder open in the room that was left before a write that didn't fit

What operators would see: a voter that stays out, or fails again and again, though its disk has room for what it has to write, while all processes run. Found by asking what opening a folder needs.

Segments end at 1 MB, not 8, so that opening copies and needs less; earlier builds read either. The disk in memory may give bytes that were cut off back after a power failure, until the file is synced.

--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/disk.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/disk.py
@@ -28,6 +28,9 @@
     def sync_folder(self) -> None:
         """Make created, renamed and removed names durable."""
 
+    def truncate(self, name: str, size_bytes: int) -> None:
+        """Cut a file to a size below its own; durable with the next sync of the file."""
+
     def rename(self, name: str, new_name: str) -> None:
         """Rename a file, and replace any file of the new name."""
 
--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/file_disk.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/file_disk.py
@@ -50,6 +50,10 @@
         finally:
             os.close(descriptor)
 
+    def truncate(self, name: str, size_bytes: int) -> None:
+        """Cut a file to a size below its own; durable with the next sync of the file."""
+        os.ftruncate(self._descriptor(name), size_bytes)
+
     def rename(self, name: str, new_name: str) -> None:
         """Rename a file, and replace any file of the new name."""
         self._close_file(name)
--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/storage.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/storage.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import errno
 from collections.abc import Callable, Sequence
+from contextlib import suppress
 
 from bergamotchute_consensus.actions import Persist
 from bergamotchute_consensus.disk import Disk
@@ -26,7 +28,9 @@
 from bergamotchute_consensus.snapshot import Snapshot
 from bergamotchute_consensus.storage_errors import CorruptStorageError, DiskError
 
-SEGMENT_BYTES = 8_388_608
+SEGMENT_BYTES = 1_048_576
+"""Size at which a segment is followed by another; each opening copies the newest one."""
+
 IDENTITY_FILE_NAME = "identity"
 STARTED_FILE_NAME = "started"
 PROBE_FILE_NAME = "probe.new"
@@ -34,6 +38,7 @@
 _SEGMENT_PREFIX = "log-"
 _SNAPSHOT_PREFIX = "snapshot-"
 _TEMPORARY_SUFFIX = ".new"
+_NO_ROOM_ERRNOS = frozenset((errno.ENOSPC, errno.EDQUOT, errno.EFBIG))
 
 
 def probe_disk(disk: Disk) -> None:
@@ -59,6 +64,7 @@
 
     :param new_identity: returns the identity for an empty folder.
     :param segment_bytes: size at which a new segment is started, in bytes.
+    :ivar skipped_snapshot_count: how many snapshots were left out for lack of room.
     :raises CorruptStorageError: when durable bytes are damaged or missing.
     :raises DiskError: when an operation of the disk fails.
     """
@@ -75,6 +81,7 @@
         self.segment_name = ""
         self.segment_size_bytes = 0
         self.failed = False
+        self.skipped_snapshot_count = 0
         try:
             self.identity = self._load_identity(new_identity)
             self._recover()
@@ -125,7 +132,7 @@
         self._append_synced(records)
 
     def _begin_segment(self, records: list[Record]) -> None:
-        self.segment_name = f"{_SEGMENT_PREFIX}{self.sequence + 1:020d}"
+        self.segment_name = self._next_segment_name()
         self.segment_size_bytes = 0
         self._append_synced(records)
         self.disk.sync_folder()
@@ -139,24 +146,60 @@
     def _append_synced(self, records: list[Record]) -> None:
         self.sequence += 1
         frame = encode_frame(self.sequence, encode_records(records))
-        self.disk.append(self.segment_name, frame)
+        try:
+            self.disk.append(self.segment_name, frame)
+        except OSError:
+            # The part that was written takes up the room that opening the folder needs.
+            with suppress(OSError):
+                self.disk.truncate(self.segment_name, self.segment_size_bytes)
+            raise
         self.disk.sync(self.segment_name)
         mark = encode_frame(self.sequence, b"")
         self.disk.append(self.segment_name, mark)
         self.segment_size_bytes += len(frame) + len(mark)
 
     def _save_snapshot(self, snapshot: Snapshot) -> None:
-        """Write a snapshot, then a new segment with the entries after it, then remove old files."""
-        self._write_file_atomically(
-            f"{_SNAPSHOT_PREFIX}{snapshot.index:020d}", encode_snapshot(snapshot)
-        )
-        self._set_snapshot(snapshot)
-        self._replace_segments()
+        """Write a snapshot and a new segment with the entries after it, then remove old files.
 
-    def _replace_segments(self) -> None:
-        """Write a new segment with the entries after the snapshot, then remove old files."""
-        base = LogBase(self.snapshot.index, self.snapshot.term)
-        self._begin_segment([self.hard_state, base, *self.log.entries])
+        Both are written beside first, so that the folder stays as it was if there is no room. Then
+        a snapshot of entries that the log holds is left out: the log says the same.
+        """
+        name = f"{_SNAPSHOT_PREFIX}{snapshot.index:020d}"
+        is_logged = self.log.term_at(snapshot.index) == snapshot.term
+        try:
+            self._write_temporary_file(name, encode_frame(0, encode_snapshot(snapshot)))
+            segment = self._write_next_segment(snapshot, is_logged)
+        except OSError as error:
+            if not is_logged or error.errno not in _NO_ROOM_ERRNOS:
+                raise
+            _remove_temporary_files(self.disk)
+            self.skipped_snapshot_count += 1
+            return
+        self._put_in_place(name)
+        self._set_snapshot(snapshot)
+        self._replace_segments(segment)
+
+    def _write_next_segment(self, snapshot: Snapshot, is_logged: bool) -> bytes:
+        """Write a segment that begins after a snapshot beside the others; return its frame."""
+        entries = [entry for entry in self.log.entries if entry.index > snapshot.index]
+        base = LogBase(snapshot.index, snapshot.term)
+        records: list[Record] = [self.hard_state, base, *(entries if is_logged else [])]
+        frame = encode_frame(self.sequence + 1, encode_records(records))
+        self._write_temporary_file(self._next_segment_name(), frame)
+        return frame
+
+    def _next_segment_name(self) -> str:
+        return f"{_SEGMENT_PREFIX}{self.sequence + 1:020d}"
+
+    def _replace_segments(self, frame: bytes) -> None:
+        """Put the segment of one frame that was written beside in place of all others."""
+        self.segment_name = self._next_segment_name()
+        self._put_in_place(self.segment_name)
+        self.sequence += 1
+        mark = encode_frame(self.sequence, b"")
+        self.disk.append(self.segment_name, mark)
+        self.segment_size_bytes = len(frame) + len(mark)
+        self._ensure_started_file()
         self._remove_obsolete_files()
 
     def _set_snapshot(self, snapshot: Snapshot) -> None:
@@ -174,11 +217,17 @@
 
     def _write_file_atomically(self, name: str, payload: bytes) -> None:
         """Write a file of one frame and rename it into place, so that it is never partial."""
+        self._write_temporary_file(name, encode_frame(0, payload))
+        self._put_in_place(name)
+
+    def _write_temporary_file(self, name: str, data: bytes) -> None:
         temporary = name + _TEMPORARY_SUFFIX
         self._remove_if_present(temporary)
-        self.disk.append(temporary, encode_frame(0, payload))
+        self.disk.append(temporary, data)
         self.disk.sync(temporary)
-        self.disk.rename(temporary, name)
+
+    def _put_in_place(self, name: str) -> None:
+        self.disk.rename(name + _TEMPORARY_SUFFIX, name)
         self.disk.sync_folder()
 
     def _remove_if_present(self, name: str) -> None:
@@ -218,18 +267,33 @@
             raise CorruptStorageError(
                 _SEGMENT_PREFIX, 0, "all log segments are missing although the log was started"
             )
-        logged_index = self.log.base_index
         if snapshots:
-            self._set_snapshot(decode_snapshot(self._read_single_frame_file(max(snapshots))))
-        if self.snapshot.index > logged_index:
-            # The process ended while it saved the snapshot. Entries after it don't follow on those
-            # of the segments, which may end earlier.
-            self._replace_segments()
+            self._load_snapshot(max(snapshots))
         if self.log.base_index > self.snapshot.index:
             raise CorruptStorageError(
                 _SNAPSHOT_PREFIX, 0, f"no snapshot covers index {self.log.base_index}"
             )
 
+    def _load_snapshot(self, name: str) -> None:
+        """Load a snapshot; if the process ended while it saved it, replace the segments.
+
+        Entries after it may not follow on those of the segments, which may end earlier.
+        """
+        snapshot = decode_snapshot(self._read_single_frame_file(name))
+        is_newer = snapshot.index > self.log.base_index
+        is_logged = self.log.term_at(snapshot.index) == snapshot.term
+        self._set_snapshot(snapshot)
+        if not is_newer:
+            return
+        try:
+            segment = self._write_next_segment(snapshot, is_logged)
+        except OSError as error:
+            if not is_logged or error.errno not in _NO_ROOM_ERRNOS:
+                raise
+            _remove_temporary_files(self.disk)
+            return
+        self._replace_segments(segment)
+
     def _read_segments(self, names: list[str]) -> None:
         """Replay the segments from the newest one that begins with a snapshot's index.
 
@@ -247,11 +311,10 @@
             self._replay_frames(name, scanned.frames)
         self.segment_name = names[-1]
         self.segment_size_bytes = scanned.valid_bytes
-        temporary = self.segment_name + _TEMPORARY_SUFFIX
-        self.disk.append(temporary, data[: scanned.valid_bytes])
-        self.disk.sync(temporary)
-        self.disk.rename(temporary, self.segment_name)
-        self.disk.sync_folder()
+        if scanned.has_torn_tail:
+            self.disk.truncate(self.segment_name, scanned.valid_bytes)
+        self._write_temporary_file(self.segment_name, data[: scanned.valid_bytes])
+        self._put_in_place(self.segment_name)
 
     def _replay_frames(self, name: str, frames: tuple[Frame, ...]) -> None:
         for frame in frames:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
@@ -127,6 +127,7 @@
             "open_entries": float(len(self.node_hub.linked_nodes.open_entries())),
             "endpoints": float(len(self.endpoint_table.endpoints)),
             "folder_refused": float(self.voter.has_refused_folder),
+            "snapshots_left_out": float(self.voter.snapshots_left_out),
             "disk_failed_s": self.voter.disk_recovery.outage_s,
             "configuration_version": float(self.voter.state.state.configuration.version),
             **self.node_hub.prompt_evidence.gauges(),
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
@@ -163,6 +163,11 @@
         leader = self.replica.state.leader if self.replica is not None else None
         return str(leader.address) if leader is not None else ""
 
+    @property
+    def snapshots_left_out(self) -> int:
+        """How many snapshots had no room on the disk since the folder was opened."""
+        return self.disk_writer.storage.skipped_snapshot_count if self.disk_writer else 0
+
     def set_seeds(self, voters: tuple[Address, ...]) -> None:
         """Replace the addresses to which this replica introduces itself."""
         self.settings = replace(self.settings, voters=voters)
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -148,6 +148,52 @@
     assert [kept.index for kept in open_storage(disk).recovered.entries][:3] == [1, 2, 3]
 
 
+def used_bytes(disk: MemoryDisk) -> int:
+    return sum(len(file.data) for file in disk.files.values())
+
+
+@pytest.mark.parametrize("killed", [False, True])
+def test_folder_opens_in_the_room_that_was_left_before_a_write_that_did_not_fit(
+    killed: bool,
+) -> None:
+    disk = filled_disk(3)
+    storage = open_storage(disk)
+    disk.capacity_bytes = used_bytes(disk) + len(disk.files[FILES[0]].data) + 500
+    with pytest.raises(DiskError):
+        storage.write([Persist(4, None, (entry(4, data=bytes(2_000)),))])
+    if killed:
+        disk.kill_process()
+        disk.files[FILES[0]].data += bytes(disk.capacity_bytes - used_bytes(disk))
+    storage = open_storage(disk)
+    assert [kept.index for kept in storage.recovered.entries] == [1, 2, 3]
+    storage.write([Persist(4, None, (entry(4),))])
+    assert [kept.index for kept in open_storage(disk).recovered.entries] == [1, 2, 3, 4]
+
+
+def test_a_snapshot_that_does_not_fit_leaves_the_log_as_it_was() -> None:
+    disk = filled_disk(10)
+    storage = open_storage(disk)
+    disk.capacity_bytes = used_bytes(disk) + 900
+    storage.write([Persist(11, snapshot=Snapshot(8, 1, Membership(), bytes(2_000)))])
+    storage.write([Persist(12, None, (entry(11),))])
+    assert storage.recovered.snapshot.index == 0
+    recovered = open_storage(disk).recovered
+    assert [kept.index for kept in recovered.entries] == list(range(1, 12))
+    storage = open_storage(disk)
+    storage.write([Persist(13, snapshot=Snapshot(10, 1, Membership(), b"small"))])
+    recovered = open_storage(disk).recovered
+    assert recovered.snapshot.index == 10
+    assert [kept.index for kept in recovered.entries] == [11]
+
+
+def test_a_snapshot_of_a_leader_that_does_not_fit_is_an_error() -> None:
+    disk = filled_disk(3)
+    storage = open_storage(disk)
+    disk.capacity_bytes = used_bytes(disk) + 900
+    with pytest.raises(DiskError):
+        storage.write([Persist(4, snapshot=Snapshot(8, 1, Membership(), bytes(2_000)))])
+
+
 def test_data_read_after_a_failed_sync_is_made_durable_first() -> None:
     disk = filled_disk(3)
     storage = open_storage(disk)
--- a/tests/support/memory_disk.py
+++ b/tests/support/memory_disk.py
@@ -13,10 +13,15 @@
 
 @dataclass
 class MemoryFile:
-    """A file; the first ``synced_bytes`` survive a power failure."""
+    """A file; the first ``synced_bytes`` survive a power failure.
+
+    :param cut_off: bytes after ``data`` that a truncation removed, which may come back after a
+        power failure until the file is synced or written again.
+    """
 
     data: bytearray = field(default_factory=bytearray)
     synced_bytes: int = 0
+    cut_off: bytes = b""
 
 
 class MemoryDisk:
@@ -44,6 +49,7 @@
 
     def append(self, name: str, data: bytes) -> None:
         held = self.files.setdefault(name, MemoryFile())
+        held.cut_off = b""
         room = len(data)
         if self.capacity_bytes is not None:
             used = sum(len(file.data) for file in self.files.values())
@@ -61,6 +67,15 @@
         if self.sync_fails:
             raise OSError(errno.EIO, "input/output error")
         self.files[name].synced_bytes = len(self.files[name].data)
+        self.files[name].cut_off = b""
+
+    def truncate(self, name: str, size_bytes: int) -> None:
+        if self._loses_power():
+            raise PowerLossError
+        held = self.files[name]
+        held.cut_off = bytes(held.data[size_bytes:])
+        del held.data[size_bytes:]
+        held.synced_bytes = min(held.synced_bytes, size_bytes)
 
     def sync_folder(self) -> None:
         if self._loses_power():
@@ -92,7 +107,7 @@
             held = newest if self.random.random() < chance else durable
             if held is not None:
                 # A renamed file may be left under both names; they no longer share their bytes.
-                kept[name] = MemoryFile(bytearray(held.data), held.synced_bytes)
+                kept[name] = MemoryFile(bytearray(held.data), held.synced_bytes, held.cut_off)
         self.files = kept
         self.durable_names = dict(self.files)
         for held in self.files.values():
@@ -100,6 +115,9 @@
         self.power_loss_operation = None
 
     def _lose_unsynced(self, held: MemoryFile) -> None:
+        if held.cut_off and self.random.random() < 0.5:
+            held.data += held.cut_off
+        held.cut_off = b""
         unsynced = len(held.data) - held.synced_bytes
         kept = self.random.choice((0, self.random.randint(0, unsynced), unsynced))
         del held.data[held.synced_bytes + kept :]
--- a/tests/support/storage_history.py
+++ b/tests/support/storage_history.py
@@ -130,8 +130,20 @@
             allowed.append(after)
             self._let_disk_fail()
             storage.write([persist])
+            if persist.snapshot is not None and storage.snapshot != persist.snapshot:
+                after = self._check_left_out(allowed[0], persist)
             allowed[:] = [after]
 
+    def _check_left_out(self, model: LogModel, persist: Persist) -> LogModel:
+        """Check that the disk had no room for a snapshot of what the log holds."""
+        snapshot = persist.snapshot
+        assert snapshot is not None
+        assert self.disk.capacity_bytes is not None
+        assert (snapshot.index, snapshot.term) in {
+            (each.index, each.term) for each in model.entries
+        }
+        return model.apply(replace(persist, snapshot=None))
+
     def _draw_write(self, model: LogModel) -> Persist:
         kind = self.random.random()
         if kind < 0.25 and model.last_index > model.snapshot.index:
