Make the name of a folder's identity durable before anything else is written

Cause: the sync of the folder failed after the identity was renamed into place. At the next opening the file was there, so its name wasn't synced again, and a power failure could lose it and keep the name of the first segment. Nothing in such a log was acknowledged, but the voter refused it for good.

--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/storage.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/storage.py
@@ -237,6 +237,8 @@
     def _load_identity(self, new_identity: Callable[[], str]) -> str:
         names = self.disk.file_names()
         if IDENTITY_FILE_NAME in names:
+            # Its name may not be durable yet, and a log without it would be refused.
+            self.disk.sync_folder()
             return self._read_single_frame_file(IDENTITY_FILE_NAME).decode()
         if any(name.startswith((_SEGMENT_PREFIX, _SNAPSHOT_PREFIX)) for name in names):
             raise CorruptStorageError(
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 from pathlib import Path
 from random import Random
 
@@ -148,6 +149,21 @@
     assert [kept.index for kept in open_storage(disk).recovered.entries][:3] == [1, 2, 3]
 
 
+def test_an_identity_whose_name_was_not_synced_is_synced_before_anything_is_written(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def fail() -> None:
+        raise OSError(errno.EIO, "input/output error")
+
+    disk = MemoryDisk(Random(1))
+    with monkeypatch.context() as patch:
+        patch.setattr(disk, "sync_folder", fail)
+        with pytest.raises(DiskError):
+            open_storage(disk)
+    open_storage(disk)
+    assert "identity" in disk.durable_names
+
+
 def used_bytes(disk: MemoryDisk) -> int:
     return sum(len(file.data) for file in disk.files.values())
 
