--- a/tests/daemon/test_full_disks.py
+++ b/tests/daemon/test_full_disks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import anyio
@@ -11,6 +12,7 @@
 from bergamotchute_daemon.control_process import ControlProcess
 from bergamotchute_model.event_record import EventRecord
 from support.control_group import ControlGroup, run_control
+from support.voters import run_disk_write_inline
 
 ACKNOWLEDGEMENT_LIMIT_S = 4.0
 """The stated limit of the time from a change being sent to its acknowledgement."""
@@ -116,6 +118,80 @@
     run_control(body)
 
 
+@pytest.mark.parametrize("size", [3, 5])
+@pytest.mark.parametrize("fault", ["sync", "hang"])
+def test_disks_that_fail_to_sync_or_hang_one_after_another_delay_no_change(
+    size: int, fault: str
+) -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(size)
+        changes = Changes(group)
+        hanging = {number: hang_writes(group, number) for number in group.processes}
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(changes.run)
+            await anyio.sleep(1.0)
+            for _ in range(2):
+                for number in sorted(group.processes):
+                    if fault == "sync":
+                        group.disks[number].sync_fails = True
+                    else:
+                        hanging[number].append(anyio.Event())
+                    await anyio.sleep(2.0)
+                    group.disks[number].sync_fails = False
+                    if hanging[number]:
+                        hanging[number].pop().set()
+            await anyio.sleep(ACKNOWLEDGEMENT_LIMIT_S)
+            tasks.cancel_scope.cancel()
+        assert changes.longest_wait_s <= ACKNOWLEDGEMENT_LIMIT_S
+
+    run_control(body)
+
+
+def hang_writes(group: ControlGroup, number: int) -> list[anyio.Event]:
+    """Let disk operations wait while the list returned holds an event, until that is set."""
+    hanging: list[anyio.Event] = []
+
+    async def run_when_released(function: Callable[[], None]) -> None:
+        for released in hanging:
+            await released.wait()
+        await run_disk_write_inline(function)
+
+    group.processes[number].voter.run_blocking = run_when_released
+    disk_writer = group.processes[number].voter.disk_writer
+    assert disk_writer is not None
+    disk_writer.run_blocking = run_when_released
+    return hanging
+
+
+@pytest.mark.parametrize("with_power_loss", [False, True])
+@pytest.mark.parametrize("is_empty", [False, True])
+def test_a_voter_started_on_a_full_disk_takes_part_once_there_is_room(
+    with_power_loss: bool, is_empty: bool
+) -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(5)
+        leader = group.leader
+        assert leader is not None
+        number, other = (leader + 1) % 5, (leader + 2) % 5
+        assert await group.processes[other].put_configuration(1, b"one")
+        group.kill(number, with_power_loss)
+        if is_empty:
+            group.disks[number].files.clear()
+        group.disks[number].capacity_bytes = 0
+        process = group.start(number)
+        await anyio.sleep(12.0)
+        assert await group.processes[other].put_configuration(2, b"two")
+        assert not await process.put_configuration(3, b"three")
+        assert await process.read_configuration() is None
+        group.disks[number].capacity_bytes = None
+        await group.wait_until(lambda: group.votes(number), CATCH_UP_S)
+        held = await process.read_configuration()
+        assert held is not None
+        assert held.version >= 2
+
+    run_control(body)
+
+
 @pytest.mark.parametrize("size", [3, 5])
 def test_a_leader_whose_disk_fails_is_replaced_before_the_others_miss_it(size: int) -> None:
     async def body(group: ControlGroup) -> None:
