Let an entry's or agent's newest link say what is known of it

What callers saw: nothing was run with callers; an entry that was linked and open was missing among the entries told to callers.

Cause: the last message read won, whichever link it came over. A late state on an earlier link took the place of the newer one, and as that link ended the name was removed, though the newer link stayed open; an entry repeats its state only when it changes.

Why it works: of the links that reported a name the one accepted last counts, and when that ends, the last one that is left. The links of one follower aren't closed as those of a control VM are, since a departure that an entry saw may still be on its way into the log.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -179,8 +179,11 @@
     def _remove_follower(self, follower: Follower, peer: str) -> None:
         self.followers.remove(follower)
         if follower.node is not None:
-            self.linked_nodes.on_local_link_closed(follower, follower.node.name)
             peer = follower.node.name
+            self.linked_nodes.on_local_link_closed(follower, peer)
+            newest = self._newest_link(peer)
+            if newest and newest.node and peer not in self.linked_nodes.local_nodes:
+                self.linked_nodes.on_local_state(newest, newest.node)
         elif follower.peer is not None:
             peer = str(follower.peer)
             if not any(other.peer == follower.peer for other in self.followers):
@@ -296,7 +299,8 @@
         """Record a follower's state; send a new follower the state that later updates omit."""
         is_new_follower = follower.node is None
         follower.node = node
-        self.linked_nodes.on_local_state(follower, node)
+        if self._newest_link(node.name) is follower:
+            self.linked_nodes.on_local_state(follower, node)
         if is_new_follower:
             self.confirmation_needed.set()
             self.log.emit(events.LINK_OPENED, peer=node.name)
@@ -313,6 +317,14 @@
         elif (assigned := self.assigned.get(node.group)) is not None:
             follower.outbox.post(assigned)
 
+    def _newest_link(self, name: str) -> Follower | None:
+        """Return the newest link on which an entry or agent reported its state.
+
+        An earlier link that is read later tells older news.
+        """
+        links = (each for each in reversed(self.followers) if each.node and each.node.name == name)
+        return next(links, None)
+
     def _on_prompt_evidence(self, sender: Follower, evidence: PromptEvidence) -> None:
         """Pass evidence on that is news: that of an entry to all, that of a peer to entries."""
         news = self.prompt_evidence.merge(evidence)
