--- a/tests/daemon/test_control_vm_back_before_its_loss_is_seen.py
+++ b/tests/daemon/test_control_vm_back_before_its_loss_is_seen.py
@@ -6,10 +6,12 @@
 import pytest
 
 from bergamotchute_daemon.control_process import ControlProcess
+from bergamotchute_daemon.node_runner import NODES_PATH
 from bergamotchute_model.endpoint_heartbeat import EndpointPhase
 from bergamotchute_model.identifiers import Address
+from bergamotchute_model.node_messages import ControlPeer
 from bergamotchute_wire.web_socket_link import SILENCE_TIMEOUT_S
-from support.control_group import ControlGroup, heartbeat, run_control
+from support.control_group import PORT, ControlGroup, heartbeat, host, run_control
 
 SILENT_AT_THE_LATEST_S = 30.0
 
@@ -98,3 +100,25 @@
         assert entry not in hub.entry_addresses("north")
 
     run_control(body)
+
+
+def test_a_live_control_vm_stays_unlinked_after_a_late_link_of_its_earlier_process() -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(3)
+        await anyio.sleep(1.0)
+        hub = group.processes[0].node_hub
+        peer = Address(host(1), PORT)
+        dial = group.network.dial("control-1", NODES_PATH)
+        assert await group.processes[1].on_heartbeat(heartbeat(1))
+        async with dial(Address(host(0), PORT)) as late:
+            await late.send(ControlPeer(peer))
+            await anyio.sleep(0.1)
+        await anyio.sleep(2.0)
+        assert [each.peer for each in hub.followers].count(peer) == 1
+        for sequence in range(2, 22):
+            await group.processes[1].on_heartbeat(heartbeat(sequence))
+            await anyio.sleep(1.0)
+        assert hub.endpoint_table.endpoints["runner-1"].monitored_by == peer
+        assert phase_at(group.processes[0]) is EndpointPhase.READY
+
+    run_control(body)
