--- a/tests/daemon/test_changes_sent_again.py
+++ b/tests/daemon/test_changes_sent_again.py
@@ -8,7 +8,9 @@
 import pytest
 
 from bergamotchute_daemon import _voter_state
-from support.control_group import ControlGroup, run_control
+from bergamotchute_model.endpoint_heartbeat import EndpointPhase
+from bergamotchute_model.node_messages import DeparturesRecorded, NodeMessage
+from support.control_group import ControlGroup, heartbeat, run_control
 
 SIZE = 5
 VERSION = 7
@@ -99,3 +101,25 @@
             assert (held.version, held.text) == (VERSION, TEXT), number
 
     run_control(body)
+
+
+@pytest.mark.parametrize("event", [lose_power, lose_disk, reopen], ids=lambda event: event.__name__)
+def test_acknowledged_departure_is_unknown_after_a_loss(
+    event: Callable[[ControlGroup], Awaitable[None]],
+) -> None:
+    """An endpoint counts on it that no entry sends it more requests."""
+
+    async def body(group: ControlGroup) -> None:
+        await group.found(SIZE)
+        assert await group.processes[2].on_heartbeat(heartbeat(2, EndpointPhase.LEAVING))
+        await event(group)
+        await group.wait_until(lambda: group.leader is not None)
+        await anyio.sleep(8.0)
+        for number in range(SIZE):
+            received: list[NodeMessage] = []
+            with anyio.move_on_after(3.0):
+                await group.follow(number, received)
+            departures = [each for each in received if isinstance(each, DeparturesRecorded)]
+            assert ("runner-1", 1000) in departures[0].departures, number
+
+    run_control(body)
