--- a/packages/bergamotchute-model/src/bergamotchute_model/events.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/events.py
@@ -56,6 +56,9 @@
 LINK_SILENT = _define_event_kind(
     1012, "link_mute", "A link went silent and is being replaced.", logging.WARNING
 )
+LINK_REPLACED = _define_event_kind(
+    1013, "link_replaced", "A control VM opened a new link; its earlier ones were closed."
+)
 
 # 1100-1199: requests in an entry.
 REQUEST_RECEIVED = _define_event_kind(
@@ -189,6 +192,9 @@
     "A leader's answer matches no request that waits here: it came late or twice.",
     logging.WARNING,
 )
+VOTER_DISK_RECOVERED = _define_event_kind(
+    1308, "voter_disk_recovered", "A voter opened its folder again after a failure of its disk."
+)
 FILE_APPLIED = _define_event_kind(1310, "file_applied", "A file came into force.")
 FILE_REFUSED = _define_event_kind(1311, "file_refused", "A file was refused.", logging.WARNING)
 PLANNED_CHANGE_BEGUN = _define_event_kind(
