Refuse operators' calls at once while the disk of a control VM keeps failing

What operators saw: each change or read that reached a VM with a full disk was answered 503 only after 0.9 s (with real processes, three VMs, disks full for 12 s each: the longest changes took 0.97 to 1.97 s, one or two such calls each).

Cause: the call was tried again and again until its time was up, though the VM knew that it takes no part in the log until its disk accepts a write.

Now a call is refused at once when the disk has failed for 0.5 s. A shorter failure ends within the time that a call may wait, so that it is still served then. The test failed before: both calls took 1.8 s.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
@@ -31,6 +31,10 @@
 DRAIN_DURATION_S = 1.0
 """How long a stopping control VM keeps answering while another one takes over leadership."""
 
+DISK_GRACE_S = 0.5
+"""How long the disk may fail before operators' calls are refused at once; a shorter failure ends
+within the time that a call may wait."""
+
 
 @dataclass
 class ControlProcess:
@@ -142,6 +146,7 @@
         """
         began = anyio.current_time()
         try:
+            self._check_disk()
             committed = await self.control.commit(PutConfiguration(version, text), COMMIT_TIMEOUT_S)
         except ControlUnavailable as error:
             self.log.emit(
@@ -170,6 +175,7 @@
         """Return the newest configuration, or ``None`` when no quorum confirms it in time."""
         began = anyio.current_time()
         try:
+            self._check_disk()
             attempts = await self.control.confirm(COMMIT_TIMEOUT_S)
         except ControlUnavailable as error:
             self.log.emit(
@@ -190,6 +196,15 @@
         )
         return held
 
+    def _check_disk(self) -> None:
+        """Refuse an operator's call while the disk keeps failing, as another VM can serve it.
+
+        :raises ControlUnavailable: when the disk has failed for longer than a moment.
+        """
+        outage_s = self.voter.disk_recovery.outage_s
+        if outage_s >= DISK_GRACE_S:
+            raise ControlUnavailable(f"the disk has failed for {outage_s:.1f} s", 0, "")
+
     async def on_heartbeat(self, heartbeat: EndpointHeartbeat) -> bool:
         """Process an endpoint's heartbeat; return whether it may be acknowledged.
 
--- a/tests/daemon/test_full_disks.py
+++ b/tests/daemon/test_full_disks.py
@@ -163,6 +163,25 @@
     return hanging
 
 
+def test_a_voter_whose_disk_stays_full_refuses_operators_at_once() -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(3)
+        leader = group.leader
+        assert leader is not None
+        process = group.processes[(leader + 1) % 3]
+        group.disks[(leader + 1) % 3].capacity_bytes = 0
+        assert await group.processes[leader].put_configuration(1, b"one")
+        await anyio.sleep(1.0)
+        began = anyio.current_time()
+        assert not await process.put_configuration(2, b"two")
+        assert await process.read_configuration() is None
+        assert anyio.current_time() == began
+        (refused,) = records_of(process, "configuration_unsure")
+        assert "disk" in str(refused.fields["detail"])
+
+    run_control(body)
+
+
 @pytest.mark.parametrize("with_power_loss", [False, True])
 @pytest.mark.parametrize("is_empty", [False, True])
 def test_a_voter_started_on_a_full_disk_takes_part_once_there_is_room(
