--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/membership_plan.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/membership_plan.py
@@ -12,7 +12,6 @@
     PromoteLearner,
     RemoveMember,
 )
-from bergamotchute_model.identifiers import Address
 
 
 @dataclass(frozen=True)
@@ -21,10 +20,12 @@
 
     :param reachable: the member replied recently; always true for the leader itself.
     :param caught_up: the member holds all committed entries.
+    :param silent: the member had time to reply and didn't; a new leader has to wait to know.
     """
 
     reachable: bool
     caught_up: bool
+    silent: bool = False
 
 
 def next_configured_change(
@@ -69,7 +70,6 @@
     membership: Membership,
     health: Mapping[str, MemberHealth],
     gone: Collection[str],
-    newcomers: Mapping[Address, str],
     min_voters: int,
 ) -> MembershipChange | None:
     """Return the next change when no operator names the voters, or ``None`` for no change now.
@@ -79,21 +79,54 @@
     the remaining voters must have a quorum that holds all committed entries.
 
     :param gone: identities that have been silent for long.
-    :param newcomers: identities of replicas that ask to join, by address.
     :param min_voters: number of voters below which a silent voter is kept.
     """
     for voter in membership.voters:
-        is_emptied = newcomers.get(voter.address, voter.replica) != voter.replica
         is_lost = voter.replica in gone and len(membership.voters) > min_voters
+        is_emptied = is_replaced_at_its_address(membership, voter, health)
         if (is_emptied or is_lost) and _has_quorum_without(membership, voter, health):
             return RemoveMember(voter.replica)
     if len(membership.voters) < MAX_VOTERS:
         for learner in membership.learners:
             if _is_in_sync(health, learner):
-                return PromoteLearner(learner.replica)
+                return _add_vote(membership, learner, health, min_voters)
     return None
 
 
+def is_replaced_at_its_address(
+    membership: Membership, member: Member, health: Mapping[str, MemberHealth]
+) -> bool:
+    """Return whether the process at a member's address answers under another identity.
+
+    Only an answer proves it: an introduction may have been sent before the member's own.
+    """
+    return not health[member.replica].reachable and any(
+        other.address == member.address and health[other.replica].reachable
+        for other in membership.members
+    )
+
+
+def _add_vote(
+    membership: Membership,
+    learner: Member,
+    health: Mapping[str, MemberHealth],
+    min_voters: int,
+) -> MembershipChange:
+    """Return the change towards a learner's vote: a silent voter leaves first.
+
+    With another vote an odd number of voters needs a larger quorum. After a split, the voters that
+    are left might not have it if one of them is dead.
+
+    :param min_voters: number of voters that must remain, so that one may lose its disk meanwhile.
+    """
+    raises_quorum = len(membership.voters) % 2 == 1
+    if raises_quorum and len(membership.voters) > min_voters:
+        for voter in membership.voters:
+            if health[voter.replica].silent and _has_quorum_without(membership, voter, health):
+                return RemoveMember(voter.replica)
+    return PromoteLearner(learner.replica)
+
+
 def can_lose(membership: Membership, health: Mapping[str, MemberHealth]) -> int:
     """Return how many more voters may fail before no quorum holds all committed entries."""
     whole = sum(_is_in_sync(health, voter) for voter in membership.voters)
