--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
@@ -31,6 +31,10 @@
 DRAIN_DURATION_S = 1.0
 """How long a stopping control VM keeps answering while another one takes over leadership."""
 
+DISK_GRACE_S = 0.5
+"""How long the disk may fail before operators' calls are refused at once; a shorter failure ends
+within the time that a call may wait."""
+
 
 @dataclass
 class ControlProcess:
@@ -50,6 +54,7 @@
     async def run(self) -> None:
         """Run the control VM until cancelled."""
         self.voter.step_listeners.append(self.node_hub.on_log_applied)
+        self.voter.folder_opened_listeners.append(self.node_hub.on_folder_opened)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.voter.run)
             tasks.start_soon(self._check_state)
@@ -127,6 +132,8 @@
             "open_entries": float(len(self.node_hub.linked_nodes.open_entries())),
             "endpoints": float(len(self.endpoint_table.endpoints)),
             "folder_refused": float(self.voter.has_refused_folder),
+            "snapshots_left_out": float(self.voter.snapshots_left_out),
+            "disk_failed_s": self.voter.disk_recovery.outage_s,
             "configuration_version": float(self.voter.state.state.configuration.version),
             **self.node_hub.prompt_evidence.gauges(),
             **self.node_hub.rate_limits.gauges(),
@@ -140,6 +147,7 @@
         """
         began = anyio.current_time()
         try:
+            self._check_disk()
             committed = await self.control.commit(PutConfiguration(version, text), COMMIT_TIMEOUT_S)
         except ControlUnavailable as error:
             self.log.emit(
@@ -168,6 +176,7 @@
         """Return the newest configuration, or ``None`` when no quorum confirms it in time."""
         began = anyio.current_time()
         try:
+            self._check_disk()
             attempts = await self.control.confirm(COMMIT_TIMEOUT_S)
         except ControlUnavailable as error:
             self.log.emit(
@@ -188,6 +197,15 @@
         )
         return held
 
+    def _check_disk(self) -> None:
+        """Refuse an operator's call while the disk keeps failing, as another VM can serve it.
+
+        :raises ControlUnavailable: when the disk has failed for longer than a moment.
+        """
+        outage_s = self.voter.disk_recovery.outage_s
+        if outage_s >= DISK_GRACE_S:
+            raise ControlUnavailable(f"the disk has failed for {outage_s:.1f} s", 0, "")
+
     async def on_heartbeat(self, heartbeat: EndpointHeartbeat) -> bool:
         """Process an endpoint's heartbeat; return whether it may be acknowledged.
 
