Found a control group only on introductions that name the founder

What callers could see: a control VM whose disk was emptied stays out for good, as it has founded a group of its own with the present identities of the others; it drops what the group sends it, the group ignores its introductions, and its folder has to be emptied by hand. With two first voters emptied at once, and the third's introduction late, both would have been a majority of that group.

Cause: an introduction says 'I belong to no cluster' of the moment at which it was sent, and counted from the moment at which it arrived. A queue to a VM that is down keeps the newest message and sends it to whoever listens there next, so that it can arrive long after its sender has joined.

An introduction now names the identities that its sender has heard of, and a founder counts those that name its own: its folder was made before such an introduction was written, so its sender was blank beside it. A blank replica answers a new introduction at once, so that founding takes no longer. Introductions of earlier builds, which name none, count as before.

--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/founding.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/founding.py
@@ -3,6 +3,9 @@
 Voters whose data folders were emptied can't tell that they belonged to a cluster, even if they are
 a majority. So founding requires the operator's explicit flag on every voter, and an introduction
 from **all** voters that says they belong to no cluster: a single surviving voter prevents it.
+
+An introduction may arrive after its sender has joined a cluster. So it counts only if it names the
+identity of the replica that is to found: that folder has been made before the introduction.
 """
 
 from __future__ import annotations
@@ -31,11 +34,12 @@
     wanted = [known.get(address) for address in mine.voters]
     members: list[Member] = []
     for introduction in wanted:
-        if introduction is None or not _agrees(introduction, mine):
+        if introduction is None or not (introduction is mine or _agrees(introduction, mine)):
             return None
         members.append(introduction.sender)
     return tuple(members)
 
 
 def _agrees(other: Introduction, mine: Introduction) -> bool:
-    return other.founding and not other.cluster and other.voters == mine.voters
+    has_heard = other.heard is None or mine.sender.replica in other.heard
+    return has_heard and other.founding and not other.cluster and other.voters == mine.voters
--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/messages.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/messages.py
@@ -139,6 +139,8 @@
     :param cluster: the cluster that the sender belongs to; empty for none.
     :param founding: the sender was started to found a cluster and belongs to no cluster.
     :param voters: the addresses of the voters in the sender's settings, sorted.
+    :param heard: the identities from which the sender has received introductions; ``None`` from
+        earlier builds.
     """
 
     sender: Member
@@ -146,6 +148,7 @@
     founding: bool
     voters: tuple[Address, ...]
     kind: Literal["introduction"] = "introduction"
+    heard: tuple[str, ...] | None = None
 
 
 class RequestPurpose(StrEnum):
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
@@ -545,7 +545,10 @@
         cluster = replica.state.hard_state.cluster
         founding = self.settings.bootstrap and not cluster
         voters = tuple(sorted(self.settings.voters))
-        return Introduction(replica.state.local_member, cluster, founding, voters)
+        heard = (message.sender.replica for _, message in self.received_introductions.values())
+        return Introduction(
+            replica.state.local_member, cluster, founding, voters, heard=tuple(sorted(heard))
+        )
 
     def _found_cluster(self, own_introduction: Introduction) -> None:
         oldest_heard_at = anyio.current_time() - INTRODUCTION_LIFETIME_S
@@ -564,8 +567,12 @@
         replica = self.replica
         if replica is None:
             return
+        _, previous = self.received_introductions.get(message.sender.address, (0.0, None))
         self.received_introductions[message.sender.address] = (anyio.current_time(), message)
         cluster = replica.state.hard_state.cluster
+        if message.founding and not cluster and previous != message:
+            # The replica that founds waits until all others name it.
+            self._send_to_peer(message.sender.address, self._new_introduction(replica))
         if message.cluster not in ("", cluster) or not cluster:
             return
         if replica.state.is_leader:
--- a/tests/daemon/test_control_process.py
+++ b/tests/daemon/test_control_process.py
@@ -6,7 +6,9 @@
 import pytest
 
 from bergamotchute_consensus.messages import Introduction
+from bergamotchute_consensus.replica import Replica
 from bergamotchute_daemon.node_runner import NODES_PATH
+from bergamotchute_daemon.voter import INTRODUCTION_INTERVAL_S, Voter
 from bergamotchute_model.endpoint_heartbeat import EndpointPhase
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.node_messages import (
@@ -364,6 +366,44 @@
     run_control(body)
 
 
+def test_an_emptied_process_founds_no_group_from_late_introductions() -> None:
+    """Guards against a second cluster, whose founder could never join the group again.
+
+    A queue to a VM that is down keeps the newest message: perhaps the introduction that its sender
+    wrote before it joined.
+    """
+
+    async def body(group: ControlGroup) -> None:
+        voters = [group.start(number, found=True).voter for number in (1, 2)]
+        await group.wait_until(lambda: all(voter.replica is not None for voter in voters))
+        late = [voter._new_introduction(voter.replica) for voter in voters if voter.replica]
+        group.start(0, found=True)
+        await group.wait_until(lambda: group.voter_count() == 3)
+        cluster = await put_and_read_cluster(group)
+        group.wipe(0)
+        await anyio.sleep(0.3)
+        emptied = group.start(0, found=True).voter
+        await anyio.sleep(INTRODUCTION_INTERVAL_S - 0.1)
+        for introduction in late:
+            emptied.on_introduction(introduction)
+        await group.wait_until(lambda: group.votes(0) and group.voter_count() == 3)
+        assert replica_of(emptied).state.hard_state.cluster == cluster
+
+    run_control(body)
+
+
+def replica_of(voter: Voter) -> Replica:
+    assert voter.replica is not None
+    return voter.replica
+
+
+async def put_and_read_cluster(group: ControlGroup) -> str:
+    """Commit a configuration; return the identity of the cluster that holds it."""
+    assert group.leader is not None
+    assert await group.processes[group.leader].put_configuration(3, b"three")
+    return replica_of(group.processes[group.leader].voter).state.hard_state.cluster
+
+
 def test_a_draining_leader_hands_over_leadership() -> None:
     async def body(group: ControlGroup) -> None:
         await group.found(5)
