--- a/tests/support/control_walk.py
+++ b/tests/support/control_walk.py
@@ -139,6 +139,7 @@
         self.numbers = list(range(size))
         self.next_number = size
         self.unsteady = self.random.randrange(size)
+        self.unsteady_call_ratio = 0.0
         self.history = ConfigurationHistory()
         self.version = 0
         self.troubled_until: dict[int, float] = {}
@@ -229,6 +230,8 @@
 
     def _random_process(self) -> tuple[int, ControlProcess]:
         number = self.random.choice(self.numbers)
+        if self.unsteady in self.numbers and self.random.random() < self.unsteady_call_ratio:
+            number = self.unsteady
         return number, self.group.processes[number]
 
     async def _put_in_turn(self, lane: int) -> None:
@@ -586,21 +589,21 @@
     def __init__(self, seed: int, totals: Counter[str], size: int, tasks: TaskGroup) -> None:
         super().__init__(seed, totals, size, tasks)
         self.moves = [
-            (self.restart_in_series, 6),
-            (self.restart, 4),
-            (self.cut, 1),
-            (self.freeze, 1),
+            (self.restart_in_series, 8),
+            (self.cut, 2),
             (self.start_entry, 2),
         ]
-        self.move_interval_s = 1.0
+        self.move_interval_s = 0.7
         self.duration_s = 10.0
+        self.clients_pause_s = 0.04
+        self.unsteady_call_ratio = 0.7
 
     def _draw_faults(self) -> MessageFaults:
         return MessageFaults(
             self.random,
             lost_ratio=self.random.choice((0.0, 0.02)),
             often_late=EXCHANGES[0],
-            often_late_ratio=self.random.choice((0.3, 0.6)),
+            often_late_ratio=0.6,
             longest_range=2,
         )
 
