Random walks over whole control VMs in the tests, and five mutants that they find

Each walk runs 3 or 5 control processes with late, doubled, lost and reordered messages between voters, also across restarts, beside failing, slow and emptied disks, cuts and freezes. Clients put and read at random control VMs, entries follow them; a history that knows only what was sent and answered checks that versions are linearizable, and after healing the group has to serve in 4 s.

--- a/tests/daemon/test_control_walks.py
+++ b/tests/daemon/test_control_walks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 
 import pytest
 
@@ -24,24 +25,81 @@
 from bergamotchute_daemon.voter import Voter
 from bergamotchute_model.commands import ConfigurationPut
 from bergamotchute_model.node_messages import AgentState, DeparturesRecorded, EntryState
-from support.configuration_history import HistoryViolation
-from support.control_walk import LivenessViolation, run_walk
-
-SEEDS = {3: (1, 2), 5: (3,)}
-"""Seeds of the walks in each run of the tests, by the number of control VMs."""
+from support.configuration_history import ConfigurationHistory, FollowedVersions, HistoryViolation
+from support.control_walk import (
+    ControlWalk,
+    EmptyingWalk,
+    LivenessViolation,
+    RestartingWalk,
+    run_walk,
+)
 
-MAX_MUTANT_SEEDS = 40
+MAX_MUTANT_SEEDS = 20
 """Seeds within which a walk must find a mutant."""
 
 
-def first_violation(size: int, first_seed: int = 0) -> Exception | None:
+@pytest.mark.parametrize(
+    ("kind", "size", "seed"),
+    [(ControlWalk, 3, 1), (ControlWalk, 5, 3), (RestartingWalk, 3, 0), (EmptyingWalk, 3, 2)],
+)
+def test_clients_of_control_vms_see_one_history(
+    kind: type[ControlWalk], size: int, seed: int, capsys: pytest.CaptureFixture[str]
+) -> None:
+    totals: Counter[str] = Counter()
+    run_walk(seed, totals, size, kind)
+    with capsys.disabled():
+        print(f"\n{kind.__name__}, {size} control VMs, seed {seed}: {dict(totals)}")
+    assert totals["acknowledged"] > 0
+    assert totals["reads"] > 0
+    assert totals["late after restart"] > 0
+
+
+def test_history_rejects_an_older_read_and_a_text_that_nobody_put() -> None:
+    history = ConfigurationHistory()
+    history.begin_put(1, b"one")
+    history.begin_put(2, b"two")
+    history.acknowledge(2)
+    history.end_read(0, 1, b"one")
+    history.end_read(history.in_effect, 2, b"two")
+    with pytest.raises(HistoryViolation, match="was in effect before it"):
+        history.end_read(history.in_effect, 1, b"one")
+    with pytest.raises(HistoryViolation, match="nobody put"):
+        history.end_read(0, 2, b"one")
+    with pytest.raises(HistoryViolation, match="never put"):
+        history.end_read(0, 3, b"three")
+
+
+def test_history_rejects_two_texts_of_a_version() -> None:
+    history = ConfigurationHistory()
+    history.begin_put(1, b"one")
+    history.begin_put(1, b"another")
+    history.end_read(0, 1, b"one")
+    with pytest.raises(HistoryViolation, match="two texts"):
+        history.end_read(0, 1, b"another")
+
+
+def test_history_rejects_a_follower_that_is_told_an_older_version() -> None:
+    history = ConfigurationHistory()
+    history.begin_put(1, b"one")
+    history.begin_put(2, b"two")
+    history.acknowledge(2)
+    seen = FollowedVersions(history, history.in_effect)
+    seen.on_confirmed()
+    seen.on_version(1)
+    with pytest.raises(HistoryViolation, match="before it connected"):
+        seen.check_first_version()
+    with pytest.raises(HistoryViolation, match="was told version 1"):
+        seen.on_version(1)
+
+
+def first_violation(kind: type[ControlWalk], size: int, first_seed: int) -> Exception | None:
     """Return what the first walk saw that found a violation.
 
     :param first_seed: a seed shortly before one that is known to find the mutant, to save time.
     """
     for seed in range(first_seed, first_seed + MAX_MUTANT_SEEDS):
         try:
-            run_walk(seed, Counter(), size)
+            run_walk(seed, Counter(), size, kind)
         except (HistoryViolation, LivenessViolation) as violation:
             return violation
     return None
@@ -125,10 +183,21 @@
     monkeypatch.setattr(MembershipPlanner, "_next_automatic_change", next_change_by_address)
 
 
-def send_any_text(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Let a control VM send a text from a state that no quorum confirmed."""
-
-    def send_configuration(self: NodeHub, follower: Follower) -> None:
-        follower.outbox.post(self._packed_configuration())
-
-    monkeypatch.setattr(NodeHub, "_send_configuration", send_configuration)
+@pytest.mark.parametrize(
+    ("mutate", "kind", "first_seed"),
+    [
+        (number_requests_from_one, RestartingWalk, 0),
+        (read_without_quorum_round, ControlWalk, 0),
+        (acknowledge_before_commit, ControlWalk, 3),
+        (confirm_followers_once, ControlWalk, 6),
+        (remove_by_introduction, EmptyingWalk, 1),
+    ],
+)
+def test_walks_find_mutants(
+    mutate: Callable[[pytest.MonkeyPatch], None],
+    kind: type[ControlWalk],
+    first_seed: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    mutate(monkeypatch)
+    assert first_violation(kind, 3, first_seed) is not None
