--- a/tests/daemon/test_control_process.py
+++ b/tests/daemon/test_control_process.py
@@ -392,6 +392,31 @@
     run_control(body)
 
 
+def test_two_emptied_processes_form_no_group_of_their_own_with_a_late_introduction() -> None:
+    """Guards against a second cluster with a majority, which would acknowledge and read nothing old."""
+
+    async def body(group: ControlGroup) -> None:
+        group.disks_to_lose = 2
+        blank = group.start(2, found=True).voter
+        await group.wait_until(lambda: blank.replica is not None)
+        late = blank._new_introduction(replica_of(blank))
+        for number in (0, 1, 3, 4):
+            group.start(number, found=True)
+        await group.wait_until(lambda: group.voter_count() == 5)
+        cluster = await put_and_read_cluster(group)
+        group.wipe(0)
+        group.wipe(1)
+        await anyio.sleep(0.3)
+        emptied = [group.start(number, found=True).voter for number in (0, 1)]
+        await anyio.sleep(INTRODUCTION_INTERVAL_S - 0.1)
+        emptied[0].on_introduction(late)
+        await anyio.sleep(4)
+        assert [replica_of(voter).state.hard_state.cluster for voter in emptied] == [cluster] * 2
+        assert await configuration_at(group, 0) == (3, b"three")
+
+    run_control(body)
+
+
 def replica_of(voter: Voter) -> Replica:
     assert voter.replica is not None
     return voter.replica
