Log each failure of a disk, also soon after the one before

A failure after a recovery is now logged unless one was within the last second. The test failed before (1 line of 2).

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/_disk_recovery.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/_disk_recovery.py
@@ -20,12 +20,14 @@
 """Longest delay between two attempts; a voter is expected back seconds after its disk has room."""
 
 STABLE_AFTER_S = 5.0
-"""How long a voter must have run before a further failure counts as a new one: it is logged at once
-and retried with the shortest delay."""
+"""How long a voter must have run before a further failure is retried with the shortest delay."""
 
 REPORT_INTERVAL_S = 10.0
 """How often a failure that lasts is logged again."""
 
+NEW_REPORT_INTERVAL_S = 1.0
+"""How often failures with a recovery between them are logged."""
+
 
 @dataclass
 class DiskRecovery:
@@ -58,13 +60,14 @@
     def on_failed(self, detail: str) -> None:
         """Record that the disk failed; log it, and again at intervals while it lasts."""
         now = anyio.current_time()
+        interval_s = REPORT_INTERVAL_S
         if self.failed_at is None:
+            interval_s = NEW_REPORT_INTERVAL_S
             self.failed_at = now
             self.attempts = 0
             if now - self.opened_at >= STABLE_AFTER_S:
                 self.backoff.reset()
-                self.reported_at = float("-inf")
-        if now - self.reported_at >= REPORT_INTERVAL_S:
+        if now - self.reported_at >= interval_s:
             self.reported_at = now
             self.is_reported = True
             self.log.emit(
--- a/tests/daemon/test_full_disks.py
+++ b/tests/daemon/test_full_disks.py
@@ -182,6 +182,22 @@
     run_control(body)
 
 
+def test_the_log_tells_of_each_of_two_failures_in_short_order() -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(3)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(Changes(group).run)
+            for _ in range(2):
+                await fill_disk(group, 1, 1.0)
+                await anyio.sleep(1.0)
+            tasks.cancel_scope.cancel()
+        process = group.processes[1]
+        assert len(records_of(process, "voter_disk_failed")) == 2
+        assert len(records_of(process, "voter_disk_recovered")) == 2
+
+    run_control(body)
+
+
 @pytest.mark.parametrize("with_power_loss", [False, True])
 @pytest.mark.parametrize("is_empty", [False, True])
 def test_a_voter_started_on_a_full_disk_takes_part_once_there_is_room(
