Wait for room for a control VM's new data folder

A control process whose data folder can't be created on a full disk ended with a traceback, and again at each start. Now it logs voter_disk_failed and tries twice a second. Other errors end it as before, a folder that another process holds among them. Both tests call a function that is new.

--- a/packages/bergamotchute-consensus/src/bergamotchute_consensus/storage.py
+++ b/packages/bergamotchute-consensus/src/bergamotchute_consensus/storage.py
@@ -38,7 +38,8 @@
 _SEGMENT_PREFIX = "log-"
 _SNAPSHOT_PREFIX = "snapshot-"
 _TEMPORARY_SUFFIX = ".new"
-_NO_ROOM_ERRNOS = frozenset((errno.ENOSPC, errno.EDQUOT, errno.EFBIG))
+NO_ROOM_ERRNOS = frozenset((errno.ENOSPC, errno.EDQUOT, errno.EFBIG))
+"""Errors of a write for which there is no room, which ends without a change of the disk itself."""
 
 
 def probe_disk(disk: Disk) -> None:
@@ -170,7 +171,7 @@
             self._write_temporary_file(name, encode_frame(0, encode_snapshot(snapshot)))
             segment = self._write_next_segment(snapshot, is_logged)
         except OSError as error:
-            if not is_logged or error.errno not in _NO_ROOM_ERRNOS:
+            if not is_logged or error.errno not in NO_ROOM_ERRNOS:
                 raise
             _remove_temporary_files(self.disk)
             self.skipped_snapshot_count += 1
@@ -290,7 +291,7 @@
         try:
             segment = self._write_next_segment(snapshot, is_logged)
         except OSError as error:
-            if not is_logged or error.errno not in _NO_ROOM_ERRNOS:
+            if not is_logged or error.errno not in NO_ROOM_ERRNOS:
                 raise
             _remove_temporary_files(self.disk)
             return
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_runner.py
@@ -40,6 +40,7 @@
 )
 
 if TYPE_CHECKING:
+    from bergamotchute_consensus.file_disk import FileDisk
     from bergamotchute_daemon.control_process import ControlProcess
     from bergamotchute_daemon.direct.direct_entry import DirectEntry
     from bergamotchute_daemon.direct.request_format import RequestFormat
@@ -74,6 +75,9 @@
 SETTINGS_POLL_INTERVAL_S = 1.0
 """How often the settings file is checked, because it may change without a signal."""
 
+FOLDER_RETRY_INTERVAL_S = 0.5
+"""How often a control VM tries to create its data folder on a full disk."""
+
 CLOSE_TIMEOUT_S = 0.2
 """Time that connections are given to close."""
 
@@ -148,15 +152,13 @@
     :param control_handler: handles requests of operators and endpoints.
     :param directory_handler: handles requests of callers for the addresses of entries.
     """
-    from bergamotchute_consensus.file_disk import FileDisk
     from bergamotchute_daemon.environment import CONSENSUS_PATH
     from bergamotchute_daemon.voter import CONSENSUS_CODEC
 
     environment = create_node_environment(settings, "control")
-    folder = Path(settings.data_folder)
-    folder.mkdir(parents=True, exist_ok=True)
+    disk = await open_data_folder(Path(settings.data_folder), environment.log)
     dial_consensus = web_socket_dial(CONSENSUS_PATH, CONSENSUS_CODEC, timing=NODE_LINK_TIMING)
-    process = compose_control(settings, FileDisk(folder), dial_consensus, environment)
+    process = compose_control(settings, disk, dial_consensus, environment)
     environment.log.emit(events.PROCESS_STARTED, listen=settings.listen.control)
     routes = {
         NODES_PATH: LinkRoute(NODE_CODEC, process.node_hub.serve_link, LINK_ACCEPT_INTERVAL_S),
@@ -185,6 +187,24 @@
         await _run_until_stopped(tasks, file, process.voter.set_seeds, environment.log, drain)
 
 
+async def open_data_folder(folder: Path, log: EventLog) -> FileDisk:
+    """Create and lock a control VM's data folder, which a full disk delays.
+
+    :raises OSError: when it fails for another reason, or another process has locked the folder.
+    """
+    from bergamotchute_consensus.file_disk import FileDisk
+    from bergamotchute_consensus.storage import NO_ROOM_ERRNOS
+
+    while True:
+        try:
+            return FileDisk(folder)
+        except OSError as error:
+            if error.errno not in NO_ROOM_ERRNOS:
+                raise
+            log.emit(events.VOTER_DISK_FAILED, detail=f"could not create the data folder: {error}")
+        await anyio.sleep(FOLDER_RETRY_INTERVAL_S)
+
+
 async def run_rank_agent(
     file: SettingsFile,
     settings: NodeSettings,
--- a/tests/daemon/test_full_disks.py
+++ b/tests/daemon/test_full_disks.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
+import errno
+import os
 from collections.abc import Callable
 from dataclasses import dataclass
+from pathlib import Path
 
 import anyio
 import pytest
+import trio
+import trio.testing
 
+from bergamotchute_consensus.file_disk import FileDisk
 from bergamotchute_consensus.replica_settings import ELECTION_TIMEOUT_S
 from bergamotchute_daemon.control_process import ControlProcess
+from bergamotchute_daemon.event_log import EventLog
+from bergamotchute_daemon.node_runner import open_data_folder
 from bergamotchute_model.event_record import EventRecord
 from support.control_group import ControlGroup, run_control
 from support.voters import run_disk_write_inline
@@ -264,3 +272,39 @@
             tasks.cancel_scope.cancel()
 
     run_control(body)
+
+
+def test_a_control_process_waits_for_room_for_its_data_folder(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    open_file = os.open
+    refused: list[str] = []
+
+    def open_when_there_is_room(path: Path, flags: int, mode: int) -> int:
+        if len(refused) < 3:
+            refused.append(path.name)
+            raise OSError(errno.ENOSPC, "no space left on device")
+        return open_file(path, flags, mode)
+
+    async def main() -> None:
+        log = EventLog("control-0", "control", "life1", lambda: 0)
+        disk = await open_data_folder(tmp_path / "data", log)
+        disk.close()
+        failures = [each for each in log.recent_records if each.event == "voter_disk_failed"]
+        assert len(failures) == 3
+        assert anyio.current_time() < CATCH_UP_S
+
+    monkeypatch.setattr(os, "open", open_when_there_is_room)
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_a_data_folder_that_another_process_holds_is_an_error(tmp_path: Path) -> None:
+    holder = FileDisk(tmp_path / "data")
+
+    async def main() -> None:
+        log = EventLog("control-0", "control", "life1", lambda: 0)
+        with pytest.raises(BlockingIOError):
+            await open_data_folder(tmp_path / "data", log)
+
+    trio.run(main)
+    holder.close()
