Acknowledge a version that is in force also while the disk fails

A version that isn't higher than the one in force changes nothing and is acknowledged from the state that is held here.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
@@ -146,9 +146,11 @@
         A version that is not higher than the one in force is committed without effect.
         """
         began = anyio.current_time()
+        command = PutConfiguration(version, text)
         try:
-            self._check_disk()
-            committed = await self.control.commit(PutConfiguration(version, text), COMMIT_TIMEOUT_S)
+            if self.voter.state.state.known_result(command) is None:
+                self._check_disk()
+            committed = await self.control.commit(command, COMMIT_TIMEOUT_S)
         except ControlUnavailable as error:
             self.log.emit(
                 events.CONFIGURATION_UNCONFIRMED,
--- a/tests/daemon/test_full_disks.py
+++ b/tests/daemon/test_full_disks.py
@@ -184,6 +184,7 @@
         assert not await process.put_configuration(2, b"two")
         assert await process.read_configuration() is None
         assert anyio.current_time() == began
+        assert await process.put_configuration(0, b"a version that is not higher")
         (refused,) = records_of(process, "configuration_unsure")
         assert "disk" in str(refused.fields["detail"])
 
