End the wait for a first endpoint after 1.3 s, whatever else is announced meanwhile

What callers saw: in the first 8 s of an entry, a request for a service without endpoints was kept for the whole of its timeout and then refused with 503, when no time was left to come back.

Cause: the request waits 1.3 s for heartbeats, and waits anew after each change. Heartbeats of other services wake it too, so that it began anew every second or more often.

The end of the wait is now set when it begins.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
@@ -131,7 +131,7 @@
                 chosen is None
                 and not progress.attempt_count
                 and not self.chooser.seconds_until_accepting(request)
-                and await self._wait_for_endpoint()
+                and await self._wait_for_endpoint(progress)
             ):
                 continue
             if chosen is None and progress.last_failure is not None:
@@ -220,10 +220,13 @@
         self.changed.set()
         self.changed = anyio.Event()
 
-    async def _wait_for_endpoint(self) -> bool:
-        """Wait for heartbeats during the startup period; return whether any arrived."""
-        left_s = self.started_at + STARTUP_PERIOD_S - anyio.current_time()
-        with anyio.move_on_after(min(ENDPOINT_WAIT_TIMEOUT_S, left_s)):
+    async def _wait_for_endpoint(self, progress: RequestProgress) -> bool:
+        """Wait for heartbeats during the startup period; return whether any arrived in time."""
+        if progress.endpoint_wait_ends_at is None:
+            startup_ends_at = self.started_at + STARTUP_PERIOD_S
+            wait_ends_at = anyio.current_time() + ENDPOINT_WAIT_TIMEOUT_S
+            progress.endpoint_wait_ends_at = min(wait_ends_at, startup_ends_at)
+        with anyio.CancelScope(deadline=progress.endpoint_wait_ends_at):
             await self.changed.wait()
             return True
         return False
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/request_progress.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/request_progress.py
@@ -30,6 +30,8 @@
     :param sent_count: endpoints that accepted a connection for the request.
     :param attempt_count: attempts so far, including refused connections.
     :param may_have_run: whether any endpoint may have run the request.
+    :param endpoint_wait_ends_at: how long the request may wait for a first endpoint, on the
+        runtime's clock; ``None`` until it waits.
     :param last_failure: the outcome of the last attempt.
     :param response_started_at: when the first data was sent to the caller, on the runtime's clock.
     :param last_chunk_at: when the last data was sent to the caller.
@@ -41,6 +43,7 @@
     sent_count: int = 0
     attempt_count: int = 0
     may_have_run: bool = False
+    endpoint_wait_ends_at: float | None = None
     last_failure: AttemptFailure | None = None
     response_started_at: float | None = None
     last_chunk_at: float = 0.0
--- a/tests/direct/test_route_timeouts.py
+++ b/tests/direct/test_route_timeouts.py
@@ -8,6 +8,7 @@
 import pytest
 from anyio.abc import SocketStream
 
+from bergamotchute_daemon.direct.direct_forwarder import ENDPOINT_WAIT_TIMEOUT_S
 from bergamotchute_daemon.direct.routing_table import RoutingTable
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.node_messages import NodeMessage, ReserveSlot, SlotAnswer, SlotState
@@ -83,9 +84,9 @@
 ]
 
 
-def set_timeouts(path: EntryFixture, objective_s: float) -> None:
+def set_timeouts(path: EntryFixture, objective_s: float, timeout_s: float = TIMEOUT_S) -> None:
     routes = tuple(
-        replace(route, timeout_s=TIMEOUT_S, objective_s=objective_s)
+        replace(route, timeout_s=timeout_s, objective_s=objective_s)
         for route in CONFIGURATION.routes
     )
     path.routing_table = RoutingTable(replace(CONFIGURATION, routes=routes))
@@ -143,6 +144,25 @@
     run_with_entry(body)
 
 
+def test_wait_for_the_first_endpoint_begins_anew_with_each_heartbeat_of_another_service() -> None:
+    """A request was kept for the whole of its timeout of 4 s."""
+
+    async def body(path: EntryFixture) -> None:
+        set_timeouts(path, 0.4, timeout_s=4.0)
+        async with anyio.create_task_group() as tasks:
+
+            async def announce_others() -> None:
+                while True:
+                    await anyio.sleep(0.3)
+                    path.forwarder.notify_endpoints_changed()
+
+            tasks.start_soon(announce_others)
+            assert await duration_s(path, "status") <= ENDPOINT_WAIT_TIMEOUT_S + MAX_LATE_S
+            tasks.cancel_scope.cancel()
+
+    run_with_entry(body)
+
+
 @pytest.mark.parametrize("route", ["status", "order", "stream"])
 def test_request_with_a_body_that_no_endpoint_reads_lasts_longer_than_its_timeout(
     route: str,
