--- a/tests/support/control_walk.py
+++ b/tests/support/control_walk.py
@@ -1,7 +1,13 @@
-"""Random walks over faults of whole control VMs, reproducible by seed."""
+"""Random walks over faults of whole control VMs, reproducible by seed.
+
+Many seeds by hand, in the folder of the tests:
+``python -m support.control_walk --kind RestartingWalk --size 5 --first 100 --seeds 50``.
+"""
 
 from __future__ import annotations
 
+import argparse
+import logging
 import math
 import zlib
 from collections import Counter
@@ -741,3 +747,29 @@
     errors = [_first_error(each) for each in error.exceptions]
     violations = [each for each in errors if isinstance(each, HistoryViolation | LivenessViolation)]
     return (violations or errors)[0]
+
+
+def main() -> None:
+    """Run walks with consecutive seeds; print what they found and what they met."""
+    kinds = {kind.__name__: kind for kind in (ControlWalk, RestartingWalk, EmptyingWalk)}
+    flags = argparse.ArgumentParser()
+    flags.add_argument("--kind", choices=kinds, default=ControlWalk.__name__)
+    flags.add_argument("--size", type=int, default=3)
+    flags.add_argument("--first", type=int, default=0)
+    flags.add_argument("--seeds", type=int, default=10)
+    settings = flags.parse_args()
+    logging.disable()
+    totals: Counter[str] = Counter()
+    for seed in range(settings.first, settings.first + settings.seeds):
+        try:
+            run_walk(seed, totals, settings.size, kinds[settings.kind])
+        except Exception as error:
+            totals["failed"] += 1
+            print(f"seed {seed}: {type(error).__name__}: {error}", flush=True)
+        if (seed - settings.first) % 10 == 9:
+            print(f"up to seed {seed}: {dict(totals)}", flush=True)
+    print(dict(totals))
+
+
+if __name__ == "__main__":
+    main()
