Soak: check what restarted entries put in force, and that versions are in force in time

Over real processes the soak checked that no entry goes back within one life. It now also finds an entry that routes by a version older than one acknowledged before its process started, and, once the faults are repaired, one that routes by a version replaced over 2 s ago.

--- a/tests/proof/test_soak_checks_find_faults.py
+++ b/tests/proof/test_soak_checks_find_faults.py
@@ -29,7 +29,7 @@
         acknowledged={3: 1.0, 5: 2.0},
         refused_versions={4},
         reads=[ConfigurationRead(1.5, 3), ConfigurationRead(2.5, 5)],
-        in_force=[VersionInForce("entry-0", 1, 3), VersionInForce("entry-0", 1, 5)],
+        in_force=[VersionInForce("entry-0", 1, 3, 3.0), VersionInForce("entry-0", 1, 5, 3.5)],
         final_version=5,
     )
 
@@ -73,15 +73,29 @@
 
 def test_regression_of_an_entry_is_missed() -> None:
     history = sound_history()
-    history.in_force.append(VersionInForce("entry-0", 1, 3))
+    history.in_force.append(VersionInForce("entry-0", 1, 3, 3.6))
     assert len(find_violations(history)) == 1
-    history.in_force[-1] = VersionInForce("entry-0", 2, 3)
+    history.in_force[-1] = VersionInForce("entry-0", 2, 3, 3.7)
     assert not find_violations(history), "a new process may begin with an older version"
+    history.entry_starts["entry-0", 2] = 1.9
+    assert not find_violations(history), "version 5 was acknowledged after its start"
+    history.entry_starts["entry-0", 2] = 2.1
+    assert len(find_violations(history)) == 1
+
+
+def test_replaced_version_in_force_is_missed() -> None:
+    history = sound_history()
+    history.in_force = [VersionInForce("entry-0", 1, 3, 4.1)]
+    assert not find_violations(history), "faults were not repaired yet"
+    history.calm_from = 3.0
+    assert len(find_violations(history)) == 1
+    history.in_force = [VersionInForce("entry-0", 1, 3, 3.9)]
+    assert not find_violations(history)
 
 
 def test_invalid_version_is_missed() -> None:
     history = sound_history()
-    history.in_force.append(VersionInForce("entry-0", 2, 4))
+    history.in_force.append(VersionInForce("entry-0", 2, 4, 3.8))
     history.acknowledged[4] = 2.9
     assert len(find_violations(history)) == 2
 
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -93,7 +93,7 @@
         tasks.start_soon(faults.restart_endpoints)
         await faults.run(duration_s)
         await anyio.sleep(RECOVERY_S)
-        recovered_at = time.monotonic()
+        recovered_at = history.calm_from = time.monotonic()
         await anyio.sleep(CALM_S)
         # A version acknowledged beside the last read would seem lost.
         watching.cancel()
--- a/tools/soak/clients.py
+++ b/tools/soak/clients.py
@@ -19,6 +19,9 @@
 REQUEST_TIMEOUT_S = 2.0
 DIRECTORY_LIFETIME_S = 2.0
 CONTROL_TIMEOUT_S = 1.0
+PROBE_TIMEOUT_S = 2.0
+"""An entry that has just started lets a request wait 1.3 s for a first endpoint of its service."""
+
 ROUTES = ("status", "order", "stream", "stream")
 KIND_BY_ROUTE = {"status": "safe", "order": "unsafe", "stream": "stream"}
 
@@ -184,9 +187,10 @@
         for host in self.entry_hosts:
             incarnation = self.incarnations[host]
             for version in range(self.version, max(0, self.version - 8), -1):
+                asked_at = time.monotonic()
                 if await self._is_routed(host, version):
                     if incarnation == self.incarnations[host]:
-                        seen = VersionInForce(host, incarnation, version)
+                        seen = VersionInForce(host, incarnation, version, asked_at)
                         self.history.in_force.append(seen)
                     break
 
@@ -194,11 +198,11 @@
         headers = {
             "host": HOST,
             "bergamotchute-request-id": f"probe-{host}-{version}-{time.monotonic_ns()}",
-            "bergamotchute-deadline-remaining": "900",
+            "bergamotchute-deadline-remaining": str(int(1000 * PROBE_TIMEOUT_S)),
         }
         url = f"http://{host}:{CALLER_PORT}/version{version}/one"
         try:
-            async with httpx.AsyncClient(timeout=CONTROL_TIMEOUT_S) as client:
+            async with httpx.AsyncClient(timeout=PROBE_TIMEOUT_S) as client:
                 response = await client.get(url, headers=headers)
         except httpx.HTTPError:
             return False
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -90,7 +91,10 @@
         if role == "control":
             self.nodes.start_control(int(number), self.build)
         else:
-            self.operator.incarnations[self.nodes.entry_host(int(number))] += 1
+            host = self.nodes.entry_host(int(number))
+            self.operator.incarnations[host] += 1
+            incarnation = self.operator.incarnations[host]
+            self.operator.history.entry_starts[host, incarnation] = time.monotonic()
             self.nodes.start_entry(int(number), self.build)
 
     def _reserve(self, name: str) -> bool:
--- a/tools/soak/history.py
+++ b/tools/soak/history.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -15,6 +16,9 @@
 STREAM_EVENTS = 8
 """Events of a whole stream."""
 
+APPLY_S = 2.0
+"""How long after its acknowledgement a version may not yet be in force at an entry."""
+
 
 @dataclass(frozen=True)
 class CallerAnswer:
@@ -50,11 +54,13 @@
     """The version by which one entry routes, as a probe showed.
 
     :param incarnation: counts the starts of the entry's process.
+    :param asked_at: when the probe was sent, in seconds.
     """
 
     entry: str
     incarnation: int
     version: int
+    asked_at: float
 
 
 @dataclass
@@ -64,6 +70,8 @@
     :param runs: how often each request ran, by request and endpoint.
     :param acknowledged: when each version was acknowledged.
     :param refused_versions: versions that are invalid and must not be acknowledged.
+    :param entry_starts: when each process of an entry was started, by address and incarnation.
+    :param calm_from: when all faults were repaired for long enough that bounds of time hold.
     """
 
     answers: list[CallerAnswer] = field(default_factory=list)
@@ -75,6 +83,12 @@
     final_version: int | None = None
     deadly_arrivals: list[float] = field(default_factory=list)
     crashes: list[float] = field(default_factory=list)
+    entry_starts: dict[tuple[str, int], float] = field(default_factory=dict)
+    calm_from: float = math.inf
+
+    def acknowledged_before(self, time: float) -> int:
+        """Return the newest version that was acknowledged before a time; 0 if there is none."""
+        return max((version for version, at in self.acknowledged.items() if at < time), default=0)
 
 
 def plain_body(request_id: str) -> bytes:
@@ -95,6 +109,8 @@
         find_false_refusals,
         find_old_reads,
         find_regressions,
+        find_old_starts,
+        find_late_configurations,
         find_lost_configurations,
         find_surplus_crashes,
     )
@@ -155,6 +171,23 @@
         yield f"version {version} is invalid and was acknowledged"
 
 
+def find_old_starts(history: History) -> Iterator[str]:
+    """Find entries that routed by a version older than one acknowledged before they started."""
+    for seen in history.in_force:
+        started_at = history.entry_starts.get((seen.entry, seen.incarnation), -math.inf)
+        due = history.acknowledged_before(started_at)
+        if seen.version < due:
+            yield f"{seen.entry} routed by {seen.version}; {due} was acknowledged before its start"
+
+
+def find_late_configurations(history: History) -> Iterator[str]:
+    """Find entries that routed by a version that had been replaced for long, without a fault."""
+    for seen in history.in_force:
+        due = history.acknowledged_before(seen.asked_at - APPLY_S)
+        if seen.asked_at > history.calm_from and seen.version < due:
+            yield f"{seen.entry} routed by {seen.version} over {APPLY_S:.0f} s after {due}"
+
+
 def find_lost_configurations(history: History) -> Iterator[str]:
     """Find acknowledged versions that the last read does not hold."""
     newest = max(history.acknowledged, default=0)
