--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -24,7 +24,7 @@
 from bergamotchute_daemon.voter import Voter
 from bergamotchute_model import events
 from bergamotchute_model.commands import RecordDeparture
-from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
+from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat, EndpointPhase
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.node_messages import (
     AgentState,
@@ -71,21 +71,26 @@
 class Follower:
     """A process connected over a link.
 
-    :param confirmed: whether a quorum confirmed the local state since the link opened.
+    :param confirmed: whether a quorum confirmed the local state since the link opened and the
+        data folder was last opened.
     :param version: the newest configuration version reported to the follower.
     :param sent_text_version: the version whose text was last sent to the follower.
+    :param awaits_text: whether the follower asked for a text that the local state lacked.
     :param node: the state that the follower reported; ``None`` before its first report.
     :param peer: the address of a control VM; ``None`` for an entry or agent.
     :param is_load_subscriber: whether the follower receives the loads of endpoints.
-    :param accepts_prompt_evidence: whether the follower reads :class:`PromptEvidence`.
+    :param accepts_prompt_evidence: whether an entry reads :class:`PromptEvidence`.
     :param accepts_rate_limits: whether the follower reads :class:`RateLimitsReported`; a control VM
         then answers :class:`RequestPermit` as well.
+    :param scope: ends the serving of the link when it is cancelled.
     """
 
     outbox: Outbox[NodeMessage]
+    scope: anyio.CancelScope
     confirmed: bool = False
     version: int = 0
     sent_text_version: int = 0
+    awaits_text: bool = False
     node: EntryState | AgentState | None = None
     peer: Address | None = None
     is_load_subscriber: bool = False
@@ -98,6 +103,8 @@
     """Serves the links of entries, agents and other control VMs.
 
     :param peers: links to the other control VMs, used for sending to them.
+    :param peer_groups: what each control VM told last over the link to it, while it is open. It says
+        what the process at its other end reads.
     :param commander_assigner: assigns commanders while this control VM is the leader.
     :param assigned: the newest assignment of each rank group.
     :param loads: endpoint loads that followers reported since the last
@@ -121,6 +128,7 @@
     commander_assigner: CommanderAssigner = field(default_factory=CommanderAssigner)
     assigned: dict[str, CommanderAssigned] = field(default_factory=dict)
     group: ControlGroup = field(default_factory=lambda: NO_GROUP)
+    peer_groups: dict[Address, ControlGroup] = field(default_factory=dict)
     notified_departure_changes: int = -1
     notified_version: int = 0
     sent_rank_places: dict[Address, RankLocation] = field(default_factory=dict)
@@ -137,6 +145,7 @@
     def __post_init__(self) -> None:
         self.peers.get_greeting = self._peer_greeting
         self.peers.on_message = self._on_peer_answer
+        self.peers.on_closed = self._on_peer_link_closed
 
     def _peer_greeting(self) -> Iterable[NodeMessage]:
         """Yield the local state that another control VM receives from no other process."""
@@ -147,28 +156,37 @@
 
     async def serve_link(self, link: Link[NodeMessage]) -> None:
         """Serve one link until it closes."""
-        follower = Follower(Outbox(link))
+        follower = Follower(Outbox(link), anyio.CancelScope())
         self.followers.append(follower)
         follower.outbox.post(self.group)
         try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(follower.outbox.run)
-                with suppress(LinkClosed):
-                    while True:
-                        message = await link.receive()
-                        if isinstance(message, DepartureSeen):
-                            tasks.start_soon(self._on_departure_seen, message)
-                        else:
-                            self._on_message(follower, message)
-                tasks.cancel_scope.cancel()
+            with follower.scope:
+                await self._serve_follower(follower, link)
         finally:
             self._remove_follower(follower, link.peer)
 
+    async def _serve_follower(self, follower: Follower, link: Link[NodeMessage]) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(follower.outbox.run)
+            with suppress(LinkClosed):
+                while True:
+                    message = await link.receive()
+                    if follower.scope.cancel_called:
+                        break
+                    if isinstance(message, DepartureSeen):
+                        tasks.start_soon(self._on_departure_seen, message)
+                    else:
+                        self._on_message(follower, message)
+            tasks.cancel_scope.cancel()
+
     def _remove_follower(self, follower: Follower, peer: str) -> None:
         self.followers.remove(follower)
         if follower.node is not None:
-            self.linked_nodes.on_local_link_closed(follower, follower.node.name)
             peer = follower.node.name
+            self.linked_nodes.on_local_link_closed(follower, peer)
+            newest = self._newest_link(peer)
+            if newest and newest.node and peer not in self.linked_nodes.local_nodes:
+                self.linked_nodes.on_local_state(newest, newest.node)
         elif follower.peer is not None:
             peer = str(follower.peer)
             if not any(other.peer == follower.peer for other in self.followers):
@@ -231,16 +249,27 @@
                 self.log.emit(events.LINK_SILENT, peer="unexpected", message=message.kind)
 
     def _on_peer(self, follower: Follower, peer: ControlPeer) -> None:
-        """Send a control VM that linked to this one what it does not get from other processes."""
+        """Record which control VM a link is from."""
+        self._close_earlier_links(follower, peer.address)
         follower.peer = peer.address
-        follower.accepts_prompt_evidence = peer.accepts_prompt_evidence
         follower.accepts_rate_limits = peer.accepts_rate_limits
-        if peer.accepts_prompt_evidence:
-            self.peers.post(peer.address, self.prompt_evidence.whole())
-        if peer.accepts_rate_limits:
-            self.peers.post(peer.address, self.rate_limits.whole())
         self.log.emit(events.LINK_OPENED, peer=str(peer.address))
 
+    def _close_earlier_links(self, follower: Follower, peer: Address) -> None:
+        """Drop what a control VM told over earlier links, and what still comes over them.
+
+        They may be those of its earlier process, which reports nothing any more. The whole list of
+        its nodes follows on each link; of the endpoints that it monitors there is no such list.
+        Should one of them be the link of the current process after all, it opens another one.
+        """
+        earlier = [each for each in self.followers if each.peer == peer and each is not follower]
+        if not earlier:
+            return
+        for each in earlier:
+            each.scope.cancel()
+        self.endpoint_table.on_monitor_lost(peer, anyio.current_time())
+        self.log.emit(events.LINK_REPLACED, peer=str(peer))
+
     def _on_shared_knowledge(
         self, follower: Follower, message: PromptEvidence | RateLimitsReported | RequestPermit
     ) -> None:
@@ -256,9 +285,14 @@
                 self.permits.answer_request(follower.outbox, message)
 
     def _send_configuration(self, follower: Follower) -> None:
-        """Send a follower the text, unless its link carries the same one already."""
+        """Send a follower the text, unless its link carries the same one already.
+
+        The text has to wait for a state that is at least as new as what the follower was told:
+        followers ask all control VMs, and after a disk failure the state is built up again.
+        """
         version = self.voter.state.state.configuration.version
-        if version > follower.sent_text_version:
+        follower.awaits_text = not follower.confirmed or version < follower.version
+        if not follower.awaits_text and version > follower.sent_text_version:
             follower.sent_text_version = version
             follower.outbox.post(self._packed_configuration())
 
@@ -273,7 +307,8 @@
         """Record a follower's state; send a new follower the state that later updates omit."""
         is_new_follower = follower.node is None
         follower.node = node
-        self.linked_nodes.on_local_state(follower, node)
+        if self._newest_link(node.name) is follower:
+            self.linked_nodes.on_local_state(follower, node)
         if is_new_follower:
             self.confirmation_needed.set()
             self.log.emit(events.LINK_OPENED, peer=node.name)
@@ -290,6 +325,14 @@
         elif (assigned := self.assigned.get(node.group)) is not None:
             follower.outbox.post(assigned)
 
+    def _newest_link(self, name: str) -> Follower | None:
+        """Return the newest link on which an entry or agent reported its state.
+
+        An earlier link that is read later tells older news.
+        """
+        links = (each for each in reversed(self.followers) if each.node and each.node.name == name)
+        return next(links, None)
+
     def _on_prompt_evidence(self, sender: Follower, evidence: PromptEvidence) -> None:
         """Pass evidence on that is news: that of an entry to all, that of a peer to entries."""
         news = self.prompt_evidence.merge(evidence)
@@ -299,51 +342,83 @@
     def clear_prompt_part(self, part: Suspect) -> bool:
         """Clear a part by order of an operator, also at all others; return whether it was held."""
         is_known = self.prompt_evidence.clear(part)
-        self.post_prompt_evidence(PromptEvidence(cleared=(part,)))
+        clearances = self.prompt_evidence.clearances((part,))
+        self.post_prompt_evidence(PromptEvidence(cleared=(part,), clearances=clearances))
         return is_known
 
     def post_prompt_evidence(
         self, evidence: PromptEvidence, sender: Follower | None = None
     ) -> None:
         """Send evidence to the entries, and to the other control VMs unless one of them sent it."""
-        readers = [each for each in self.followers if each.accepts_prompt_evidence]
-        self._pass_on(evidence, sender, readers)
+        entries = [each for each in self.followers if each.accepts_prompt_evidence]
+        peers = [peer for peer, told in self.peer_groups.items() if told.accepts_prompt_evidence]
+        self._pass_on(evidence, sender, entries, peers)
 
     def _on_rate_limits(self, sender: Follower, report: RateLimitsReported) -> None:
         """Pass on limits that are news: those of an entry to all, those of a peer to entries."""
         news = self.rate_limits.merge(report)
         if news is not None:
-            readers = [each for each in self.followers if each.accepts_rate_limits]
-            self._pass_on(news, sender, readers)
+            entries = [
+                each for each in self.followers if each.accepts_rate_limits and each.peer is None
+            ]
+            peers = [peer for peer, told in self.peer_groups.items() if told.accepts_rate_limits]
+            self._pass_on(news, sender, entries, peers)
 
     def _pass_on(
-        self, message: NodeMessage, sender: Follower | None, readers: Iterable[Follower]
+        self,
+        message: NodeMessage,
+        sender: Follower | None,
+        entries: Iterable[Follower],
+        peers: Iterable[Address],
     ) -> None:
         """Send a message to the entries, and to the other control VMs unless one of them sent it.
 
         :param sender: who told it; ``None`` for this control VM.
-        :param readers: the followers that announced that they read it.
+        :param entries: the entries that announced that they read it.
+        :param peers: the control VMs that announced it.
         """
-        for follower in readers:
-            if follower is sender:
-                continue
-            if follower.peer is None:
-                follower.outbox.post(message)
-            elif sender is None or sender.peer is None:
-                self.peers.post(follower.peer, message)
+        for entry in entries:
+            if entry is not sender:
+                entry.outbox.post(message)
+        if sender is None or sender.peer is None:
+            for peer in peers:
+                self.peers.post(peer, message)
 
     def _permit_hosts(self) -> list[Address]:
         """Return the members of the control group that answer requests for permits."""
         readers = {each.peer for each in self.followers if each.accepts_rate_limits and each.peer}
         return [each for each in self.group.addresses if each in readers | {self.address}]
 
-    def _on_peer_answer(self, _: Address, message: NodeMessage) -> None:
+    def _on_peer_answer(self, peer: Address, message: NodeMessage) -> None:
         """Handle a message that another control VM sends over the link of this one."""
         if isinstance(message, PermitAnswer):
             self.permits.on_peer_answer(message)
+        elif isinstance(message, ControlGroup):
+            self._on_peer_group(peer, message)
+
+    def _on_peer_group(self, peer: Address, group: ControlGroup) -> None:
+        """Tell a control VM what it reads of the shared knowledge, once on each link to it.
+
+        It sends its group as the first message of a link. What it announces on its own link may
+        come before this one is open, or while this one still leads to its earlier process.
+        """
+        is_first = peer not in self.peer_groups
+        self.peer_groups[peer] = group
+        if not is_first:
+            return
+        if group.accepts_prompt_evidence:
+            self.peers.post(peer, self.prompt_evidence.whole())
+        if group.accepts_rate_limits:
+            self.peers.post(peer, self.rate_limits.whole())
+
+    def _on_peer_link_closed(self, peer: Address) -> None:
+        self.peer_groups.pop(peer, None)
 
     def _on_peer_heartbeats(self, peer: Address, heartbeats: tuple[EndpointHeartbeat, ...]) -> None:
-        """Record a peer's heartbeats and forward to entries those that are new to this VM."""
+        """Record a peer's heartbeats and forward to entries those that are new to this VM.
+
+        An endpoint that the peer found silent but that this VM has heard since is told again.
+        """
         new_heartbeats = [
             heartbeat
             for heartbeat in heartbeats
@@ -351,6 +426,12 @@
         ]
         if new_heartbeats:
             self._post_to_entries(HeartbeatsReceived(tuple(new_heartbeats)))
+        newer = [
+            self.endpoint_table.newer_local_heartbeat(heartbeat)
+            for heartbeat in heartbeats
+            if heartbeat.phase is EndpointPhase.SILENT
+        ]
+        self.send_heartbeats(tuple(heartbeat for heartbeat in newer if heartbeat is not None))
 
     def _post_to_entries(self, message: NodeMessage) -> None:
         for follower in self.followers:
@@ -406,6 +487,13 @@
             self.peers.post_all(message)
             self._post_to_entries(message)
 
+    def on_folder_opened(self) -> None:
+        """Have the state confirmed again: it begins anew from the snapshot in the data folder."""
+        self.notified_departure_changes = -1
+        for follower in self.followers:
+            follower.confirmed = False
+        self.confirmation_needed.set()
+
     def on_log_applied(self) -> None:
         """Send the followers what the log changed since the last call."""
         state = self.voter.state.state
@@ -457,6 +545,8 @@
         if version > follower.version:
             follower.version = version
             follower.outbox.post(ConfigurationVersion(version))
+        if follower.awaits_text:
+            self._send_configuration(follower)
 
     def send_control_group(self, group: ControlGroup) -> None:
         """Send the followers the control VMs in the group and whether this one is the leader."""
--- a/packages/bergamotchute-model/src/bergamotchute_model/events.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/events.py
@@ -56,6 +56,9 @@
 LINK_SILENT = _define_event_kind(
     1012, "link_mute", "A link went silent and is being replaced.", logging.WARNING
 )
+LINK_REPLACED = _define_event_kind(
+    1013, "link_replaced", "A control VM opened a new link; its earlier ones were closed."
+)
 
 # 1100-1199: requests in an entry.
 REQUEST_RECEIVED = _define_event_kind(
@@ -189,6 +192,9 @@
     "A leader's answer matches no request that waits here: it came late or twice.",
     logging.WARNING,
 )
+VOTER_DISK_RECOVERED = _define_event_kind(
+    1308, "voter_disk_recovered", "A voter opened its folder again after a failure of its disk."
+)
 FILE_APPLIED = _define_event_kind(1310, "file_applied", "A file came into force.")
 FILE_REFUSED = _define_event_kind(1311, "file_refused", "A file was refused.", logging.WARNING)
 PLANNED_CHANGE_BEGUN = _define_event_kind(
@@ -208,6 +214,12 @@
 VIEW_UNREADABLE = _define_event_kind(
     1403, "view_unreadable", "The files in force can't be merged here.", logging.ERROR
 )
+VIEW_OUTDATED = _define_event_kind(
+    1404,
+    "view_outdated",
+    "A configuration is older than the version that a quorum confirmed; it was not used.",
+    logging.WARNING,
+)
 MEMBER_JOINED = _define_event_kind(1410, "member_joined", "An endpoint or entry announced itself.")
 MEMBER_LAPSED = _define_event_kind(
     1411, "member_lapsed", "A member's lease lapsed.", logging.WARNING
--- a/tests/daemon/test_dissemination.py
+++ b/tests/daemon/test_dissemination.py
@@ -9,6 +9,9 @@
 from random import Random
 
 import anyio
+import pytest
+import trio
+import trio.testing
 
 from bergamotchute_daemon.configuration_follower import ConfigurationFollower
 from bergamotchute_daemon.control_links import ControlLinks
@@ -421,3 +424,86 @@
         assert used == [2, 10]
 
     anyio.run(main)
+
+
+@pytest.mark.parametrize("transfer_s", [0.45, 0.75, 0.9])
+@pytest.mark.parametrize("interval_s", [0.25, 0.33, 0.5])
+def test_new_entry_gets_no_configuration_while_versions_outrun_their_texts(
+    transfer_s: float, interval_s: float
+) -> None:
+    """Load pattern: a storm of changes, and a text that takes longer than the next change."""
+    parent = Address("10.0.0.1", PORT)
+    used_at: list[float] = []
+
+    async def main() -> None:
+        newest = sent = 0
+
+        async def send_text(version: int) -> None:
+            await anyio.sleep(transfer_s)
+            packed = zlib.compress(b"%d" % version)
+            follower.on_text(parent, ConfigurationText(version, packed))
+
+        def on_query(*_: object) -> None:
+            nonlocal sent
+            if newest > sent:
+                sent = newest
+                tasks.start_soon(send_text, sent)
+
+        follower = ConfigurationFollower(
+            read=lambda text: VersionedConfiguration(int(text)),
+            post=on_query,
+            post_all=on_query,
+            on_configuration=lambda _: used_at.append(anyio.current_time()),
+            log=EventLog("entry", "entry", "life", lambda: 0),
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(follower.run)
+            for version in range(1, 20):
+                newest = version
+                follower.on_version(parent, ConfigurationVersion(version))
+                await anyio.sleep(interval_s)
+            tasks.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert used_at[0] <= 2 * transfer_s
+
+
+def test_new_entry_uses_no_configuration_older_than_the_version_it_was_told() -> None:
+    async def main() -> None:
+        used: list[int] = []
+        follower = ConfigurationFollower(
+            read=lambda text: VersionedConfiguration(int(text)),
+            post=lambda *_: None,
+            post_all=lambda _: None,
+            on_configuration=lambda configuration: used.append(configuration.version),
+            log=EventLog("entry", "entry", "life", lambda: 0),
+        )
+        told, lagging = Address("10.0.0.1", PORT), Address("10.0.0.2", PORT)
+        follower.on_version(told, ConfigurationVersion(9))
+        follower.on_text(lagging, ConfigurationText(5, zlib.compress(b"5")))
+        assert used == []
+        follower.on_text(told, ConfigurationText(9, zlib.compress(b"9")))
+        follower.on_text(lagging, ConfigurationText(5, zlib.compress(b"5")))
+        assert used == [9]
+
+    anyio.run(main)
+
+
+def test_control_vm_without_quorum_sends_no_text_to_a_new_entry() -> None:
+    """An entry asks every linked control VM while a text that one of them reported is late."""
+
+    async def body(group: ControlGroup) -> None:
+        await group.found(3)
+        assert group.leader is not None
+        number = (group.leader + 1) % 3
+        assert await group.processes[group.leader].put_configuration(3, b"three")
+        await anyio.sleep(1.0)
+        group.isolate(number)
+        assert await group.processes[group.leader].put_configuration(4, b"four")
+        received: list[NodeMessage] = []
+        with anyio.move_on_after(5.0):
+            await follow_as(group, number, entry(), received, (QueryConfiguration(),))
+        assert received
+        assert not [message for message in received if isinstance(message, ConfigurationText)]
+
+    run_control(body)
