Claim loopback networks for each run of real processes; let a disk be full

A run now claims three networks by binding an address in them while it lasts, from one that its pid gives, and takes the next ones where that address or a control VM's is in use. The bounds and checks of the tests are unchanged. A file-size limit makes a process's writes fail as a full disk does; logs are written through a pipe, which the limit doesn't meet.

--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -9,12 +9,11 @@
 
 SEED = 36
 FAULTS_S = 12.0
-NETWORK = 40
 
 
 @pytest.mark.processes
 def test_soak_breaks_a_promise(tmp_path: Path) -> None:
-    report = run_seed(SEED, FAULTS_S, tmp_path, NETWORK)
+    report = run_seed(SEED, FAULTS_S, tmp_path)
     assert not report.violations
     assert report.requests
     assert report.injected.total()
--- a/tools/node_processes.py
+++ b/tools/node_processes.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import os
+import resource
+import socket
 import subprocess
 import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -16,6 +21,9 @@
 
 CONTROL_PORT, DIRECTORY_PORT, CALLER_PORT, READY_PORT, LINK_PORT = 8200, 8201, 8227, 8220, 7340
 
+FIRST_NETWORK, LAST_NETWORK, NETWORKS_EACH = 1, 250, 3
+CLAIM_HOST_NUMBER = 254
+
 SETTINGS = """name = "{name}"
 availability_zone = "north"
 host = "{host}"
@@ -49,6 +57,30 @@
         return os.pathsep.join(map(str, sources))
 
 
+@contextmanager
+def claim_network() -> Iterator[int]:
+    """Claim loopback networks that no other run on this machine uses; yield the first of three.
+
+    :raises OSError: when all are in use.
+    """
+    numbers = range(FIRST_NETWORK, LAST_NETWORK, NETWORKS_EACH)
+    for attempt in range(len(numbers)):
+        network = numbers[(os.getpid() + attempt) % len(numbers)]
+        with socket.socket() as claim, socket.socket() as probe:
+            try:
+                claim.bind((f"127.0.{network}.{CLAIM_HOST_NUMBER}", CONTROL_PORT))
+                # Processes of a run that was killed may have outlived its claim.
+                probe.bind((f"127.0.{network}.1", CONTROL_PORT))
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE:
+                    raise
+                continue
+            probe.close()
+            yield network
+            return
+    raise OSError(errno.EADDRINUSE, "all loopback networks are in use")
+
+
 @dataclass
 class NodeProcesses:
     """Starts and ends the processes; each keeps its folder and its log.
@@ -56,11 +88,13 @@
     :param folder: where folders, settings and logs are.
     :param network: the third number of the loopback addresses, so that several deployments can run
         at the same time; entries use the next one.
+    :param log_writers: they write the logs, so that a full disk stops no log.
     """
 
     folder: Path
-    network: int = 1
+    network: int
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+    log_writers: list[subprocess.Popen[bytes]] = field(default_factory=list)
 
     def control_host(self, number: int) -> str:
         """Return the address of a control VM."""
@@ -100,12 +134,16 @@
         )
         role = name.partition("-")[0]
         with (self.folder / f"{name}.log").open("ab") as log:
+            writer = subprocess.Popen(["cat"], stdin=subprocess.PIPE, stdout=log)
+        assert writer.stdin is not None
+        with writer.stdin as pipe:
             self.processes[name] = subprocess.Popen(
                 [sys.executable, "-m", "bergamotchute_platform", role, "--settings", str(settings)],
                 env={**os.environ, "PYTHONPATH": build.python_path},
-                stdout=log,
+                stdout=pipe,
                 stderr=subprocess.STDOUT,
             )
+        self.log_writers.append(writer)
 
     def stop(self, name: str) -> None:
         """Stop a process in order and wait for its end."""
@@ -119,6 +157,22 @@
         for name in names:
             self.processes[name].wait()
 
+    def fill_disk(self, name: str) -> None:
+        """Let each write of a process to a file fail, as on a full disk."""
+        process = self.processes[name]
+        if process.poll() is None:
+            _, most = resource.prlimit(process.pid, resource.RLIMIT_FSIZE)
+            resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (0, most))
+
+    def free_disk(self, name: str) -> None:
+        """Let a process write to files again."""
+        process = self.processes[name]
+        if process.poll() is None:
+            _, most = resource.prlimit(process.pid, resource.RLIMIT_FSIZE)
+            resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (most, most))
+
     def kill_all(self) -> None:
-        """Kill what still runs."""
+        """Kill what still runs, and wait until all logs are written."""
         self.kill(*(name for name, each in self.processes.items() if each.poll() is None))
+        for writer in self.log_writers:
+            writer.wait()
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -19,7 +19,7 @@
 import anyio
 import httpx
 
-from tools.node_processes import Build, NodeProcesses
+from tools.node_processes import Build, NodeProcesses, claim_network
 from tools.soak.clients import Caller, Operator
 from tools.soak.endpoints import StandInEndpoint
 from tools.soak.faults import CONTROL_COUNT, ENTRY_COUNT, Faults
@@ -128,12 +128,9 @@
                 await anyio.sleep(0.2)
 
 
-def run_seed(seed: int, duration_s: float, logs: Path, network: int) -> Report:
-    """Run one seed with processes of its own; keep their logs if there is something to explain.
-
-    :param network: the third number of the loopback addresses; the next two are used as well.
-    """
-    with tempfile.TemporaryDirectory() as folder:
+def run_seed(seed: int, duration_s: float, logs: Path) -> Report:
+    """Run one seed with processes of its own; keep their logs if there is something to explain."""
+    with tempfile.TemporaryDirectory() as folder, claim_network() as network:
         nodes = NodeProcesses(Path(folder), network)
         try:
             report = anyio.run(soak, seed, duration_s, nodes)
@@ -150,14 +147,13 @@
     parser.add_argument("--seed", type=int, default=1, help="the first seed")
     parser.add_argument("--seeds", type=int, default=1, help="how many seeds")
     parser.add_argument("--seconds", type=float, default=20.0, help="faults for so long")
-    parser.add_argument("--network", type=int, default=10, help="for several runs at once")
     parser.add_argument("--logs", type=Path, default=Path("target/soak"))
     options = parser.parse_args()
     totals: Counter[str] = Counter()
     broken = 0
     print(f"{'seed':>6} {'requests':>9} {'faults':>7} {'served after':>13}  broken promises")
     for seed in range(options.seed, options.seed + options.seeds):
-        report = run_seed(seed, options.seconds, options.logs, options.network)
+        report = run_seed(seed, options.seconds, options.logs)
         totals += report.injected
         broken += bool(report.violations)
         print(
--- a/tools/upgrade_play.py
+++ b/tools/upgrade_play.py
@@ -19,7 +19,14 @@
 from itertools import cycle
 from pathlib import Path
 
-from tools.node_processes import CALLER_PORT, CONTROL_PORT, ROOT, Build, NodeProcesses
+from tools.node_processes import (
+    CALLER_PORT,
+    CONTROL_PORT,
+    ROOT,
+    Build,
+    NodeProcesses,
+    claim_network,
+)
 
 CONTROL_COUNT = 5
 ROUTE_COUNT = 1_500
@@ -162,7 +169,7 @@
     parser.add_argument("commit", help="the earlier build")
     parser.add_argument("--new-first", action="store_true")
     options = parser.parse_args()
-    with tempfile.TemporaryDirectory() as folder:
+    with tempfile.TemporaryDirectory() as folder, claim_network() as network:
         tree = Path(folder) / "earlier"
         tree.mkdir()
         archive = subprocess.run(
@@ -172,7 +179,7 @@
         builds = [Build(tree), Build()]
         if options.new_first:
             builds.reverse()
-        upgrade = Upgrade(NodeProcesses(Path(folder)))
+        upgrade = Upgrade(NodeProcesses(Path(folder), network))
         try:
             play(upgrade, *builds)
         finally:
