Soak: linearizable acknowledgements and reads of the configuration; series of restarts, full disks

Two lanes put configurations and three clients read them back at all control VMs over connections that stay open. New checks: a read returns no version below one acknowledged or read before it was sent, none that had not been put, only the content that was put; at the end changes are acknowledged and each control VM returns the newest one; no process ends by itself. The test on edited histories shows that each is found.

--- a/tests/proof/test_soak_checks_find_faults.py
+++ b/tests/proof/test_soak_checks_find_faults.py
@@ -8,9 +8,11 @@
 from tools.soak.history import (
     STREAM_EVENTS,
     CallerAnswer,
+    ConfigurationPut,
     ConfigurationRead,
     History,
     VersionInForce,
+    configuration_digest,
     find_violations,
     plain_body,
     stream_event,
@@ -26,11 +28,17 @@
     return History(
         answers=[ORDER, STREAM, REFUSED],
         runs=Counter({"o1": 1, "s1": 2}),
+        puts={3: ConfigurationPut(0.5, "three"), 5: ConfigurationPut(1.2, "five")},
         acknowledged={3: 1.0, 5: 2.0},
         refused_versions={4},
-        reads=[ConfigurationRead(1.5, 3), ConfigurationRead(2.5, 5)],
+        reads=[
+            ConfigurationRead("control-0", 1.3, 1.4, 5, "five"),
+            ConfigurationRead("control-1", 1.3, 2.1, 3, "three"),
+            ConfigurationRead("control-1", 2.5, 2.6, 5, "five"),
+        ],
         in_force=[VersionInForce("entry-0", 1, 3), VersionInForce("entry-0", 1, 5)],
-        final_version=5,
+        final_versions={"control-0": 5, "control-1": 5},
+        recovered_at=1.5,
     )
 
 
@@ -65,9 +73,44 @@
     assert len(find_violations(history)) == 1
 
 
-def test_old_read_is_missed() -> None:
+@pytest.mark.parametrize("asked_at", [2.05, 1.45])
+def test_read_older_than_an_acknowledged_or_read_version_is_missed(asked_at: float) -> None:
     history = sound_history()
-    history.reads.append(ConfigurationRead(2.6, 3))
+    history.reads.append(ConfigurationRead("control-0", asked_at, 2.7, 3, "three"))
+    assert len(find_violations(history)) == 1
+
+
+@pytest.mark.parametrize(
+    "read",
+    [
+        ConfigurationRead("control-0", 2.5, 2.6, 5, "three"),
+        ConfigurationRead("control-0", 2.5, 2.6, 6, "six"),
+        ConfigurationRead("control-0", 1.0, 1.1, 5, "five"),
+    ],
+    ids=["other content", "never put", "before it was put"],
+)
+def test_read_of_what_was_not_put_is_missed(read: ConfigurationRead) -> None:
+    history = sound_history()
+    history.reads.append(read)
+    assert find_violations(history)
+
+
+def test_digest_depends_on_the_order_of_fields() -> None:
+    assert configuration_digest('{"a": 1, "b": [1, 2]}') == configuration_digest(
+        b'{"b":[1,2],"a":1}'
+    )
+    assert configuration_digest('{"b": [1, 2]}') != configuration_digest('{"b": [2, 1]}')
+
+
+def test_refusal_of_all_changes_after_the_recovery_is_missed() -> None:
+    history = sound_history()
+    history.recovered_at = 2.1
+    assert len(find_violations(history)) == 1
+
+
+def test_process_that_ended_by_itself_is_missed() -> None:
+    history = sound_history()
+    history.ended = ["control-2"]
     assert len(find_violations(history)) == 1
 
 
@@ -86,10 +129,12 @@
     assert len(find_violations(history)) == 2
 
 
-@pytest.mark.parametrize("final_version", [None, 3])
-def test_lost_configuration_is_missed(final_version: int | None) -> None:
+@pytest.mark.parametrize("final_versions", [{}, {"control-0": None}, {"control-0": 3}])
+def test_lost_configuration_is_missed(final_versions: dict[str, int | None]) -> None:
     history = sound_history()
-    history.final_version = final_version
+    history.final_versions |= final_versions
+    if not final_versions:
+        history.final_versions = {}
     assert len(find_violations(history)) == 1
 
 
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -19,14 +19,15 @@
 import anyio
 import httpx
 
-from tools.node_processes import Build, NodeProcesses, claim_network
-from tools.soak.clients import Caller, Operator
+from tools.node_processes import ROOT, Build, NodeProcesses, claim_network
+from tools.soak.clients import OPERATOR_TIMEOUT_S, Caller, Operator
 from tools.soak.endpoints import StandInEndpoint
 from tools.soak.faults import CONTROL_COUNT, ENTRY_COUNT, Faults
 from tools.soak.history import History, find_violations
 
 ENDPOINT_COUNT = 5
 CALLER_COUNT = 10
+PUT_LANES, READERS = 2, 3
 START_TIMEOUT_S = 20.0
 RECOVERY_S = 12.0
 CALM_S = 4.0
@@ -52,9 +53,9 @@
     violations: list[str]
 
 
-async def soak(seed: int, duration_s: float, nodes: NodeProcesses) -> Report:
+async def soak(seed: int, duration_s: float, nodes: NodeProcesses, build: Build) -> Report:
     """Run one seed; the processes must be ended by the caller."""
-    random, history, build = Random(seed), History(), Build()
+    random, history = Random(seed), History()
     control_hosts = [nodes.control_host(number) for number in range(CONTROL_COUNT)]
     entry_hosts = [nodes.entry_host(number) for number in range(ENTRY_COUNT)]
     for number in range(CONTROL_COUNT):
@@ -62,11 +63,15 @@
     for number in range(ENTRY_COUNT):
         nodes.start_entry(number, build)
     incarnations = dict.fromkeys(entry_hosts, 1)
-    operator = Operator(control_hosts, entry_hosts, history, Random(seed), incarnations)
-    with anyio.fail_after(START_TIMEOUT_S):
-        while not await operator.put_next():  # noqa: ASYNC110 - an answer has no event.
-            await anyio.sleep(0.2)
-    async with anyio.create_task_group() as tasks:
+    limits = httpx.Limits(keepalive_expiry=None)
+    async with (
+        httpx.AsyncClient(timeout=OPERATOR_TIMEOUT_S, limits=limits) as client,
+        anyio.create_task_group() as tasks,
+    ):
+        operator = Operator(client, control_hosts, entry_hosts, history, Random(seed), incarnations)
+        with anyio.fail_after(START_TIMEOUT_S):
+            while not await operator.put_next():  # noqa: ASYNC110 - an answer has no event.
+                await anyio.sleep(0.2)
         endpoints = [
             StandInEndpoint(
                 f"runner-{number}",
@@ -93,13 +98,14 @@
         tasks.start_soon(faults.restart_endpoints)
         await faults.run(duration_s)
         await anyio.sleep(RECOVERY_S)
-        recovered_at = time.monotonic()
+        recovered_at = history.recovered_at = time.monotonic()
         await anyio.sleep(CALM_S)
         # A version acknowledged beside the last read would seem lost.
         watching.cancel()
-        with anyio.move_on_after(FINAL_READ_TIMEOUT_S):
-            while history.final_version is None:
-                history.final_version = await operator.read()
+        async with anyio.create_task_group() as reads:
+            for host in control_hosts:
+                reads.start_soon(operator.read_until_answered, host, FINAL_READ_TIMEOUT_S)
+        history.ended = [name for name, each in nodes.processes.items() if each.poll() is not None]
         tasks.cancel_scope.cancel()
     late = [answer for answer in history.answers if answer.sent_at > recovered_at]
     not_served = Counter(
@@ -119,21 +125,34 @@
 
 async def _watch(operator: Operator, scope: anyio.CancelScope) -> None:
     """Put, read and probe until cancelled."""
-    with scope:
+
+    async def put() -> None:
         while True:
-            await operator.put_next(patience_s=3.0)
-            for _ in range(3):
-                await operator.read()
-                await operator.probe_entries()
-                await anyio.sleep(0.2)
+            await operator.put_next()
+            await anyio.sleep(operator.random.uniform(0.0, 0.6))
+
+    async def read() -> None:
+        while True:
+            await operator.read(operator.random.choice(operator.control_hosts))
+            await anyio.sleep(operator.random.uniform(0.0, 0.4))
+
+    async def probe() -> None:
+        while True:
+            await operator.probe_entries()
+            await anyio.sleep(0.3)
+
+    with scope:
+        async with anyio.create_task_group() as tasks:
+            for client in [put] * PUT_LANES + [read] * READERS + [probe]:
+                tasks.start_soon(client)
 
 
-def run_seed(seed: int, duration_s: float, logs: Path) -> Report:
+def run_seed(seed: int, duration_s: float, logs: Path, build: Build) -> Report:
     """Run one seed with processes of its own; keep their logs if there is something to explain."""
     with tempfile.TemporaryDirectory() as folder, claim_network() as network:
         nodes = NodeProcesses(Path(folder), network)
         try:
-            report = anyio.run(soak, seed, duration_s, nodes)
+            report = anyio.run(soak, seed, duration_s, nodes, build)
         finally:
             nodes.kill_all()
         if report.violations or report.served_share < KEPT_LOGS_SHARE:
@@ -147,13 +166,14 @@
     parser.add_argument("--seed", type=int, default=1, help="the first seed")
     parser.add_argument("--seeds", type=int, default=1, help="how many seeds")
     parser.add_argument("--seconds", type=float, default=20.0, help="faults for so long")
+    parser.add_argument("--tree", type=Path, default=ROOT, help="the source tree of the build")
     parser.add_argument("--logs", type=Path, default=Path("target/soak"))
     options = parser.parse_args()
     totals: Counter[str] = Counter()
     broken = 0
     print(f"{'seed':>6} {'requests':>9} {'faults':>7} {'served after':>13}  broken promises")
     for seed in range(options.seed, options.seed + options.seeds):
-        report = run_seed(seed, options.seconds, options.logs)
+        report = run_seed(seed, options.seconds, options.logs, Build(options.tree.resolve()))
         totals += report.injected
         broken += bool(report.violations)
         print(
--- a/tools/soak/clients.py
+++ b/tools/soak/clients.py
@@ -13,12 +13,21 @@
 
 from tools.node_processes import CALLER_PORT, CONTROL_PORT, DIRECTORY_PORT
 from tools.soak.endpoints import DEADLY_PART, PROMPT_HEADER
-from tools.soak.history import CallerAnswer, ConfigurationRead, History, VersionInForce
+from tools.soak.history import (
+    CallerAnswer,
+    ConfigurationPut,
+    ConfigurationRead,
+    History,
+    VersionInForce,
+    configuration_digest,
+)
 
 HOST = "soak.example"
 REQUEST_TIMEOUT_S = 2.0
 DIRECTORY_LIFETIME_S = 2.0
 CONTROL_TIMEOUT_S = 1.0
+OPERATOR_TIMEOUT_S = 3.0
+PROBED_VERSIONS = 8
 ROUTES = ("status", "order", "stream", "stream")
 KIND_BY_ROUTE = {"status": "safe", "order": "unsafe", "stream": "stream"}
 
@@ -123,9 +132,11 @@
 class Operator:
     """Puts configurations, reads them back, and asks entries which version is in force.
 
+    :param client: its connections stay open while their processes run.
     :param incarnations: the count of starts of each entry's process, by address.
     """
 
+    client: httpx.AsyncClient
     control_hosts: list[str]
     entry_hosts: list[str]
     history: History
@@ -139,6 +150,7 @@
         self.version += self.random.randint(1, 3)
         version = self.version
         text = json.dumps(configuration(version, self.extra_routes))
+        self.history.puts[version] = ConfigurationPut(time.monotonic(), configuration_digest(text))
         with anyio.move_on_after(patience_s):
             while True:
                 if await self._put(text) == httpx.codes.OK:
@@ -147,6 +159,11 @@
                 await anyio.sleep(0.1)
         return False
 
+    async def put_other_content(self) -> None:
+        """Put other content under the newest acknowledged version; it must not be read back."""
+        version = max(self.history.acknowledged)
+        await self._put(json.dumps(configuration(version, 1)))
+
     async def put_invalid(self) -> None:
         """Put a version that must be refused."""
         self.version += 1
@@ -157,33 +174,40 @@
             self.history.acknowledged[self.version] = time.monotonic()
 
     async def _put(self, text: str) -> int:
-        return (await self._call("POST", "put", text))[0]
+        return (await self._call(self.random.choice(self.control_hosts), "POST", "put", text))[0]
 
-    async def read(self) -> int | None:
-        """Read the configuration at one control VM and record its version."""
+    async def read(self, host: str) -> int | None:
+        """Read the configuration at a control VM and record what it returns."""
         asked_at = time.monotonic()
-        status, body = await self._call("GET", "get", "")
+        status, body = await self._call(host, "GET", "get", "")
         if status != httpx.codes.OK:
             return None
-        version = int(json.loads(body)["version"])
-        self.history.reads.append(ConfigurationRead(asked_at, version))
+        answered_at, version = time.monotonic(), int(json.loads(body)["version"])
+        digest = configuration_digest(body)
+        read = ConfigurationRead(host, asked_at, answered_at, version, digest)
+        self.history.reads.append(read)
         return version
 
-    async def _call(self, method: str, verb: str, text: str) -> tuple[int, bytes]:
-        host = self.random.choice(self.control_hosts)
+    async def read_until_answered(self, host: str, patience_s: float) -> None:
+        """Record what a control VM returns at the end of the run."""
+        self.history.final_versions[host] = None
+        with anyio.move_on_after(patience_s):
+            while self.history.final_versions[host] is None:
+                self.history.final_versions[host] = await self.read(host)
+
+    async def _call(self, host: str, method: str, verb: str, text: str) -> tuple[int, bytes]:
         url = f"http://{host}:{CONTROL_PORT}/bergamotchute/config/{verb}"
         try:
-            async with httpx.AsyncClient(timeout=CONTROL_TIMEOUT_S) as client:
-                response = await client.request(method, url, content=text)
-                return response.status_code, response.content
+            response = await self.client.request(method, url, content=text)
         except httpx.HTTPError:
             return 0, b""
+        return response.status_code, response.content
 
     async def probe_entries(self) -> None:
         """Ask each entry by which of the last versions it routes."""
         for host in self.entry_hosts:
             incarnation = self.incarnations[host]
-            for version in range(self.version, max(0, self.version - 8), -1):
+            for version in range(self.version, max(0, self.version - PROBED_VERSIONS), -1):
                 if await self._is_routed(host, version):
                     if incarnation == self.incarnations[host]:
                         seen = VersionInForce(host, incarnation, version)
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -18,6 +18,7 @@
 CONTROL_COUNT = 5
 ENTRY_COUNT = 3
 MAX_OVERLAPPING = 2
+MAX_CONTROL_OUT = 2
 DEADLY_PROMPTS_S = 6.0
 ENDPOINT_RESTART_S = 0.5
 
@@ -45,6 +46,10 @@
             "kill a control VM": lambda: self._restart(self._control(), in_order=False),
             "stop a control VM": lambda: self._restart(self._control(), in_order=True),
             "kill all control VMs": self._kill_all_control,
+            "restart a control VM in short order": lambda: self._restart_often(self._control()),
+            "restart a control VM beside a frozen one": self._restart_beside_frozen,
+            "fill the disk of a control VM": lambda: self._fill_disk(self._control(), 6.0),
+            "fill the disks of control VMs in turn": self._fill_disks_in_turn,
             "freeze an entry": lambda: self._freeze(self._entry()),
             "kill an entry": lambda: self._restart(self._entry(), in_order=False),
             "stop an entry": lambda: self._restart(self._entry(), in_order=True),
@@ -55,6 +60,7 @@
             "storm of configurations": self._storm,
             "large configuration": self._large_configuration,
             "invalid configuration": self.operator.put_invalid,
+            "other content under a version": self.operator.put_other_content,
         }
         end = anyio.current_time() + duration_s
         limiter = anyio.CapacityLimiter(MAX_OVERLAPPING)
@@ -94,15 +100,15 @@
             self.nodes.start_entry(int(number), self.build)
 
     def _reserve(self, name: str) -> bool:
-        """Reserve a process for a fault; of the control VMs, one at a time."""
-        key = name.partition("-")[0] if name.startswith("control") else name
-        if key in self.busy:
+        """Reserve a process for a fault; of the control VMs, two at a time."""
+        controls = sum(each.startswith("control") for each in self.busy)
+        if name in self.busy or (name.startswith("control") and controls >= MAX_CONTROL_OUT):
             return False
-        self.busy.add(key)
+        self.busy.add(name)
         return True
 
     def _release(self, name: str) -> None:
-        self.busy.discard(name.partition("-")[0] if name.startswith("control") else name)
+        self.busy.discard(name)
 
     async def _freeze(self, name: str) -> None:
         if not self._reserve(name):
@@ -110,7 +116,7 @@
         process = self.nodes.processes[name]
         process.send_signal(signal.SIGSTOP)
         try:
-            await anyio.sleep(self.random.uniform(0.3, 3.0))
+            await anyio.sleep(self.random.uniform(0.3, 6.0))
         finally:
             process.send_signal(signal.SIGCONT)
             self._release(name)
@@ -124,16 +130,46 @@
         await anyio.sleep(2.0)
         self._release(name)
 
-    async def _kill_all_control(self) -> None:
-        if not self._reserve("control"):
+    async def _restart_often(self, name: str) -> None:
+        if not self._reserve(name):
+            return
+        for _ in range(self.random.randint(2, 4)):
+            await anyio.to_thread.run_sync(self.nodes.kill, name)
+            self._start(name)
+            await anyio.sleep(self.random.uniform(0.8, 3.0))
+        self._release(name)
+
+    async def _restart_beside_frozen(self) -> None:
+        restarted, frozen = self.random.sample(range(CONTROL_COUNT), 2)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._restart_often, f"control-{restarted}")
+            for _ in range(2):
+                await anyio.sleep(self.random.uniform(0.5, 2.0))
+                await self._freeze(f"control-{frozen}")
+
+    async def _fill_disk(self, name: str, most_s: float) -> None:
+        if not self._reserve(name):
             return
+        self.nodes.fill_disk(name)
+        await anyio.sleep(self.random.uniform(0.4, most_s))
+        self.nodes.free_disk(name)
+        self._release(name)
+
+    async def _fill_disks_in_turn(self) -> None:
+        for number in range(CONTROL_COUNT):
+            await self._fill_disk(f"control-{number}", 1.5)
+
+    async def _kill_all_control(self) -> None:
         names = [f"control-{number}" for number in range(CONTROL_COUNT)]
+        if self.busy & set(names):
+            return
+        self.busy |= set(names)
         await anyio.to_thread.run_sync(self.nodes.kill, *names)
         await anyio.sleep(self.random.uniform(0.0, 1.0))
         for name in names:
             self._start(name)
         await anyio.sleep(4.0)
-        self._release("control")
+        self.busy -= set(names)
 
     async def _reload(self) -> None:
         for process in self.nodes.processes.values():
--- a/tools/soak/history.py
+++ b/tools/soak/history.py
@@ -5,9 +5,13 @@
 
 from __future__ import annotations
 
+import hashlib
+import json
+from bisect import bisect_left
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from itertools import accumulate
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses by which an entry says that a request has not run and never will."""
@@ -39,10 +43,27 @@
     """One answer to a read of the configuration.
 
     :param asked_at: when the read was sent, in seconds.
+    :param answered_at: when its answer was there, in seconds.
+    :param digest: of the content; see :func:`configuration_digest`.
     """
 
+    host: str
     asked_at: float
+    answered_at: float
     version: int
+    digest: str
+
+
+@dataclass(frozen=True)
+class ConfigurationPut:
+    """The first put of a valid version.
+
+    :param sent_at: in seconds.
+    :param digest: of the content; see :func:`configuration_digest`.
+    """
+
+    sent_at: float
+    digest: str
 
 
 @dataclass(frozen=True)
@@ -62,17 +83,24 @@
     """All observations of one run, in their order.
 
     :param runs: how often each request ran, by request and endpoint.
-    :param acknowledged: when each version was acknowledged.
+    :param puts: the valid versions that were put.
+    :param acknowledged: when each version was first acknowledged.
     :param refused_versions: versions that are invalid and must not be acknowledged.
+    :param final_versions: what each control VM returned at the end; ``None`` without an answer.
+    :param recovered_at: since when changes must be acknowledged again, in seconds.
+    :param ended: processes that had ended at the end, though each that a fault ended was started again.
     """
 
     answers: list[CallerAnswer] = field(default_factory=list)
     runs: Counter[str] = field(default_factory=Counter)
+    puts: dict[int, ConfigurationPut] = field(default_factory=dict)
     acknowledged: dict[int, float] = field(default_factory=dict)
     refused_versions: set[int] = field(default_factory=set)
     reads: list[ConfigurationRead] = field(default_factory=list)
     in_force: list[VersionInForce] = field(default_factory=list)
-    final_version: int | None = None
+    final_versions: dict[str, int | None] = field(default_factory=dict)
+    recovered_at: float = float("-inf")
+    ended: list[str] = field(default_factory=list)
     deadly_arrivals: list[float] = field(default_factory=list)
     crashes: list[float] = field(default_factory=list)
 
@@ -87,6 +115,11 @@
     return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
 
 
+def configuration_digest(text: str | bytes) -> str:
+    """Return the digest of a configuration, whatever the order of its fields."""
+    return hashlib.sha256(json.dumps(json.loads(text), sort_keys=True).encode()).hexdigest()
+
+
 def find_violations(history: History) -> list[str]:
     """Return each broken promise in a line."""
     checks = (
@@ -94,9 +127,12 @@
         find_repeated_runs,
         find_false_refusals,
         find_old_reads,
+        find_foreign_reads,
+        find_stalled_puts,
         find_regressions,
         find_lost_configurations,
         find_surplus_crashes,
+        find_ended_processes,
     )
     return [line for check in checks for line in check(history)]
 
@@ -130,15 +166,36 @@
 
 
 def find_old_reads(history: History) -> Iterator[str]:
-    """Find reads that returned a version older than one acknowledged before."""
+    """Find reads that returned a version older than one acknowledged or read before."""
+    seen = [(at, version) for version, at in history.acknowledged.items()]
+    seen += [(read.answered_at, read.version) for read in history.reads]
+    seen.sort()
+    times = [at for at, _ in seen]
+    newest = [0, *accumulate((version for _, version in seen), max)]
     for read in history.reads:
-        older = [
-            version
-            for version, at in history.acknowledged.items()
-            if at < read.asked_at and version > read.version
-        ]
-        if older:
-            yield f"a read returned version {read.version} after {max(older)} was acknowledged"
+        expected = newest[bisect_left(times, read.asked_at)]
+        if read.version < expected:
+            yield (
+                f"{read.host} returned version {read.version} at {read.answered_at:.3f} s;"
+                f" {expected} was acknowledged or read before {read.asked_at:.3f} s"
+            )
+
+
+def find_foreign_reads(history: History) -> Iterator[str]:
+    """Find reads that returned a version before it was put, or with other content."""
+    for read in history.reads:
+        put = history.puts.get(read.version)
+        if put is None or put.sent_at > read.answered_at:
+            yield f"{read.host} returned version {read.version}, which had not been put"
+        elif put.digest != read.digest:
+            yield f"{read.host} returned version {read.version} with other content than was put"
+
+
+def find_stalled_puts(history: History) -> Iterator[str]:
+    """Find that no change was acknowledged after the recovery."""
+    newest = max(history.acknowledged.values(), default=0.0)
+    if newest < history.recovered_at:
+        yield "no change was acknowledged after the recovery"
 
 
 def find_regressions(history: History) -> Iterator[str]:
@@ -156,12 +213,21 @@
 
 
 def find_lost_configurations(history: History) -> Iterator[str]:
-    """Find acknowledged versions that the last read does not hold."""
+    """Find acknowledged versions that the last read at a control VM does not return."""
     newest = max(history.acknowledged, default=0)
-    if newest and history.final_version is None:
-        yield f"no control VM returned a configuration at the end; {newest} was acknowledged"
-    elif newest > (history.final_version or 0):
-        yield f"version {newest} was acknowledged; the last read returned {history.final_version}"
+    if newest and not history.final_versions:
+        yield f"no control VM was read at the end; {newest} was acknowledged"
+    for host, version in history.final_versions.items():
+        if version is None:
+            yield f"{host} returned no configuration at the end; {newest} was acknowledged"
+        elif version < newest:
+            yield f"{host} returned version {version} at the end; {newest} was acknowledged"
+
+
+def find_ended_processes(history: History) -> Iterator[str]:
+    """Find processes that ended by themselves."""
+    for name in history.ended:
+        yield f"{name} ended by itself"
 
 
 STABLE_WINDOW_S = 3.0
