--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
@@ -82,7 +82,7 @@
 """How long a relay may use a view after a quorum has confirmed it."""
 
 INTRODUCTION_INTERVAL_S = 0.5
-MEMBERSHIP_CHECK_INTERVAL_S = 1.0
+MEMBERSHIP_CHECK_INTERVAL_S = 0.5
 INTRODUCTION_LIFETIME_S = 3.0
 LEADERLESS_TIMEOUT_S = 4.0
 """Time without a leader after which a member introduces itself again; several elections fit in."""
@@ -155,6 +155,7 @@
         self.wake_event = anyio.Event()
         self.received_introductions: dict[Address, tuple[float, Introduction]] = {}
         self.step_listeners: list[Callable[[], None]] = []
+        self.folder_opened_listeners: list[Callable[[], None]] = []
         self.leader_last_known_at = float("-inf")
         self.has_refused_folder = False
 
@@ -208,6 +209,8 @@
             me, self.replica_settings, self.random, recovered, anyio.current_time()
         )
         self.state.reset(recovered.snapshot)
+        for listener in self.folder_opened_listeners:
+            listener()
         self.membership_planner = self._new_membership_planner()
         self.disk_writer = DiskWriter(storage, self._post_event, self.run_blocking)
 
--- a/tests/daemon/test_control_process.py
+++ b/tests/daemon/test_control_process.py
@@ -5,6 +5,7 @@
 import anyio
 import pytest
 
+from bergamotchute_consensus.messages import Introduction
 from bergamotchute_daemon.node_runner import NODES_PATH
 from bergamotchute_model.endpoint_heartbeat import EndpointPhase
 from bergamotchute_model.identifiers import Address
@@ -148,6 +149,30 @@
     run_control(body)
 
 
+def test_a_process_that_refuses_its_folder_says_so_while_the_others_serve() -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(3)
+        assert await group.processes[0].put_configuration(3, b"three")
+        damaged = next(number for number in range(3) if number != group.leader)
+        group.kill(damaged)
+        disk = group.disks[damaged]
+        log_file = next(name for name in disk.file_names() if name.startswith("log-"))
+        disk.files[log_file].data[40] ^= 1
+        process = group.start(damaged)
+        await anyio.sleep(5)
+        assert process.gauges()["folder_refused"] == 1.0
+        assert process.gauges()["voters"] == 0.0
+        assert any(each.event == "voter_refuses" for each in process.log.recent_records)
+        assert await configuration_at(group, damaged) is None
+        assert not await process.put_configuration(4, b"four")
+        healthy = next(number for number in range(3) if number != damaged)
+        assert group.processes[healthy].gauges()["folder_refused"] == 0.0
+        assert await group.processes[healthy].put_configuration(4, b"four")
+        assert await configuration_at(group, healthy) == (4, b"four")
+
+    run_control(body)
+
+
 def test_a_permanently_lost_process_is_replaced_by_another() -> None:
     async def body(group: ControlGroup) -> None:
         await group.found(5)
@@ -155,13 +180,73 @@
         group.kill(1)
         await anyio.sleep(1)
         group.start(5)
-        await group.wait_until(lambda: group.voter_count() == 6)
-        await group.wait_until(lambda: group.voter_count() == 5)
+        counts: set[int] = set()
+
+        def is_replaced() -> bool:
+            counts.add(group.voter_count())
+            return group.votes(5) and group.voter_count() == 5
+
+        await group.wait_until(is_replaced)
+        assert counts <= {0, 4, 5}, "the lost process still votes beside its successor"
+        await anyio.sleep(15)
+        assert group.voter_count() == 5
         assert await configuration_at(group, 5) == (3, b"three")
 
     run_control(body)
 
 
+def test_a_late_introduction_of_an_emptied_process_removes_no_healthy_voter() -> None:
+    async def body(group: ControlGroup) -> None:
+        await group.found(5)
+        emptied = next(number for number in range(5) if number != group.leader)
+        former = group.processes[emptied].voter.replica
+        assert former is not None
+        late = Introduction(former.state.local_member, former.state.hard_state.cluster, False, ())
+        group.wipe(emptied)
+        await anyio.sleep(0.3)
+        group.start(emptied)
+        await group.wait_until(lambda: group.votes(emptied) and group.voter_count() == 5)
+        assert group.leader is not None
+        for _ in range(100):
+            group.processes[group.leader].voter.on_introduction(late)
+            await anyio.sleep(0.1)
+            assert group.votes(emptied)
+            assert group.voter_count() == 5
+        replica = group.processes[group.leader].voter.replica
+        assert replica is not None
+        assert not replica.state.membership.learners, "no replica runs under the former identity"
+
+    run_control(body)
+
+
+@pytest.mark.parametrize("is_leader_cut_off", [False, True])
+def test_a_majority_of_the_counted_processes_has_a_leader_once_a_lost_one_is_replaced(
+    is_leader_cut_off: bool,
+) -> None:
+    """Guards against a dead voter that raises the quorum after its successor has got the vote."""
+
+    async def body(group: ControlGroup) -> None:
+        await group.found(5)
+        lost = next(number for number in range(5) if number != group.leader)
+        group.kill(lost)
+        await anyio.sleep(1)
+        group.start(5)
+        await group.wait_until(lambda: group.votes(5))
+        counted = [number for number in range(6) if number != lost]
+        leader_first = sorted(counted, key=lambda number: number != group.leader)
+        minority = leader_first[:2] if is_leader_cut_off else leader_first[3:]
+        majority = [number for number in counted if number not in minority]
+        for number in minority:
+            for other in majority:
+                group.network.cut(f"control-{number}", f"control-{other}")
+        await group.wait_until(lambda: group.leader in majority, wait_timeout_s=5.0)
+        await anyio.sleep(2)
+        assert group.leader in majority
+        assert await group.processes[majority[0]].put_configuration(3, b"three")
+
+    run_control(body)
+
+
 def test_a_member_removed_while_it_was_down_rejoins() -> None:
     async def body(group: ControlGroup) -> None:
         await group.found(5)
