--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -19,18 +19,20 @@
 import anyio
 import httpx
 
-from tools.node_processes import Build, NodeProcesses
-from tools.soak.clients import Caller, Operator
+from tools.node_processes import ROOT, Build, NodeProcesses, claim_network
+from tools.soak.clients import OPERATOR_TIMEOUT_S, Caller, Operator, open_client
 from tools.soak.endpoints import StandInEndpoint
 from tools.soak.faults import CONTROL_COUNT, ENTRY_COUNT, Faults
 from tools.soak.history import History, find_violations
 
 ENDPOINT_COUNT = 5
 CALLER_COUNT = 10
+PUT_LANES, READERS = 2, 3
 START_TIMEOUT_S = 20.0
 RECOVERY_S = 12.0
 CALM_S = 4.0
 FINAL_READ_TIMEOUT_S = 10.0
+STALL_PROBE_S = 0.02
 
 KEPT_LOGS_SHARE = 0.95
 """Share of requests served after recovery below which the logs of a run are kept."""
@@ -41,20 +43,23 @@
     """The outcome of one seed.
 
     :param served_share: share of the requests after the recovery that were served.
+    :param stall_s: longest time, since the recovery, in which the soak's own process did not run its
+        clients and endpoints.
     :param not_served: how these requests ended otherwise, by status; 0 for no whole response.
     """
 
     seed: int
     requests: int
     served_share: float
+    stall_s: float
     not_served: Counter[int]
     injected: Counter[str]
     violations: list[str]
 
 
-async def soak(seed: int, duration_s: float, nodes: NodeProcesses) -> Report:
+async def soak(seed: int, duration_s: float, nodes: NodeProcesses, build: Build) -> Report:
     """Run one seed; the processes must be ended by the caller."""
-    random, history, build = Random(seed), History(), Build()
+    random, history = Random(seed), History()
     control_hosts = [nodes.control_host(number) for number in range(CONTROL_COUNT)]
     entry_hosts = [nodes.entry_host(number) for number in range(ENTRY_COUNT)]
     for number in range(CONTROL_COUNT):
@@ -62,16 +67,20 @@
     for number in range(ENTRY_COUNT):
         nodes.start_entry(number, build)
     incarnations = dict.fromkeys(entry_hosts, 1)
-    operator = Operator(control_hosts, entry_hosts, history, Random(seed), incarnations)
-    with anyio.fail_after(START_TIMEOUT_S):
-        while not await operator.put_next():  # noqa: ASYNC110 - an answer has no event.
-            await anyio.sleep(0.2)
-    async with anyio.create_task_group() as tasks:
+    async with (
+        open_client(OPERATOR_TIMEOUT_S) as client,
+        anyio.create_task_group() as tasks,
+    ):
+        operator = Operator(client, control_hosts, entry_hosts, history, Random(seed), incarnations)
+        with anyio.fail_after(START_TIMEOUT_S):
+            while not await operator.put_next():  # noqa: ASYNC110 - an answer has no event.
+                await anyio.sleep(0.2)
         endpoints = [
             StandInEndpoint(
                 f"runner-{number}",
                 f"127.0.{nodes.network + 2}.{number + 1}",
                 "work",
+                client,
                 control_hosts,
                 history,
                 Random(seed + number),
@@ -93,13 +102,14 @@
         tasks.start_soon(faults.restart_endpoints)
         await faults.run(duration_s)
         await anyio.sleep(RECOVERY_S)
-        recovered_at = history.calm_from = time.monotonic()
-        await anyio.sleep(CALM_S)
+        recovered_at = history.recovered_at = time.monotonic()
+        stall_s = await _measure_stall(CALM_S)
         # A version acknowledged beside the last read would seem lost.
         watching.cancel()
-        with anyio.move_on_after(FINAL_READ_TIMEOUT_S):
-            while history.final_version is None:
-                history.final_version = await operator.read()
+        async with anyio.create_task_group() as reads:
+            for host in control_hosts:
+                reads.start_soon(operator.read_until_answered, host, FINAL_READ_TIMEOUT_S)
+        history.ended = [name for name, each in nodes.processes.items() if each.poll() is not None]
         tasks.cancel_scope.cancel()
     late = [answer for answer in history.answers if answer.sent_at > recovered_at]
     not_served = Counter(
@@ -111,6 +121,7 @@
         seed,
         len(history.answers),
         1.0 - not_served.total() / max(1, len(late)),
+        stall_s,
         not_served,
         faults.injected,
         find_violations(history),
@@ -119,24 +130,43 @@
 
 async def _watch(operator: Operator, scope: anyio.CancelScope) -> None:
     """Put, read and probe until cancelled."""
-    with scope:
+
+    async def put() -> None:
         while True:
-            await operator.put_next(patience_s=3.0)
-            for _ in range(3):
-                await operator.read()
-                await operator.probe_entries()
-                await anyio.sleep(0.2)
+            await operator.put_next()
+            await anyio.sleep(operator.random.uniform(0.0, 0.6))
+
+    async def read() -> None:
+        while True:
+            await operator.read(operator.random.choice(operator.control_hosts))
+            await anyio.sleep(operator.random.uniform(0.0, 0.4))
 
+    async def probe() -> None:
+        while True:
+            await operator.probe_entries()
+            await anyio.sleep(0.3)
 
-def run_seed(seed: int, duration_s: float, logs: Path, network: int) -> Report:
-    """Run one seed with processes of its own; keep their logs if there is something to explain.
+    with scope:
+        async with anyio.create_task_group() as tasks:
+            for client in [put] * PUT_LANES + [read] * READERS + [probe]:
+                tasks.start_soon(client)
 
-    :param network: the third number of the loopback addresses; the next two are used as well.
-    """
-    with tempfile.TemporaryDirectory() as folder:
+
+async def _measure_stall(duration_s: float) -> float:
+    """Return by how much the longest of many short sleeps was too long, in seconds."""
+    longest_s, end = 0.0, time.monotonic() + duration_s
+    while (began := time.monotonic()) < end:
+        await anyio.sleep(STALL_PROBE_S)
+        longest_s = max(longest_s, time.monotonic() - began - STALL_PROBE_S)
+    return longest_s
+
+
+def run_seed(seed: int, duration_s: float, logs: Path, build: Build) -> Report:
+    """Run one seed with processes of its own; keep their logs if there is something to explain."""
+    with tempfile.TemporaryDirectory() as folder, claim_network() as network:
         nodes = NodeProcesses(Path(folder), network)
         try:
-            report = anyio.run(soak, seed, duration_s, nodes)
+            report = anyio.run(soak, seed, duration_s, nodes, build)
         finally:
             nodes.kill_all()
         if report.violations or report.served_share < KEPT_LOGS_SHARE:
@@ -150,14 +180,14 @@
     parser.add_argument("--seed", type=int, default=1, help="the first seed")
     parser.add_argument("--seeds", type=int, default=1, help="how many seeds")
     parser.add_argument("--seconds", type=float, default=20.0, help="faults for so long")
-    parser.add_argument("--network", type=int, default=10, help="for several runs at once")
+    parser.add_argument("--tree", type=Path, default=ROOT, help="the source tree of the build")
     parser.add_argument("--logs", type=Path, default=Path("target/soak"))
     options = parser.parse_args()
     totals: Counter[str] = Counter()
     broken = 0
     print(f"{'seed':>6} {'requests':>9} {'faults':>7} {'served after':>13}  broken promises")
     for seed in range(options.seed, options.seed + options.seeds):
-        report = run_seed(seed, options.seconds, options.logs, options.network)
+        report = run_seed(seed, options.seconds, options.logs, Build(options.tree.resolve()))
         totals += report.injected
         broken += bool(report.violations)
         print(
@@ -165,6 +195,8 @@
             f" {report.served_share:>13.3f}  {len(report.violations)}",
             flush=True,
         )
+        if report.not_served:
+            print(f"       the soak's own process stalled for {report.stall_s:.2f} s at most")
         for status, count in sorted(report.not_served.items()):
             print(f"       after recovery: {count} x status {status}", flush=True)
         for line in report.violations[:10]:
