--- a/tests/support/control_walk.py
+++ b/tests/support/control_walk.py
@@ -59,9 +59,10 @@
 WAIT_FOR_REDUNDANCY_S = 10.0
 MEMBERSHIP_CHECK_INTERVAL_S = 0.1
 DISK_REOPENING_S = 5.0
-"""A voter whose disk failed opens its folder again after this time."""
+"""A voter whose disk failed has opened its folder again by then."""
 
 STABILITY_S = 3.0
+CLIENTS_AFTER_HEALING_S = 1.0
 ACKNOWLEDGEMENT_LIMIT_S = 4.0
 FOLLOWER_LIMIT_S = 2.0
 REDUNDANCY_LIMIT_S = 30.0
@@ -200,7 +201,7 @@
                     faults.start_soon(move)
                 faults.cancel_scope.cancel()
             self._heal()
-            await anyio.sleep(1.0)
+            await anyio.sleep(CLIENTS_AFTER_HEALING_S)
             clients.cancel_scope.cancel()
         async with anyio.create_task_group() as watch:
             watch.start_soon(self._watch_membership)
@@ -542,7 +543,7 @@
 
     async def _check_healed(self) -> None:
         """Check that the healed group serves in time and regains its redundancy."""
-        await anyio.sleep(DISK_REOPENING_S + STABILITY_S)
+        await anyio.sleep(STABILITY_S - CLIENTS_AFTER_HEALING_S)
         for position in range(len(self.numbers)):
             order = self.numbers[position:] + self.numbers[:position]
             await self._within_limit("put", self._put_at_any(order))
