--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/configuration_follower.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/configuration_follower.py
@@ -37,6 +37,8 @@
     :param post: sends a message to one control VM.
     :param post_all: sends a message to every linked control VM.
     :param on_configuration: called with each newer configuration.
+    :param awaited_since: when a version was first reported that is newer than the one in force, on
+        the runtime's clock; ``None`` if there is none.
     :param reported: the versions reported while no configuration is in force, and when, on the
         runtime's clock.
     :param awaited: when the text was last requested from each control VM that has not sent it, on
@@ -51,6 +53,7 @@
     version: int = 0
     requested_version: int = 0
     requested_at: float = float("-inf")
+    awaited_since: float | None = None
     reported: list[tuple[float, int]] = field(default_factory=list)
     awaited: dict[Address, float] = field(default_factory=dict)
 
@@ -59,6 +62,8 @@
         if message.version <= self.version:
             return
         now = anyio.current_time()
+        if self.awaited_since is None:
+            self.awaited_since = now
         if not self.version:
             self.reported.append((now, message.version))
         is_recent = now - self.requested_at < REQUEST_RETRY_DELAY_S
@@ -90,7 +95,7 @@
             )
             return
         if message.version > self.version:
-            self._use(message)
+            self._use(address, message)
         if message.version < self.requested_version and self.version < self.requested_version:
             self._request(address)
 
@@ -103,7 +108,7 @@
         aged = [version for at, version in self.reported if at <= reported_until]
         return max(first + aged, default=0)
 
-    def _use(self, message: ConfigurationText) -> None:
+    def _use(self, address: Address, message: ConfigurationText) -> None:
         try:
             configuration = self.read(zlib.decompress(message.packed))
         except (ValueError, zlib.error) as error:
@@ -111,7 +116,15 @@
             return
         self.version = message.version
         self.reported.clear()
-        self.log.emit(events.VIEW_ADVANCED, revision=message.version)
+        now = anyio.current_time()
+        waited_s = 0.0 if self.awaited_since is None else now - self.awaited_since
+        self.awaited_since = now if self.version < self.requested_version else None
+        self.log.emit(
+            events.VIEW_ADVANCED,
+            revision=message.version,
+            peer=str(address),
+            waited_ms=round(1000 * waited_s),
+        )
         self.on_configuration(configuration)
 
     async def run(self) -> None:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_links.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_links.py
@@ -7,7 +7,9 @@
 
 import anyio
 
+from bergamotchute_daemon.event_loop_monitor import EventLoopMonitor
 from bergamotchute_daemon.link_set import LinkSet, MessageHandler
+from bergamotchute_model import events
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.node_messages import ControlGroup, NodeMessage, SubscribeToLoads
 from bergamotchute_model.rate_limits import RequestPermit
@@ -47,6 +49,7 @@
     :param known_changed_at: when ``known`` last changed, on the runtime's clock in seconds.
     :param settled: whether ``known`` stayed the same for :data:`GROUP_SETTLING_S` once.
     :param loads_source: the control VM that sends the loads.
+    :param logged_sound: the linked control VMs that knew a leader when they were last logged.
     """
 
     name: str
@@ -59,8 +62,10 @@
     known_changed_at: float = 0.0
     settled: bool = False
     loads_source: Address | None = None
+    logged_sound: frozenset[Address] = frozenset()
 
     def __post_init__(self) -> None:
+        self.loop_monitor = EventLoopMonitor(self.links.log)
         self.links.on_message = self._on_message
         self.links.on_closed = self._on_closed
 
@@ -75,7 +80,7 @@
             tasks.start_soon(self.links.run)
             while True:
                 self._update_links()
-                await anyio.sleep(PARENT_CHECK_INTERVAL_S)
+                await self.loop_monitor.sleep(PARENT_CHECK_INTERVAL_S)
 
     def set_seeds(self, seeds: tuple[Address, ...]) -> None:
         """Replace the seeds, as after a change of the settings."""
@@ -131,6 +136,21 @@
         )
         self.links.set_wanted_peers([*chosen, *self._retained_parents(chosen, count)])
         self._choose_loads_source()
+        self._log_parents()
+
+    def _log_parents(self) -> None:
+        sound = frozenset(
+            address for address, group in self.control_groups.items() if group.current
+        )
+        if sound == self.logged_sound:
+            return
+        self.logged_sound = sound
+        self.links.log.emit(
+            events.PARENTS_CHANGED,
+            sound=",".join(str(address) for address in sorted(sound)),
+            linked=len(self.links.outboxes),
+            known=len(self.known),
+        )
 
     def _retained_parents(self, chosen: list[Address], count: int) -> list[Address]:
         """Return the healthy parents to keep until enough of the chosen ones are healthy."""
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
@@ -8,6 +8,7 @@
 
 from bergamotchute_daemon.control_log import ControlLog, ControlUnavailable
 from bergamotchute_daemon.event_log import EventLog
+from bergamotchute_daemon.event_loop_monitor import EventLoopMonitor
 from bergamotchute_daemon.heartbeat_updates import apply_heartbeat
 from bergamotchute_daemon.node_hub import COMMIT_TIMEOUT_S, NodeHub
 from bergamotchute_daemon.voter import Voter
@@ -50,6 +51,10 @@
     node_hub: NodeHub
     log: EventLog
     leader_last_known_at: float = float("-inf")
+    was_current: bool = False
+
+    def __post_init__(self) -> None:
+        self.loop_monitor = EventLoopMonitor(self.log)
 
     async def run(self) -> None:
         """Run the control VM until cancelled."""
@@ -75,7 +80,7 @@
 
     async def _check_state(self) -> None:
         while True:
-            await anyio.sleep(STATE_CHECK_INTERVAL_S)
+            await self.loop_monitor.sleep(STATE_CHECK_INTERVAL_S)
             self.node_hub.prompt_evidence.update()
             silent = self.endpoint_table.mark_silent_endpoints(anyio.current_time())
             for heartbeat in silent:
@@ -85,17 +90,29 @@
             self.node_hub.send_heartbeats(tuple(silent))
             term = self.leading_term()
             self.node_hub.assign_commanders(term)
+            is_current = self.is_current()
+            self._log_group_contact(is_current)
             self.node_hub.send_control_group(
                 ControlGroup(
                     self.control_addresses(),
                     term,
-                    self.is_current(),
+                    is_current,
                     self.node_hub.linked_nodes.entry_count(),
                     accepts_prompt_evidence=True,
                     accepts_rate_limits=True,
                 )
             )
 
+    def _log_group_contact(self, is_current: bool) -> None:
+        if is_current == self.was_current:
+            return
+        self.was_current = is_current
+        self.log.emit(
+            events.CONTROL_GROUP_REACHED if is_current else events.CONTROL_GROUP_LOST,
+            leader=self.voter.leader_address,
+            followers=len(self.node_hub.followers),
+        )
+
     def is_current(self) -> bool:
         """Return whether this control VM has known a leader recently."""
         replica = self.voter.replica
@@ -134,6 +151,8 @@
             "folder_refused": float(self.voter.has_refused_folder),
             "snapshots_left_out": float(self.voter.snapshots_left_out),
             "disk_failed_s": self.voter.disk_recovery.outage_s,
+            "is_current": float(self.was_current),
+            "longest_loop_delay_s": self.loop_monitor.longest_delay_s,
             "configuration_version": float(self.voter.state.state.configuration.version),
             **self.node_hub.prompt_evidence.gauges(),
             **self.node_hub.rate_limits.gauges(),
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -35,7 +35,7 @@
 )
 from bergamotchute_model.prompt_parts import PromptEvidence
 from bergamotchute_model.rate_limits import PermitAnswer, RateLimitsReported
-from bergamotchute_model.versioned_configuration import RouteKind, VersionedConfiguration
+from bergamotchute_model.versioned_configuration import RouteRule, VersionedConfiguration
 from bergamotchute_policy.endpoint_subset import nested_subsets
 from bergamotchute_policy.endpoint_table import EndpointTable
 from bergamotchute_wire.http1_server import CallerRequest, Http1Server, ResponseWriter, ServerLimits
@@ -252,6 +252,8 @@
             "configuration_version": float(self.follower.version),
             "control_links": float(len(self.links.linked)),
             "ready": float(self.ready),
+            "sound_parents": float(len(self.links.logged_sound)),
+            "longest_loop_delay_s": self.links.loop_monitor.longest_delay_s,
             **endpoints,
             **self.forwarder.prompt_guard.table.gauges(),
             **self.forwarder.rate_permits.gauges(),
@@ -270,20 +272,37 @@
         metadata = self.request_format.read_request(request.head)
         with anyio.move_on_after(FIRST_CONFIGURATION_TIMEOUT_S):
             await self.configured.wait()
-        kind: RouteKind | None = None
+        route: RouteRule | None = None
         try:
             admitted = admit_request(self.routing_table, request, metadata, self.random, arrived_at)
-            kind = admitted.route.kind
+            route = admitted.route
             await self.forwarder.forward_request(admitted, writer)
-            self.forwarder.metrics.on_request(kind, writer.status if writer.finished else 0)
+            self.forwarder.metrics.on_request(route.kind, writer.status if writer.finished else 0)
         except RequestRefused as refusal:
-            self.forwarder.metrics.on_request(kind, refusal.status)
-            self.log.emit(
-                events.REQUEST_REFUSED,
-                request_id=metadata.request_id,
-                status=refusal.status,
-                reason=refusal.reason,
-                revision=self.follower.version,
-            )
+            self.forwarder.metrics.on_request(route.kind if route else None, refusal.status)
+            self._log_refusal(refusal, metadata.request_id, route, arrived_at)
             if not writer.started:
                 await writer.respond(refusal.status, refusal.headers, refusal.reason.encode())
+
+    def _log_refusal(
+        self,
+        refusal: RequestRefused,
+        request_id: str,
+        route: RouteRule | None,
+        arrived_at: float,
+    ) -> None:
+        """Log why a request was refused, and how long it took.
+
+        :param route: the route of the request; ``None`` if it has none.
+        :param arrived_at: when the request was read completely, on the runtime's clock.
+        """
+        self.log.emit(
+            events.REQUEST_REFUSED,
+            request_id=request_id,
+            status=refusal.status,
+            reason=refusal.reason,
+            revision=self.follower.version,
+            took_ms=round(1000 * (self.now() - arrived_at)),
+            route=route.name if route else "",
+            timeout_ms=round(route.timeout_s * 1000) if route else -1,
+        )
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
@@ -494,6 +494,7 @@
         progress.failed_endpoints.add(attempt.endpoint.endpoint)
         self.metrics.on_attempt(result.verdict)
         progress.last_failure = result
+        progress.last_failed_endpoint = attempt.endpoint.endpoint
         if result.verdict is Verdict.MAY_HAVE_RUN:
             progress.may_have_run = True
         self.log.emit(
@@ -557,6 +558,7 @@
         """Forward the endpoint's own error response, or fail the request here."""
         if result.head is not None and not writer.started:
             await self._forward_response(writer, result.head, result.body)
+            self._log_completed_request(request, writer, progress, progress.last_failed_endpoint)
             return
         self._fail_request(request, writer, progress, result.reason)
 
@@ -577,6 +579,9 @@
                 request_id=request.metadata.request_id,
                 reason=reason,
                 events_passed=progress.stream.events,
+                took_ms=round((anyio.current_time() - request.arrived_at) * 1000),
+                route=request.route.name,
+                timeout_ms=round(request.route.timeout_s * 1000),
             )
             return
         if progress.sent_count and anyio.current_time() >= request.deadline:
@@ -623,12 +628,24 @@
             response_started_at - request.arrived_at,
             progress.longest_pause_s,
         )
+        self._log_completed_request(request, attempt.writer, progress, attempt.endpoint.endpoint)
+
+    def _log_completed_request(
+        self,
+        request: AdmittedRequest,
+        writer: ResponseWriter,
+        progress: RequestProgress,
+        endpoint: str,
+    ) -> None:
+        """Log the response of an endpoint that the caller was given, also a failure of its own."""
+        response_started_at = progress.response_started_at or request.arrived_at
         self.log.emit(
             events.REQUEST_COMPLETED,
             request_id=request.metadata.request_id,
-            endpoint=attempt.endpoint.endpoint,
-            status=attempt.writer.status,
+            endpoint=endpoint,
+            status=writer.status,
             route=request.route.name,
+            timeout_ms=round(request.route.timeout_s * 1000),
             objective_ms=round(request.route.objective_s * 1000),
             pause_bound_ms=round(request.route.gap_objective_s * 1000),
             attempts=progress.attempt_count,
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/request_progress.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/request_progress.py
@@ -33,6 +33,7 @@
     :param endpoint_wait_ends_at: how long the request may wait for a first endpoint, on the
         runtime's clock; ``None`` until it waits.
     :param last_failure: the outcome of the last attempt.
+    :param last_failed_endpoint: the identifier of the endpoint whose attempt failed last.
     :param response_started_at: when the first data was sent to the caller, on the runtime's clock.
     :param last_chunk_at: when the last data was sent to the caller.
     :param longest_pause_s: the longest time between two chunks of a stream.
@@ -45,6 +46,7 @@
     may_have_run: bool = False
     endpoint_wait_ends_at: float | None = None
     last_failure: AttemptFailure | None = None
+    last_failed_endpoint: str = ""
     response_started_at: float | None = None
     last_chunk_at: float = 0.0
     longest_pause_s: float = 0.0
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -208,8 +208,9 @@
                 for new_follower in self.followers
                 if new_follower.node and not new_follower.confirmed
             ]
+            began = anyio.current_time()
             try:
-                await self.control.confirm(CONFIRM_TIMEOUT_S)
+                attempts = await self.control.confirm(CONFIRM_TIMEOUT_S)
             except ControlUnavailable:
                 self.confirmation_needed.set()
                 continue
@@ -220,6 +221,13 @@
                 if isinstance(follower.node, EntryState):
                     follower.outbox.post(recorded)
                 self._send_version(follower)
+            self.log.emit(
+                events.FOLLOWERS_CONFIRMED,
+                revision=self.voter.state.state.configuration.version,
+                followers=len(waiting),
+                attempts=attempts,
+                took_ms=round(1000 * (anyio.current_time() - began)),
+            )
 
     def _on_message(self, follower: Follower, message: NodeMessage) -> None:
         match message:
--- a/packages/bergamotchute-model/src/bergamotchute_model/events.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/events.py
@@ -59,6 +59,17 @@
 LINK_REPLACED = _define_event_kind(
     1013, "link_replaced", "A control VM opened a new link; its earlier ones were closed."
 )
+PARENTS_CHANGED = _define_event_kind(
+    1014,
+    "parents_changed",
+    "An entry or agent follows other control VMs that know a leader than before.",
+)
+EVENT_LOOP_DELAYED = _define_event_kind(
+    1015,
+    "event_loop_delayed",
+    "A timer ran late: the process had other work, or its VM stood still.",
+    logging.WARNING,
+)
 
 # 1100-1199: requests in an entry.
 REQUEST_RECEIVED = _define_event_kind(
@@ -195,11 +206,20 @@
 VOTER_DISK_RECOVERED = _define_event_kind(
     1308, "voter_disk_recovered", "A voter opened its folder again after a failure of its disk."
 )
+CONTROL_GROUP_LOST = _define_event_kind(
+    1309,
+    "control_group_lost",
+    "A control VM has no leader that reaches a quorum; its followers link to others.",
+    logging.WARNING,
+)
 FILE_APPLIED = _define_event_kind(1310, "file_applied", "A file came into force.")
 FILE_REFUSED = _define_event_kind(1311, "file_refused", "A file was refused.", logging.WARNING)
 PLANNED_CHANGE_BEGUN = _define_event_kind(
     1312, "planned_change_begun", "A planned change has begun."
 )
+CONTROL_GROUP_REACHED = _define_event_kind(
+    1313, "control_group_reached", "A control VM has a leader again."
+)
 
 # 1400-1499: views and membership.
 VIEW_CONFIRMED = _define_event_kind(
@@ -220,6 +240,11 @@
     "A configuration is older than the version that a quorum confirmed; it was not used.",
     logging.WARNING,
 )
+FOLLOWERS_CONFIRMED = _define_event_kind(
+    1405,
+    "followers_confirmed",
+    "A quorum confirmed the state of a control VM, which new followers are sent.",
+)
 MEMBER_JOINED = _define_event_kind(1410, "member_joined", "An endpoint or entry announced itself.")
 MEMBER_LAPSED = _define_event_kind(
     1411, "member_lapsed", "A member's lease lapsed.", logging.WARNING
