Entries follow more than half of the control VMs

What callers saw: entries refused routes that had been added, or served ones that had been removed, for up to 2 s longer than operators allow, while all VMs counted as working: the control group was split into halves of five and four, the five acknowledged changes, and all control VMs that the entry followed were among the four.

Cause: an entry followed three control VMs of any number. Of five control VMs, two may be without a quorum; of nine, four, and one entry in 21 follows three of these. They report that they have no leader after the leader's election timeout, one of their own (0.9 to 1.8 s) and 2.5 s more, and only then does the entry link to others. The class: news is taken from so few members that none may be in the quorum that acknowledged it.

Ruled out: to have control VMs say sooner that they have no leader. It stays late by an election, and in each election all followers would open links.

Change: an entry's parents are a majority of the known members (five of nine, never fewer than three), so each quorum holds one of them; agents keep three. Links at 97 entries, 192 agents and nine control VMs: 1,133 instead of 939, reckoned. Heartbeats are passed on only when they change something, so a further link costs its pings.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_links.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_links.py
@@ -14,9 +14,9 @@
 from bergamotchute_model.node_messages import ControlGroup, NodeMessage, SubscribeToLoads
 from bergamotchute_model.rate_limits import RequestPermit
 from bergamotchute_policy.control_parents import (
-    PARENT_COUNT,
     ParentHealth,
     choose_parents,
+    few_parents,
     order_parents,
 )
 
@@ -43,6 +43,7 @@
     :param seeds: the control VMs to link to first, from the settings; may be replaced at run time.
     :param links: the links, whose messages pass through this object.
     :param on_message: called with each message of a control VM.
+    :param parent_count: returns how many parents to have in a control group of a given size.
     :param wants_loads: whether to receive the loads of endpoints from one control VM.
     :param control_groups: the latest report of the group from each linked control VM.
     :param known: the members that the linked control VMs reported last.
@@ -56,6 +57,7 @@
     seeds: tuple[Address, ...]
     links: LinkSet
     on_message: MessageHandler
+    parent_count: Callable[[int], int] = few_parents
     wants_loads: bool = False
     control_groups: dict[Address, ControlGroup] = field(default_factory=dict)
     known: frozenset[Address] = frozenset()
@@ -130,7 +132,7 @@
         self.settled = self.settled or (
             bool(self.known) and now - self.known_changed_at >= GROUP_SETTLING_S
         )
-        count = PARENT_COUNT if self.settled else 1
+        count = self.parent_count(len(self.known)) if self.settled else 1
         chosen = choose_parents(
             order, lambda parent: self._parent_health(parent, now, opening_timeout_s), count
         )
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
@@ -21,6 +21,7 @@
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.node_messages import CommanderAssigned, NodeMessage
 from bergamotchute_model.versioned_configuration import VersionedConfiguration
+from bergamotchute_policy.control_parents import few_parents, majority_of_parents
 from bergamotchute_policy.endpoint_table import EndpointTable
 from bergamotchute_wire.http1_server import Http1Server
 from bergamotchute_wire.link import Dial
@@ -142,7 +143,9 @@
         retry_capacity=RETRY_BURST_RATIO * settings.retry_slack,
         retry_refill_per_s=RETRY_BURST_RATIO * settings.retry_slack / RETRY_WINDOW_S,
     )
-    links = _compose_control_links(settings, environment, lambda: process, wants_loads=True)
+    links = _compose_control_links(
+        settings, environment, lambda: process, majority_of_parents, wants_loads=True
+    )
     server = Http1Server(lambda request, writer: process.handle_request(request, writer))
     process = DirectEntry(
         name=settings.name,
@@ -257,7 +260,7 @@
         )
 
     process: RankAgentProcess
-    links = _compose_control_links(settings, environment, lambda: process)
+    links = _compose_control_links(settings, environment, lambda: process, few_parents)
     process = RankAgentProcess(
         name=settings.name,
         address=settings.link_address,
@@ -280,11 +283,13 @@
     settings: NodeSettings,
     environment: NodeEnvironment,
     process: Callable[[], DirectEntry | RankAgentProcess],
+    parent_count: Callable[[int], int],
     wants_loads: bool = False,
 ) -> ControlLinks:
     """Return the links of an entry or agent to control VMs.
 
     :param process: returns the entry or agent once it is composed.
+    :param parent_count: returns how many parents to have in a control group of a given size.
     """
     return ControlLinks(
         name=settings.name,
@@ -296,5 +301,6 @@
             get_greeting=lambda: process().greeting(),
         ),
         on_message=lambda address, message: process().on_message(address, message),
+        parent_count=parent_count,
         wants_loads=wants_loads,
     )
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/control_parents.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/control_parents.py
@@ -1,8 +1,9 @@
 """Selects the control VMs that an entry or agent is linked to, its parents.
 
 When hundreds of processes start or reconnect together, links from each of them to every control VM
-would cost the control VMs more than their share of a core, so each process links to a few. Parents
-are chosen by a hash of the names of both, which spreads the links evenly over the control VMs and
+would cost the control VMs more than their share of a core, so each process links to some. Entries
+link to more than half of them: what a quorum has acknowledged is then known at one parent at least,
+however the group is split. Parents are chosen by a hash of the names of both, which spreads the links evenly over the control VMs and
 keeps most links when a control VM is added or removed.
 """
 
@@ -20,8 +21,7 @@
 at once, so at least one parent stays sound."""
 
 MAX_PARENT_COUNT = 2 * PARENT_COUNT
-"""Maximum links while parents are doubtful. A network partition of the control group can't cut off
-this many parents at once."""
+"""Maximum links of a process with :data:`PARENT_COUNT` parents while some are doubtful."""
 
 
 class ParentHealth(StrEnum):
@@ -35,6 +35,19 @@
     DOUBTFUL = "doubtful"
 
 
+def few_parents(_: int) -> int:
+    """Return :data:`PARENT_COUNT`, for a process that may hear of news some seconds late."""
+    return PARENT_COUNT
+
+
+def majority_of_parents(group_size: int) -> int:
+    """Return how many parents can't all be in the part of a split group that has no quorum.
+
+    :param group_size: the number of control VMs in the group.
+    """
+    return max(PARENT_COUNT, group_size // 2 + 1)
+
+
 def order_parents(follower: str, known: Iterable[Address]) -> list[Address]:
     """Return the control VMs in the follower's order of preference."""
     return sorted(
--- a/tests/daemon/test_configuration_delay.py
+++ b/tests/daemon/test_configuration_delay.py
@@ -20,6 +20,7 @@
     NodeMessage,
 )
 from bergamotchute_model.versioned_configuration import VersionedConfiguration
+from bergamotchute_policy.control_parents import majority_of_parents
 from support.control_group import PORT, SEED_COUNT, ControlGroup, host, run_control
 
 CONTROL_VMS = 9
@@ -45,6 +46,7 @@
             seeds=tuple(Address(host(seed), PORT) for seed in range(SEED_COUNT)),
             links=LinkSet(dial, Random(self.name), log, lambda: (state,)),
             on_message=self.on_message,
+            parent_count=majority_of_parents,
         )
         self.follower = ConfigurationFollower(
             read=lambda text: VersionedConfiguration(int(text)),
--- a/tests/direct/test_direct_entry.py
+++ b/tests/direct/test_direct_entry.py
@@ -333,3 +333,10 @@
         assert [await status("first"), await status("later")] == [404, 200]
 
     run_with_entry(body)
+
+
+def test_entry_follows_so_few_control_vms_that_none_may_have_a_quorum() -> None:
+    async def body(entry: DirectEntry, _: list[NodeMessage]) -> None:
+        assert entry.links.parent_count(9) == 5
+
+    run_with_entry(body)
--- a/tests/policy/test_control_parents.py
+++ b/tests/policy/test_control_parents.py
@@ -13,6 +13,7 @@
     PARENT_COUNT,
     ParentHealth,
     choose_parents,
+    majority_of_parents,
     order_parents,
 )
 
@@ -58,3 +59,10 @@
 
 def test_the_parent_count_is_bounded_while_all_are_doubtful() -> None:
     assert len(_parents("node-1", tuple(CONTROL_VMS))) == MAX_PARENT_COUNT
+
+
+@pytest.mark.parametrize("group_size", range(1, 13))
+def test_some_parent_of_an_entry_is_in_each_quorum(group_size: int) -> None:
+    quorum = group_size // 2 + 1
+    parents = min(majority_of_parents(group_size), group_size)
+    assert parents + quorum > group_size
