Answer within a quarter of a second while an entry has no configuration

What callers saw: at an entry that had no configuration yet, each request was answered after 1.2 s, whatever its route's timeout. With a timeout of 400 ms that is 0.3 s more than operators allow.

Cause: the wait for the first configuration had a bound of its own, but the timeouts of routes, which the entry can't know by then, are shorter.

Change: the bound is 0.25 s, half of what operators allow beyond any timeout. An entry that is restarted by itself has its configuration about that long after its first link opened.

What callers lose: requests that came in the last second before the first configuration were served late, now they are refused.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -40,10 +40,11 @@
 from bergamotchute_policy.endpoint_table import EndpointTable
 from bergamotchute_wire.http1_server import CallerRequest, Http1Server, ResponseWriter, ServerLimits
 
-FIRST_CONFIGURATION_TIMEOUT_S = 1.2
+FIRST_CONFIGURATION_TIMEOUT_S = 0.25
 """Longest time that a request waits at an entry that has just started for its configuration.
 
-Callers of streams give up after two seconds; a restarted control group needs about this long.
+The timeout of its route is not known then. Operators allow half a second beyond it, however short it
+is.
 """
 
 CLEANUP_INTERVAL_S = 1.0
