Try the third seed when the first two can't be reached

What callers saw: an entry that started while two of the three control VMs in its settings were down refused every request, 503, until one of them was back, though seven of nine control VMs worked.

Cause: while an entry starts it wants one parent, and at most twice as many links as parents were kept, counting those that never opened. So it tried two seeds, for good, and never the third. Two is what deployments with nine control VMs may lose at once.

Change: control VMs that can't be reached are known as such and don't count against the bound on links whose control VM knows no leader.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_links.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_links.py
@@ -125,10 +125,8 @@
         if self.known and not self.control_groups:
             # All known members may be gone for good.
             order += [seed for seed in order_parents(self.name, self.seeds) if seed not in order]
-        opening_timeout_s = (
-            LINK_OPENING_TIMEOUT_S if self.links.outboxes else FIRST_LINK_OPENING_TIMEOUT_S
-        )
         now = anyio.current_time()
+        opening_timeout_s = self._opening_timeout_s(now)
         self.settled = self.settled or (
             bool(self.known) and now - self.known_changed_at >= GROUP_SETTLING_S
         )
@@ -140,6 +138,14 @@
         self._choose_loads_source()
         self._log_parents()
 
+    def _opening_timeout_s(self, now: float) -> float:
+        """Return how long a link may take to open: longer for the first one, as long as it opens."""
+        is_first = not self.links.outboxes and all(
+            now - since < FIRST_LINK_OPENING_TIMEOUT_S
+            for since in self.links.unlinked_since.values()
+        )
+        return FIRST_LINK_OPENING_TIMEOUT_S if is_first else LINK_OPENING_TIMEOUT_S
+
     def _log_parents(self) -> None:
         sound = frozenset(
             address for address, group in self.control_groups.items() if group.current
@@ -170,7 +176,7 @@
         return (
             ParentHealth.OPENING
             if now - opening_since < opening_timeout_s
-            else ParentHealth.DOUBTFUL
+            else ParentHealth.UNREACHABLE
         )
 
     def _choose_loads_source(self) -> None:
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/control_parents.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/control_parents.py
@@ -27,12 +27,14 @@
 class ParentHealth(StrEnum):
     """The health of a control VM as a follower sees it.
 
-    ``SOUND`` is linked and knows a leader; ``OPENING`` began to connect only a short time ago.
+    ``SOUND`` is linked and knows a leader, ``DOUBTFUL`` is linked and knows none. ``OPENING`` began to
+    connect only a short time ago, ``UNREACHABLE`` did so longer ago.
     """
 
     SOUND = "sound"
     OPENING = "opening"
     DOUBTFUL = "doubtful"
+    UNREACHABLE = "unreachable"
 
 
 def few_parents(_: int) -> int:
@@ -58,15 +60,18 @@
 def choose_parents(
     order: Iterable[Address], health: Callable[[Address], ParentHealth], count: int = PARENT_COUNT
 ) -> list[Address]:
-    """Return the control VMs to link to, until ``count`` of them are not doubtful.
+    """Return the control VMs to link to, until ``count`` of them are sound or may become so soon.
 
-    Doubtful ones are kept in addition, as they may recover. At most ``2 * count`` are returned.
+    The others are kept in addition, as they may recover. At most ``2 * count`` are returned beside
+    those that can't be reached.
     """
     chosen: list[Address] = []
-    sound = 0
+    hopeful = unreachable = 0
     for address in order:
-        if sound >= count or len(chosen) >= 2 * count:
+        if hopeful >= count or len(chosen) - unreachable >= 2 * count:
             break
         chosen.append(address)
-        sound += health(address) is not ParentHealth.DOUBTFUL
+        known_health = health(address)
+        hopeful += known_health in (ParentHealth.SOUND, ParentHealth.OPENING)
+        unreachable += known_health is ParentHealth.UNREACHABLE
     return chosen
