Keep a link whose control VM knows no leader until another one is open

What callers saw after a restart of all VMs: entries that had found a control VM lost it again, and had their configuration up to a second later than they could have.

Cause: a parent that isn't preferred is kept only while it knows a leader. After a restart none does, so an open link was given up for one that still had to be opened, perhaps to a control VM that wasn't up yet.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_links.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_links.py
@@ -161,8 +161,13 @@
         )
 
     def _retained_parents(self, chosen: list[Address], count: int) -> list[Address]:
-        """Return the healthy parents to keep until enough of the chosen ones are healthy."""
-        sound = [address for address, group in self.control_groups.items() if group.current]
+        """Return the parents to keep until enough of the chosen ones are healthy.
+
+        These are the healthy ones. Where none is, as before the first leader after a restart of the
+        control group, any that is linked is better than one that still has to be reached.
+        """
+        linked = list(self.control_groups)
+        sound = [address for address in linked if self.control_groups[address].current] or linked
         missing = count - sum(address in chosen for address in sound)
         return [address for address in sound if address not in chosen][: max(0, missing)]
 
--- a/tests/daemon/test_seeds_down.py
+++ b/tests/daemon/test_seeds_down.py
@@ -17,7 +17,7 @@
 
 
 @pytest.mark.parametrize("is_silent", [True, False], ids=["silent", "refusing"])
-@pytest.mark.parametrize("down", combinations(range(SEED_COUNT), 2), ids=str)
+@pytest.mark.parametrize("down", [*combinations(range(SEED_COUNT), 2)], ids=str)
 def test_entry_links_to_no_control_vm_as_the_first_two_seeds_that_it_tries_are_down(
     down: tuple[int, int], is_silent: bool
 ) -> None:
