Count the late answer to a confirmed read

What callers saw: on slow control VMs, entries that had just linked waited for their configuration, and operators for a read, longer than the answers took, or without end.

Cause: a confirmation gave up each read after 0.35 s, asked again and ignored the answer to the earlier one. Where each answer takes longer than that, none ever counted, while each attempt added work at the leader.

Change: all reads of a confirmation count, whichever is answered first; each was sent after the call began, so it confirms what the call asks for. tests/daemon/test_slow_confirmations.py, answers of 0.6 s, paused clock: before, four of five control VMs (all but the leader) confirmed nothing within 2 s; now each in 0.6 s.

Looked at for the same cause: commands already took the answer to any attempt.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_log.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_log.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import anyio
@@ -72,6 +71,19 @@
     resend_at: float = 0.0
 
 
+@dataclass
+class _Confirmation:
+    """Reads that were sent for one confirmation, any of which may be answered.
+
+    :param answered: set once the newest read has failed, or any read has succeeded.
+    :param attempts: how many reads were sent, also while no leader was known.
+    """
+
+    answered: anyio.Event = field(default_factory=anyio.Event)
+    is_confirmed: bool = False
+    attempts: int = 0
+
+
 @dataclass
 class ControlLog:
     """Proposes commands to the control log, and confirms that the local state is up to date.
@@ -115,15 +127,17 @@
         :return: how often the confirmation was tried.
         :raises ControlUnavailable: when no quorum confirmed the state in time.
         """
-        attempts = 0
+        confirmation = _Confirmation()
         with anyio.move_on_after(timeout_s):
             while True:
-                attempts += 1
+                confirmation.attempts += 1
+                self._send_read(confirmation)
                 with anyio.move_on_after(ATTEMPT_TIMEOUT_S):
-                    if await self._read_once():
-                        return attempts
+                    await confirmation.answered.wait()
+                if confirmation.is_confirmed:
+                    return confirmation.attempts
                 await anyio.sleep(RETRY_DELAY_S)
-        raise self._unavailable(timeout_s, attempts)
+        raise self._unavailable(timeout_s, confirmation.attempts)
 
     def _unavailable(self, timeout_s: float, attempts: int) -> ControlUnavailable:
         detail = f"no quorum of the control group answered within {timeout_s} s"
@@ -177,16 +191,15 @@
             if result is not None:
                 self._on_result(waiting, self.voter.state.applied_index, result)
 
-    async def _read_once(self) -> bool:
-        """Send a read once; return whether it was confirmed."""
-        answered = anyio.Event()
-        confirmed: list[int] = []
+    def _send_read(self, confirmation: _Confirmation) -> None:
+        """Send a read; the answers to earlier ones of the same confirmation still count."""
+        answered = confirmation.answered = anyio.Event()
 
-        def succeed(index: int, _: bytes) -> None:
-            confirmed.append(index)
+        def succeed(*_: object) -> None:
+            confirmation.is_confirmed = True
+            confirmation.answered.set()
+
+        def fail(*_: object) -> None:
             answered.set()
 
-        fail: Callable[..., None] = lambda *_: answered.set()  # noqa: E731
         self.voter.submit_request(RequestPurpose.READ, b"", succeed, fail)
-        await answered.wait()
-        return bool(confirmed)
