Tell callers to return later while no control VM knows a leader

Change: an entry that has been up for a second and knows no control VM with a leader names 2.2 s; one whose configuration is on its way names 0.3 s, as before.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_links.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_links.py
@@ -84,6 +84,11 @@
                 self._update_links()
                 await self.loop_monitor.sleep(PARENT_CHECK_INTERVAL_S)
 
+    @property
+    def has_sound_parent(self) -> bool:
+        """Whether a linked control VM knows a leader."""
+        return self._first_healthy() is not None
+
     def set_seeds(self, seeds: tuple[Address, ...]) -> None:
         """Replace the seeds, as after a change of the settings."""
         self.seeds = seeds
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -12,7 +12,7 @@
 from bergamotchute_daemon.control_links import ControlLinks
 from bergamotchute_daemon.direct.admitted_request import RequestRefused
 from bergamotchute_daemon.direct.direct_forwarder import DirectForwarder
-from bergamotchute_daemon.direct.filters import admit_request
+from bergamotchute_daemon.direct.filters import admit_request, require_routing_table
 from bergamotchute_daemon.direct.request_format import RequestFormat
 from bergamotchute_daemon.direct.routing_table import RoutingTable
 from bergamotchute_daemon.event_log import EventLog
@@ -47,6 +47,18 @@
 is.
 """
 
+CONFIGURATION_RETRY_AFTER_S = 0.3
+"""Retry delay for callers of an entry whose first configuration is on its way."""
+
+NO_LEADER_RETRY_AFTER_S = 2.2
+"""Retry delay for callers while no control VM is known to have a leader, as after the restart of all.
+
+Callers return once or twice, and cut the delay to a third of the time that they have left.
+"""
+
+LINK_EXPECTED_S = 1.0
+"""Time after its start until an entry should know a control VM that has a leader."""
+
 CLEANUP_INTERVAL_S = 1.0
 
 DRAIN_ACCEPT_S = 2.6
@@ -85,6 +97,7 @@
     endpoints_by_service: dict[str, list[EndpointHeartbeat]] = field(default_factory=dict)
     subsets_by_service: dict[str, list[list[EndpointHeartbeat]]] = field(default_factory=dict)
     now: Callable[[], float] = anyio.current_time
+    started_at: float = field(default_factory=anyio.current_time)
 
     async def run(self) -> None:
         """Serve until cancelled."""
@@ -275,7 +288,10 @@
             await self.configured.wait()
         route: RouteRule | None = None
         try:
-            admitted = admit_request(self.routing_table, request, metadata, self.random, arrived_at)
+            routing_table = require_routing_table(
+                self.routing_table, self._configuration_retry_after_s()
+            )
+            admitted = admit_request(routing_table, request, metadata, self.random, arrived_at)
             route = admitted.route
             await self.forwarder.forward_request(admitted, writer)
             self.forwarder.metrics.on_request(route.kind, writer.status if writer.finished else 0)
@@ -285,6 +301,13 @@
             if not writer.started:
                 await writer.respond(refusal.status, refusal.headers, refusal.reason.encode())
 
+    def _configuration_retry_after_s(self) -> float:
+        """Return when callers should return to an entry without a configuration, in seconds."""
+        is_new = self.now() - self.started_at < LINK_EXPECTED_S
+        if is_new or self.links.has_sound_parent:
+            return CONFIGURATION_RETRY_AFTER_S
+        return NO_LEADER_RETRY_AFTER_S
+
     def _log_refusal(
         self,
         refusal: RequestRefused,
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/filters.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/filters.py
@@ -13,16 +13,11 @@
 from bergamotchute_model.versioned_configuration import RouteRule
 from bergamotchute_wire.http1_server import CallerRequest
 
-NO_CONFIGURATION_RETRY_AFTER_S = 0.3
-"""Retry delay for callers of an entry without a configuration; it requests one when it starts."""
 
-
-def require_routing_table(routing_table: RoutingTable | None) -> RoutingTable:
+def require_routing_table(routing_table: RoutingTable | None, retry_after_s: float) -> RoutingTable:
     """Return the routing table; refuse while no quorum has confirmed a configuration."""
     if routing_table is None:
-        raise RequestRefused(
-            503, "no configuration is confirmed yet", NO_CONFIGURATION_RETRY_AFTER_S
-        )
+        raise RequestRefused(503, "no configuration is confirmed yet", retry_after_s)
     return routing_table
 
 
@@ -49,7 +44,7 @@
 
 
 def admit_request(
-    routing_table: RoutingTable | None,
+    routing_table: RoutingTable,
     request: CallerRequest,
     metadata: RequestMetadata,
     random: Random,
@@ -60,13 +55,12 @@
     :param arrived_at: when the request was read completely, on the runtime's clock.
     :raises RequestRefused: if a filter refuses the request.
     """
-    held = require_routing_table(routing_table)
-    route = find_route(held, request)
-    team, priority = identify_team(held, route, metadata)
+    route = find_route(routing_table, request)
+    team, priority = identify_team(routing_table, route, metadata)
     time_left_s = route.timeout_s
     if metadata.time_left_s is not None:
         time_left_s = min(time_left_s, metadata.time_left_s)
-    service = held.choose_service(route, random)
+    service = routing_table.choose_service(route, random)
     return AdmittedRequest(
         head=request.head,
         body=request.body,
@@ -78,5 +72,5 @@
         arrived_at=arrived_at,
         first_sent_at=arrived_at - (route.timeout_s - time_left_s),
         deadline=arrived_at + time_left_s,
-        version=held.configuration.version,
+        version=routing_table.configuration.version,
     )
--- a/tests/support/entry_fixture.py
+++ b/tests/support/entry_fixture.py
@@ -15,7 +15,7 @@
 from bergamotchute_daemon.direct.direct_forwarder import DirectForwarder
 from bergamotchute_daemon.direct.endpoint_calls import EndpointCalls
 from bergamotchute_daemon.direct.endpoint_chooser import EndpointChooser
-from bergamotchute_daemon.direct.filters import admit_request
+from bergamotchute_daemon.direct.filters import admit_request, require_routing_table
 from bergamotchute_daemon.direct.prompt_guard import PromptGuard
 from bergamotchute_daemon.direct.rate_permits import RatePermits
 from bergamotchute_daemon.direct.routing_table import RoutingTable
@@ -202,10 +202,9 @@
     async def _handle(self, request: CallerRequest, writer: ResponseWriter) -> None:
         try:
             metadata = REQUEST_FORMAT.read_request(request.head)
+            routing_table = require_routing_table(self.routing_table, 0.3)
             await self.forwarder.forward_request(
-                admit_request(
-                    self.routing_table, request, metadata, Random(1), anyio.current_time()
-                ),
+                admit_request(routing_table, request, metadata, Random(1), anyio.current_time()),
                 writer,
             )
         except RequestRefused as refusal:
