--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -208,6 +208,8 @@
                 for new_follower in self.followers
                 if new_follower.node and not new_follower.confirmed
             ]
+            if not waiting:
+                continue
             began = anyio.current_time()
             try:
                 attempts = await self.control.confirm(CONFIRM_TIMEOUT_S)
