Index endpoints only when a heartbeat or departure is news

An entry indexed its endpoints and woke the requests that wait for one at each message, also when another parent had told the same before; with five parents instead of three that is four times of five. The test fails before.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -148,14 +148,14 @@
             case ConfigurationText():
                 self.follower.on_text(address, message)
             case HeartbeatsReceived(heartbeats):
-                for heartbeat in heartbeats:
+                changes = [
                     apply_heartbeat(self.endpoint_table, heartbeat, self.log)
-                self._index_endpoints()
+                    for heartbeat in heartbeats
+                ]
+                if any(changes):
+                    self._index_endpoints()
             case DeparturesRecorded(departures):
-                for endpoint, born_ms in departures:
-                    if self.endpoint_table.on_departure(endpoint, born_ms):
-                        self.log.emit(events.MEMBER_DRAINING, endpoint=endpoint, born_ms=born_ms)
-                self._index_endpoints()
+                self._on_departures(departures)
             case LoadsReported():
                 self._update_loads(message)
             case ControlGroup():
@@ -166,6 +166,14 @@
             case _:
                 self._on_shared_knowledge(message)
 
+    def _on_departures(self, departures: Iterable[tuple[str, int]]) -> None:
+        """Take endpoints that leave out of use, unless another control VM told of all of them."""
+        new = [each for each in departures if self.endpoint_table.on_departure(*each)]
+        for endpoint, born_ms in new:
+            self.log.emit(events.MEMBER_DRAINING, endpoint=endpoint, born_ms=born_ms)
+        if new:
+            self._index_endpoints()
+
     def _on_shared_knowledge(self, message: NodeMessage) -> None:
         """Handle what other entries found out about requests and endpoints."""
         match message:
--- a/tests/direct/test_direct_entry.py
+++ b/tests/direct/test_direct_entry.py
@@ -5,6 +5,7 @@
 import json
 import zlib
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from random import Random
 
 import anyio
@@ -356,3 +357,20 @@
         assert entry.links.parent_count(9) == 5
 
     run_with_entry(body)
+
+
+def test_each_parent_that_tells_the_same_heartbeat_wakes_the_waiting_requests() -> None:
+    """With more parents, an entry indexed all its endpoints more often, to the same result."""
+
+    async def body(entry: DirectEntry, _: list[NodeMessage]) -> None:
+        entry.on_message(CONTROL_ADDRESS, HeartbeatsReceived((heartbeat(1),)))
+        departures = DeparturesRecorded((("runner-1", 1000),))
+        entry.on_message(CONTROL_ADDRESS, departures)
+        indexed = entry.endpoints_by_address
+        entry.on_message(OTHER_CONTROL_ADDRESS, HeartbeatsReceived((heartbeat(1),)))
+        entry.on_message(OTHER_CONTROL_ADDRESS, departures)
+        assert entry.endpoints_by_address is indexed
+        entry.on_message(CONTROL_ADDRESS, HeartbeatsReceived((replace(heartbeat(2), slots=7),)))
+        assert entry.endpoints_by_address is not indexed
+
+    run_with_entry(body)
