Give a control VM time to hear of a leader before linking to others

What callers saw: a slower return after the restart of all control VMs. An entry took each control VM that knows no leader for doubtful, so while none knew one it linked to all it may: with three parents six, and since entries have five, all nine. Accepting a link takes 5 ms of a core, and control VMs have a third of one at the moment at which they have to elect a leader.

Change: a control VM counts as one that may become sound for 2.5 s after its link has opened, the time after which a running one is doubted. One that has lost its leader later is doubted at once, as before.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_links.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_links.py
@@ -31,6 +31,10 @@
 """How long the reported members must stay the same before the control group counts as complete.
 A new group adds one member a second, and until then all followers would link to its first ones."""
 
+LEADER_EXPECTED_S = 2.5
+"""How long after a link has opened its control VM may know no leader before it is doubted. After a
+restart of all control VMs none knows one, and links to more of them would delay the election."""
+
 PARENT_CHECK_INTERVAL_S = 0.2
 """How often the choice of parents is reconsidered."""
 
@@ -46,6 +50,7 @@
     :param parent_count: returns how many parents to have in a control group of a given size.
     :param wants_loads: whether to receive the loads of endpoints from one control VM.
     :param control_groups: the latest report of the group from each linked control VM.
+    :param heard_since: when each linked control VM first reported its group, on the runtime's clock.
     :param known: the members that the linked control VMs reported last.
     :param known_changed_at: when ``known`` last changed, on the runtime's clock in seconds.
     :param settled: whether ``known`` stayed the same for :data:`GROUP_SETTLING_S` once.
@@ -60,6 +65,7 @@
     parent_count: Callable[[int], int] = few_parents
     wants_loads: bool = False
     control_groups: dict[Address, ControlGroup] = field(default_factory=dict)
+    heard_since: dict[Address, float] = field(default_factory=dict)
     known: frozenset[Address] = frozenset()
     known_changed_at: float = 0.0
     settled: bool = False
@@ -180,8 +186,11 @@
         self, address: Address, now: float, opening_timeout_s: float
     ) -> ParentHealth:
         group = self.control_groups.get(address)
+        if group is not None and group.current:
+            return ParentHealth.SOUND
         if group is not None:
-            return ParentHealth.SOUND if group.current else ParentHealth.DOUBTFUL
+            is_new = now - self.heard_since[address] < LEADER_EXPECTED_S
+            return ParentHealth.OPENING if is_new else ParentHealth.DOUBTFUL
         opening_since = self.links.unlinked_since.get(address, now)
         return (
             ParentHealth.OPENING
@@ -204,6 +213,7 @@
     def _on_message(self, address: Address, message: NodeMessage) -> None:
         if isinstance(message, ControlGroup):
             self.control_groups[address] = message
+            self.heard_since.setdefault(address, anyio.current_time())
             members = frozenset(
                 member for group in self.control_groups.values() for member in group.addresses
             )
@@ -214,5 +224,6 @@
 
     def _on_closed(self, address: Address) -> None:
         self.control_groups.pop(address, None)
+        self.heard_since.pop(address, None)
         if address == self.loads_source:
             self.loads_source = None
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/control_parents.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/control_parents.py
@@ -28,7 +28,8 @@
     """The health of a control VM as a follower sees it.
 
     ``SOUND`` is linked and knows a leader, ``DOUBTFUL`` is linked and knows none. ``OPENING`` began to
-    connect only a short time ago, ``UNREACHABLE`` did so longer ago.
+    connect, or was linked without knowing a leader, only a short time ago. ``UNREACHABLE`` began to
+    connect longer ago.
     """
 
     SOUND = "sound"
