Read on while a link writes

What callers saw: nothing yet; a link whose two ends sent large messages at the same time closed as silent, 1.3 s later between control VMs. Two control VMs that send each other texts of 250 kB over links with small windows can meet it.

Cause: after each read a link took the lock of its writes, also when it had nothing to send in reply, and so waited until its own message was written. If both ends do, neither reads.

Change: a read takes the lock only to send what the protocol replies, a pong or a close. The new test, 12 MB both ways over loopback, ended with 'mute' before.

--- a/packages/bergamotchute-wire/src/bergamotchute_wire/web_socket_link.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/web_socket_link.py
@@ -158,7 +158,10 @@
         self.last_received_at = anyio.current_time()
         self._protocol.receive_data(data)
         self._collect_frames()
-        await self._flush_unless_closed()
+        replies = self._protocol.data_to_send()
+        if replies:
+            self._unsent_data.extend(replies)
+            await self._flush_unless_closed()
         if self._protocol.state is not State.OPEN and not self._received_frames:
             await self._abort("closed by peer")
 
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -13,6 +13,7 @@
 from bergamotchute_model.hello import Hello
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.membership import ProcessRole
+from bergamotchute_model.node_messages import ConfigurationText, NodeMessage
 from bergamotchute_wire import web_socket_link
 from bergamotchute_wire.link import DialFailed, Link, LinkClosed
 from bergamotchute_wire.message_codec import MalformedMessageError, MessageCodec
@@ -131,6 +132,39 @@
     anyio.run(with_server, body, greet)
 
 
+def test_both_ends_of_a_link_stop_reading_while_each_sends_a_large_message() -> None:
+    """Neither read on until its own message was written, which the other end had to read."""
+    codec: MessageCodec[NodeMessage] = MessageCodec(NodeMessage)
+    text = ConfigurationText(1, bytes(12_000_000))
+    received: list[NodeMessage] = []
+
+    async def exchange(link: Link[NodeMessage]) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(link.send, text)
+            received.append(await link.receive())
+
+    async def main() -> None:
+        address = free_address()
+        listening = anyio.Event()
+
+        async def on_listening() -> None:
+            listening.set()
+
+        async with anyio.create_task_group() as tasks:
+            routes = {"/nodes": LinkRoute(codec, exchange)}
+            serve = partial(serve_web_socket_links, on_listening=on_listening)
+            tasks.start_soon(serve, address, routes, "")
+            await listening.wait()
+            async with web_socket_dial("/nodes", codec)(address) as link:
+                await exchange(link)
+                while len(received) < 2:  # noqa: ASYNC110 - the list has no event.
+                    await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+    assert received == [text, text]
+
+
 def test_a_decoded_message_equals_the_encoded_one() -> None:
     message = Hello("entry-1", ProcessRole.ENTRY, "a1")
     assert CODEC.decode(CODEC.encode(message)) == message
