Take the write lock of a link without yielding when nobody writes

An uncontended lock yielded to the event loop before each write. Tasks that wait while another writes are still sent in one write.

--- a/packages/bergamotchute-wire/src/bergamotchute_wire/web_socket_link.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/web_socket_link.py
@@ -76,7 +76,7 @@
         self._received_frames: deque[Frame] = deque()
         self._decoded_messages: deque[Message] = deque()
         self._unsent_data: list[bytes] = []
-        self._write_lock = anyio.Lock()
+        self._write_lock = anyio.Lock(fast_acquire=True)
         # The peer's first messages may have arrived together with its handshake.
         self._collect_frames()
 
