Name the parents that know a leader once

control_links.py found them in four places; a confirmation that succeeds between two reads sends no further read.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/configuration_follower.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/configuration_follower.py
@@ -37,7 +37,7 @@
     :param post: sends a message to one control VM.
     :param post_all: sends a message to every linked control VM.
     :param on_configuration: called with each newer configuration.
-    :param awaited_since: when a version was first reported that is newer than the one in force, on
+    :param newer_reported_at: when a version was first reported that is newer than the one in force, on
         the runtime's clock; ``None`` if there is none.
     :param reported: the versions reported while no configuration is in force, and when, on the
         runtime's clock.
@@ -53,7 +53,7 @@
     version: int = 0
     requested_version: int = 0
     requested_at: float = float("-inf")
-    awaited_since: float | None = None
+    newer_reported_at: float | None = None
     reported: list[tuple[float, int]] = field(default_factory=list)
     awaited: dict[Address, float] = field(default_factory=dict)
 
@@ -62,8 +62,8 @@
         if message.version <= self.version:
             return
         now = anyio.current_time()
-        if self.awaited_since is None:
-            self.awaited_since = now
+        if self.newer_reported_at is None:
+            self.newer_reported_at = now
         if not self.version:
             self.reported.append((now, message.version))
         is_recent = now - self.requested_at < REQUEST_RETRY_DELAY_S
@@ -117,8 +117,8 @@
         self.version = message.version
         self.reported.clear()
         now = anyio.current_time()
-        waited_s = 0.0 if self.awaited_since is None else now - self.awaited_since
-        self.awaited_since = now if self.version < self.requested_version else None
+        waited_s = 0.0 if self.newer_reported_at is None else now - self.newer_reported_at
+        self.newer_reported_at = now if self.version < self.requested_version else None
         self.log.emit(
             events.VIEW_ADVANCED,
             revision=message.version,
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_links.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_links.py
@@ -91,9 +91,9 @@
                 await self.loop_monitor.sleep(PARENT_CHECK_INTERVAL_S)
 
     @property
-    def has_sound_parent(self) -> bool:
-        """Whether a linked control VM knows a leader."""
-        return self._first_healthy() is not None
+    def sound_parents(self) -> list[Address]:
+        """The linked control VMs that know a leader."""
+        return [address for address, group in self.control_groups.items() if group.current]
 
     def set_seeds(self, seeds: tuple[Address, ...]) -> None:
         """Replace the seeds, as after a change of the settings."""
@@ -109,9 +109,7 @@
 
     def post_to_one(self, message: NodeMessage) -> None:
         """Send a message to one linked control VM, preferably a healthy one."""
-        address = self._first_healthy()
-        if address is None:
-            address = next(iter(self.links.outboxes), None)
+        address = next(iter([*self.sound_parents, *self.links.outboxes]), None)
         if address is not None:
             self.links.post(address, message)
 
@@ -158,9 +156,7 @@
         return FIRST_LINK_OPENING_TIMEOUT_S if is_first else LINK_OPENING_TIMEOUT_S
 
     def _log_parents(self) -> None:
-        sound = frozenset(
-            address for address, group in self.control_groups.items() if group.current
-        )
+        sound = frozenset(self.sound_parents)
         if sound == self.logged_sound:
             return
         self.logged_sound = sound
@@ -177,10 +173,9 @@
         These are the healthy ones. Where none is, as before the first leader after a restart of the
         control group, any that is linked is better than one that still has to be reached.
         """
-        linked = list(self.control_groups)
-        sound = [address for address in linked if self.control_groups[address].current] or linked
-        missing = count - sum(address in chosen for address in sound)
-        return [address for address in sound if address not in chosen][: max(0, missing)]
+        usable = self.sound_parents or list(self.control_groups)
+        missing = count - sum(address in chosen for address in usable)
+        return [address for address in usable if address not in chosen][: max(0, missing)]
 
     def _parent_health(
         self, address: Address, now: float, opening_timeout_s: float
@@ -202,14 +197,10 @@
         """Ask one healthy control VM for loads; choose another when its link is lost."""
         if not self.wants_loads or self.loads_source in self.control_groups:
             return
-        self.loads_source = self._first_healthy()
+        self.loads_source = next(iter(self.sound_parents), None)
         if self.loads_source is not None:
             self.links.post(self.loads_source, SubscribeToLoads())
 
-    def _first_healthy(self) -> Address | None:
-        sound = (address for address, group in self.control_groups.items() if group.current)
-        return next(sound, None)
-
     def _on_message(self, address: Address, message: NodeMessage) -> None:
         if isinstance(message, ControlGroup):
             self.control_groups[address] = message
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_log.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_log.py
@@ -129,14 +129,14 @@
         """
         confirmation = _Confirmation()
         with anyio.move_on_after(timeout_s):
-            while True:
+            while not confirmation.is_confirmed:
+                if confirmation.attempts:
+                    await anyio.sleep(RETRY_DELAY_S)
                 confirmation.attempts += 1
                 self._send_read(confirmation)
                 with anyio.move_on_after(ATTEMPT_TIMEOUT_S):
                     await confirmation.answered.wait()
-                if confirmation.is_confirmed:
-                    return confirmation.attempts
-                await anyio.sleep(RETRY_DELAY_S)
+            return confirmation.attempts
         raise self._unavailable(timeout_s, confirmation.attempts)
 
     def _unavailable(self, timeout_s: float, attempts: int) -> ControlUnavailable:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -274,7 +274,7 @@
             "configuration_version": float(self.follower.version),
             "control_links": float(len(self.links.linked)),
             "ready": float(self.ready),
-            "sound_parents": float(len(self.links.logged_sound)),
+            "sound_parents": float(len(self.links.sound_parents)),
             "longest_loop_delay_s": self.links.loop_monitor.longest_delay_s,
             **endpoints,
             **self.forwarder.prompt_guard.table.gauges(),
@@ -312,7 +312,7 @@
     def _configuration_retry_after_s(self) -> float:
         """Return when callers should return to an entry without a configuration, in seconds."""
         is_new = self.now() - self.started_at < LINK_EXPECTED_S
-        if is_new or self.links.has_sound_parent:
+        if is_new or self.links.sound_parents:
             return CONFIGURATION_RETRY_AFTER_S
         return NO_LEADER_RETRY_AFTER_S
 
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/event_loop_monitor.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/event_loop_monitor.py
@@ -10,7 +10,7 @@
 from bergamotchute_model import events
 
 LOGGED_DELAY_S = 0.25
-"""Delay from which a late timer is logged; half of what callers are told to allow for."""
+"""Delay from which a late timer is logged; answers may be late by twice as much."""
 
 
 @dataclass
