Upgrade play: a request that waits for an endpoint is routed too

Since an entry's wait for a first endpoint ends with the route's timeout (1 s in this play), an entry in its first 8 s refuses with 'the deadline has passed', and the check knew only 'no endpoint'. The check stays as strict: both reasons are given only after the route of the newest version was found; an older one ends with 404.

--- a/tools/upgrade_play.py
+++ b/tools/upgrade_play.py
@@ -35,6 +35,10 @@
 ACKNOWLEDGE_S = 5.0
 """The target for acknowledging a configuration, and for its way to entries and readers."""
 
+ROUTED_REASONS = (b"no endpoint", b"the deadline has passed")
+"""Why an entry refuses a request whose route it knows: nothing serves it, and an entry in its first
+seconds waits for an endpoint until the route's timeout."""
+
 CALL_TIMEOUT_S = 1.5
 RETRY_DELAY_S = 0.1
 SETTLING_S = 3.0
@@ -97,7 +101,7 @@
         while time.monotonic() < deadline:
             host, path = self.nodes.entry_host(number), f"/version{self.version}/one"
             status, body = call(host, CALLER_PORT, "GET", path)
-            if status == 503 and b"no endpoint" in body:
+            if status == 503 and any(reason in body for reason in ROUTED_REASONS):
                 return True
             time.sleep(RETRY_DELAY_S)
         return False
