--- a/tests/daemon/test_configuration_delay.py
+++ b/tests/daemon/test_configuration_delay.py
@@ -90,21 +90,18 @@
         working = [number for number in range(CONTROL_VMS) if number != frozen]
         acknowledged_at: dict[int, float] = {}
 
-        async def put(version: int) -> None:
-            for _ in range(20):
-                process = group.processes[random.choice(working)]
-                if await process.put_configuration(version, b"%d" % version):
-                    acknowledged_at.setdefault(version, anyio.current_time())
-                    return
-                await anyio.sleep(0.1)
-
         async with anyio.create_task_group() as tasks:
             for each in entries:
                 tasks.start_soon(each.run)
             await anyio.sleep(6.0)
             async with anyio.create_task_group() as changes:
                 for number in range(CHANGES):
-                    changes.start_soon(put, number + 1)
+                    changes.start_soon(
+                        group.put_until_acknowledged,
+                        number + 1,
+                        lambda: random.choice(working),
+                        acknowledged_at,
+                    )
                     await anyio.sleep(CHANGE_INTERVAL_S)
                     if number == CHANGES // 3:
                         group.isolate(frozen)
--- a/tests/daemon/test_control_group_split.py
+++ b/tests/daemon/test_control_group_split.py
@@ -34,14 +34,6 @@
         entries = [FollowingEntry(group, number) for number in range(ENTRIES)]
         acknowledged_at: dict[int, float] = {}
 
-        async def put(version: int, reachable: list[int]) -> None:
-            for _ in range(20):
-                process = group.processes[random.choice(reachable)]
-                if await process.put_configuration(version, b"%d" % version):
-                    acknowledged_at.setdefault(version, anyio.current_time())
-                    return
-                await anyio.sleep(0.1)
-
         async with anyio.create_task_group() as tasks:
             for each in entries:
                 tasks.start_soon(each.run)
@@ -54,7 +46,12 @@
                     group.network.cut(f"control-{cut_off}", f"control-{number}")
             async with anyio.create_task_group() as changes:
                 for number in range(int(SPLIT_S / CHANGE_INTERVAL_S)):
-                    changes.start_soon(put, number + 1, majority)
+                    changes.start_soon(
+                        group.put_until_acknowledged,
+                        number + 1,
+                        lambda: random.choice(majority),
+                        acknowledged_at,
+                    )
                     await anyio.sleep(CHANGE_INTERVAL_S)
             await anyio.sleep(6.0)
             tasks.cancel_scope.cancel()
--- a/tests/daemon/test_parents_lost_in_turn.py
+++ b/tests/daemon/test_parents_lost_in_turn.py
@@ -49,20 +49,16 @@
         events_at: list[float] = []
         silent: list[int] = []
 
-        async def put(version: int) -> None:
-            for _ in range(20):
-                working = [number for number in range(CONTROL_VMS) if number not in silent]
-                process = group.processes[random.choice(working)]
-                if await process.put_configuration(version, b"%d" % version):
-                    acknowledged_at.setdefault(version, anyio.current_time())
-                    return
-                await anyio.sleep(0.1)
+        def choose_working() -> int:
+            return random.choice([n for n in range(CONTROL_VMS) if n not in silent])
 
         async def put_all(tasks: anyio.abc.TaskGroup) -> None:
             version = 0
             while True:
                 version += 1
-                tasks.start_soon(put, version)
+                tasks.start_soon(
+                    group.put_until_acknowledged, version, choose_working, acknowledged_at
+                )
                 await anyio.sleep(CHANGE_INTERVAL_S)
 
         def lose(number: int) -> None:
--- a/tests/direct/test_callers_before_the_first_configuration.py
+++ b/tests/direct/test_callers_before_the_first_configuration.py
@@ -6,11 +6,15 @@
 import pytest
 
 from bergamotchute_daemon.direct.direct_entry import DirectEntry
-from bergamotchute_model.headers import Headers
 from bergamotchute_model.node_messages import ConfigurationText, ControlGroup, NodeMessage
-from bergamotchute_wire.http1_messages import RequestHead
 from bergamotchute_wire.http1_server import CallerRequest
-from direct.test_direct_entry import CONTROL_ADDRESS, REQUEST, run_with_entry, text
+from direct.test_direct_entry import (
+    CONTROL_ADDRESS,
+    REQUEST,
+    RecordingWriter,
+    run_with_entry,
+    text,
+)
 
 OUTAGE_S = 8.5
 ARRIVAL_INTERVAL_S = 0.1
@@ -19,21 +23,6 @@
 """Part of their remaining time for which callers wait at most before they return."""
 
 
-class RecordingWriter:
-    """Records the status of a response, and when the caller may return."""
-
-    def __init__(self) -> None:
-        self.status = 0
-        self.started = False
-        self.finished = False
-        self.retry_after_s = 0.0
-
-    async def respond(self, status: int, headers: Headers = (), _: bytes = b"") -> None:
-        self.status = status
-        self.started = self.finished = True
-        self.retry_after_s = float(dict(headers).get("retry-after", 0.0))
-
-
 async def is_served(entry: DirectEntry, request: CallerRequest) -> bool:
     """Send a request, and once more after a refusal; return whether an entry admitted it.
 
@@ -90,8 +79,7 @@
 def test_entry_that_is_restarted_by_itself_sends_callers_away_for_long() -> None:
     async def body(entry: DirectEntry, _: list[NodeMessage]) -> None:
         writer = RecordingWriter()
-        head = RequestHead("GET", "/a/b", (("host", "api.example"),))
-        await entry.handle_request(CallerRequest(head, b""), writer)  # type: ignore[arg-type]
+        await entry.handle_request(REQUEST, writer)  # type: ignore[arg-type]
         assert writer.status == 503
         assert writer.retry_after_s <= 0.3
 
--- a/tests/direct/test_direct_entry.py
+++ b/tests/direct/test_direct_entry.py
@@ -19,6 +19,7 @@
 from bergamotchute_daemon.node_composition_root import NodeEnvironment, compose_direct_entry
 from bergamotchute_daemon.node_settings import ListenSettings, NodeSettings
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat, EndpointPhase
+from bergamotchute_model.headers import Headers
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.node_messages import (
     ConfigurationText,
@@ -48,16 +49,18 @@
 
 
 class RecordingWriter:
-    """Records the status of a response, and when it was written, in place of a connection."""
+    """Records a response, and when it was written, in place of a connection."""
 
     def __init__(self) -> None:
         self.status = 0
         self.started = False
         self.finished = False
         self.at = 0.0
+        self.retry_after_s = 0.0
 
-    async def respond(self, status: int, _: object = (), __: bytes = b"") -> None:
+    async def respond(self, status: int, headers: Headers = (), _: bytes = b"") -> None:
         self.status = status
+        self.retry_after_s = float(dict(headers).get("retry-after", 0.0))
         self.started = True
         self.finished = True
         self.at = anyio.current_time()
--- a/tests/support/control_group.py
+++ b/tests/support/control_group.py
@@ -149,6 +149,20 @@
             while not reached():  # noqa: ASYNC110 - the condition has no event to wait for.
                 await anyio.sleep(0.05)
 
+    async def put_until_acknowledged(
+        self, version: int, choose: Callable[[], int], acknowledged_at: dict[int, float]
+    ) -> None:
+        """Put a version at one process after the other until it is acknowledged, and record when.
+
+        :param choose: returns the process to try next.
+        """
+        for _ in range(20):
+            process = self.processes[choose()]
+            if await process.put_configuration(version, b"%d" % version):
+                acknowledged_at.setdefault(version, anyio.current_time())
+                return
+            await anyio.sleep(0.1)
+
     async def follow(self, number: int, heard: list[NodeMessage]) -> None:
         """Follow a process as an entry does, recording its messages, until cancelled."""
         async with self.network.dial("entry", NODES_PATH)(Address(host(number), PORT)) as link:
