Tell callers to return later also in the first second of an entry

Cause: entries are up 1.2 s before their configuration. Callers that came in an entry's first second were told to return after 0.3 s, as if it had been restarted by itself, and were refused again.

Change: the delay depends only on whether a linked control VM knows a leader.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -53,12 +53,10 @@
 NO_LEADER_RETRY_AFTER_S = 2.2
 """Retry delay for callers while no control VM is known to have a leader, as after the restart of all.
 
-Callers return once or twice, and cut the delay to a third of the time that they have left.
+Callers return once or twice, and cut the delay to a third of the time that they have left. After the
+restart of all VMs the configuration comes one to two seconds after the start of an entry.
 """
 
-LINK_EXPECTED_S = 1.0
-"""Time after its start until an entry should know a control VM that has a leader."""
-
 CLEANUP_INTERVAL_S = 1.0
 
 DRAIN_ACCEPT_S = 2.6
@@ -97,7 +95,6 @@
     endpoints_by_service: dict[str, list[EndpointHeartbeat]] = field(default_factory=dict)
     subsets_by_service: dict[str, list[list[EndpointHeartbeat]]] = field(default_factory=dict)
     now: Callable[[], float] = anyio.current_time
-    started_at: float = field(default_factory=anyio.current_time)
 
     async def run(self) -> None:
         """Serve until cancelled."""
@@ -311,10 +308,7 @@
 
     def _configuration_retry_after_s(self) -> float:
         """Return when callers should return to an entry without a configuration, in seconds."""
-        is_new = self.now() - self.started_at < LINK_EXPECTED_S
-        if is_new or self.links.sound_parents:
-            return CONFIGURATION_RETRY_AFTER_S
-        return NO_LEADER_RETRY_AFTER_S
+        return CONFIGURATION_RETRY_AFTER_S if self.links.sound_parents else NO_LEADER_RETRY_AFTER_S
 
     def _log_refusal(
         self,
