--- a/packages/bergamotchute-policy/src/bergamotchute_policy/control_parents.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/control_parents.py
@@ -3,8 +3,8 @@
 When hundreds of processes start or reconnect together, links from each of them to every control VM
 would cost the control VMs more than their share of a core, so each process links to some. Entries
 link to more than half of them: what a quorum has acknowledged is then known at one parent at least,
-however the group is split. Parents are chosen by a hash of the names of both, which spreads the links evenly over the control VMs and
-keeps most links when a control VM is added or removed.
+however the group is split. Parents are chosen by a hash of the names of both, which spreads the
+links evenly over the control VMs and keeps most links when a control VM is added or removed.
 """
 
 from __future__ import annotations
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -5,6 +5,7 @@
 import socket
 from collections.abc import Awaitable, Callable
 from functools import partial
+from typing import Any
 
 import anyio
 import pytest
@@ -45,7 +46,8 @@
 
 async def with_server(
     body: Callable[[Address], Awaitable[None]],
-    handler: Callable[[Link[ControlMessage]], Awaitable[None]] = echo,
+    handler: Callable[[Link[Any]], Awaitable[None]] = echo,
+    codec: MessageCodec[Any] = CODEC,
 ) -> None:
     """Run ``body`` against a server that accepts links."""
     address = free_address()
@@ -55,7 +57,7 @@
         listening.set()
 
     async with anyio.create_task_group() as tasks:
-        routes = {"/control": LinkRoute(CODEC, handler)}
+        routes = {"/control": LinkRoute(codec, handler)}
         serve = partial(serve_web_socket_links, on_listening=on_listening)
         tasks.start_soon(serve, address, routes, "secret")
         await listening.wait()
@@ -143,25 +145,13 @@
             tasks.start_soon(link.send, text)
             received.append(await link.receive())
 
-    async def main() -> None:
-        address = free_address()
-        listening = anyio.Event()
-
-        async def on_listening() -> None:
-            listening.set()
+    async def body(address: Address) -> None:
+        async with web_socket_dial("/control", codec, "secret")(address) as link:
+            await exchange(link)
+            while len(received) < 2:  # noqa: ASYNC110 - the list has no event.
+                await anyio.sleep(0.01)
 
-        async with anyio.create_task_group() as tasks:
-            routes = {"/nodes": LinkRoute(codec, exchange)}
-            serve = partial(serve_web_socket_links, on_listening=on_listening)
-            tasks.start_soon(serve, address, routes, "")
-            await listening.wait()
-            async with web_socket_dial("/nodes", codec)(address) as link:
-                await exchange(link)
-                while len(received) < 2:  # noqa: ASYNC110 - the list has no event.
-                    await anyio.sleep(0.01)
-            tasks.cancel_scope.cancel()
-
-    anyio.run(main)
+    anyio.run(with_server, body, exchange, codec)
     assert received == [text, text]
 
 
