Evacuate availability zones by order of an operator

Change: an evacuation is a decision of the control log, written by compare-and-set. Entries hear of all of them before their configuration and of each change as it is applied, and leave endpoints of evacuated zones out of every choice. A service that is wholly evacuated is refused at once.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
@@ -7,6 +7,7 @@
 import anyio
 
 from bergamotchute_daemon.control_log import ControlLog, ControlUnavailable
+from bergamotchute_daemon.evacuations.evacuation_orders import EvacuationOrders, OrderOutcome
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.event_loop_monitor import EventLoopMonitor
 from bergamotchute_daemon.heartbeat_updates import apply_heartbeat
@@ -49,6 +50,7 @@
     control: ControlLog
     endpoint_table: EndpointTable
     node_hub: NodeHub
+    evacuations: EvacuationOrders
     log: EventLog
     leader_last_known_at: float = float("-inf")
     was_current: bool = False
@@ -157,6 +159,7 @@
             **self.node_hub.prompt_evidence.gauges(),
             **self.node_hub.rate_limits.gauges(),
             **self.node_hub.permits.gauges(),
+            **self.evacuations.gauges(),
         }
 
     async def put_configuration(self, version: int, text: bytes) -> bool:
@@ -218,6 +221,20 @@
         )
         return held
 
+    async def order_evacuation(self, availability_zone: str, is_evacuated: bool) -> OrderOutcome:
+        """Commit an operator's order to evacuate a zone, or to end its evacuation."""
+        try:
+            self._check_disk()
+        except ControlUnavailable as error:
+            self.log.emit(
+                events.EVACUATION_UNCONFIRMED,
+                availability_zone=availability_zone,
+                is_evacuated=is_evacuated,
+                detail=str(error),
+            )
+            return OrderOutcome.UNCONFIRMED
+        return await self.evacuations.order(availability_zone, is_evacuated)
+
     def _check_disk(self) -> None:
         """Refuse an operator's call while the disk keeps failing, as another VM can serve it.
 
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -19,6 +19,7 @@
 from bergamotchute_daemon.heartbeat_updates import apply_heartbeat
 from bergamotchute_model import events
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat, EndpointPhase
+from bergamotchute_model.evacuations import EvacuationsInForce
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.node_messages import (
     ConfigurationText,
@@ -38,6 +39,7 @@
 from bergamotchute_model.versioned_configuration import RouteRule, VersionedConfiguration
 from bergamotchute_policy.endpoint_subset import nested_subsets
 from bergamotchute_policy.endpoint_table import EndpointTable
+from bergamotchute_policy.evacuation_table import EvacuationTable
 from bergamotchute_wire.http1_server import CallerRequest, Http1Server, ResponseWriter, ServerLimits
 
 FIRST_CONFIGURATION_TIMEOUT_S = 0.25
@@ -73,6 +75,8 @@
 
     :param drain_bound_s: the longest that a stop may take, in seconds.
     :param configured: set once the first configuration is in force.
+    :param evacuated_services: the services whose endpoints are all in evacuated zones.
+    :param endpoints_by_service: the endpoints that may be sent requests, without evacuated ones.
     :param subsets_by_service: growing subsets of the endpoints of each service, smallest first.
     """
 
@@ -91,6 +95,8 @@
     routing_table: RoutingTable | None = None
     configured: anyio.Event = field(default_factory=anyio.Event)
     stopping: bool = False
+    evacuations: EvacuationTable = field(default_factory=EvacuationTable)
+    evacuated_services: frozenset[str] = frozenset()
     endpoints_by_address: dict[Address, EndpointHeartbeat] = field(default_factory=dict)
     endpoints_by_service: dict[str, list[EndpointHeartbeat]] = field(default_factory=dict)
     subsets_by_service: dict[str, list[list[EndpointHeartbeat]]] = field(default_factory=dict)
@@ -119,6 +125,7 @@
             self.ready,
             accepts_prompt_evidence=True,
             accepts_rate_limits=True,
+            accepts_evacuations=True,
         )
         return (state,)
 
@@ -153,6 +160,8 @@
                     self._index_endpoints()
             case DeparturesRecorded(departures):
                 self._on_departures(departures)
+            case EvacuationsInForce():
+                self._on_evacuations(message)
             case LoadsReported():
                 self._update_loads(message)
             case ControlGroup():
@@ -171,6 +180,19 @@
         if new:
             self._index_endpoints()
 
+    def _on_evacuations(self, message: EvacuationsInForce) -> None:
+        """Stop or resume sending requests to the endpoints of zones."""
+        changed = self.evacuations.update(message.zones)
+        for zone in changed:
+            self.log.emit(
+                events.EVACUATION_CHANGED,
+                availability_zone=zone.availability_zone,
+                is_evacuated=zone.is_evacuated,
+                version=zone.version,
+            )
+        if changed:
+            self._index_endpoints()
+
     def _on_shared_knowledge(self, message: NodeMessage) -> None:
         """Handle what other entries found out about requests and endpoints."""
         match message:
@@ -210,7 +232,10 @@
         self.endpoints_by_address = newest
         self.endpoints_by_service = {}
         for heartbeat in newest.values():
-            self.endpoints_by_service.setdefault(heartbeat.service, []).append(heartbeat)
+            if not self.evacuations.is_evacuated(heartbeat):
+                self.endpoints_by_service.setdefault(heartbeat.service, []).append(heartbeat)
+        services = frozenset(heartbeat.service for heartbeat in newest.values())
+        self.evacuated_services = services - self.endpoints_by_service.keys()
         self.subsets_by_service = {
             service: nested_subsets(self.name, self.availability_zone, endpoints)
             for service, endpoints in self.endpoints_by_service.items()
@@ -249,6 +274,10 @@
             next(with_room, None) or next(sound, None) or self.endpoints_by_service.get(service, [])
         )
 
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether a service has endpoints, all of them in evacuated zones."""
+        return service in self.evacuated_services
+
     def on_configuration(self, configuration: VersionedConfiguration) -> None:
         """Route requests by a newer configuration."""
         is_first = self.routing_table is None
@@ -274,6 +303,7 @@
             "sound_parents": float(len(self.links.sound_parents)),
             "longest_loop_delay_s": self.links.loop_monitor.longest_delay_s,
             **endpoints,
+            "evacuated_zones": float(len(self.evacuations.evacuated_zones())),
             **self.forwarder.prompt_guard.table.gauges(),
             **self.forwarder.rate_permits.gauges(),
         }
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/endpoint_chooser.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/endpoint_chooser.py
@@ -36,6 +36,10 @@
 """Upper bound of the random delay that keeps callers refused together from retrying together."""
 
 
+EVACUATED_RETRY_AFTER_S = 2.0
+"""Delay of callers whose service has endpoints only in evacuated zones, until an operator ends that."""
+
+
 @dataclass(frozen=True)
 class ChosenEndpoint:
     """The endpoint that was chosen for an attempt.
@@ -58,6 +62,7 @@
     """Chooses endpoints by load, agents' slots and the rates that endpoints name.
 
     :param endpoints: returns the endpoints of a service that this entry uses.
+    :param is_evacuated: whether the endpoints of a service are all in evacuated zones.
     :param stream_paces: what this entry observed of the streams of each service.
     """
 
@@ -66,6 +71,7 @@
     rate_permits: RatePermits
     endpoints: Callable[[str], Collection[EndpointHeartbeat]]
     random: Random
+    is_evacuated: Callable[[str], bool] = lambda _: False
     stream_paces: dict[str, StreamPace] = field(default_factory=dict)
 
     async def choose(
@@ -138,6 +144,8 @@
                 endpoints, now, now + self._permit_patience_s(request)
             )
             if target is None:
+                if not is_retry:
+                    self._refuse_evacuated(request)
                 return None
             endpoint = target.candidate.heartbeat
             slot_request = SlotRequest(
@@ -176,6 +184,16 @@
         newest = next((each for each in known if each.endpoint == endpoint.endpoint), None)
         return newest is not None and self.placement.accepts_requests(newest, anyio.current_time())
 
+    def _refuse_evacuated(self, request: AdmittedRequest) -> None:
+        """Refuse a request at once if its service can't be used until an evacuation ends.
+
+        :raises RequestRefused: if all endpoints of the service are in evacuated zones.
+        """
+        if self.is_evacuated(request.service.name):
+            retry_after_s = EVACUATED_RETRY_AFTER_S + RETRY_AFTER_JITTER_S * self.random.random()
+            reason = "all endpoints of the service are in evacuated availability zones"
+            raise RequestRefused(503, reason, retry_after_s)
+
     def _refuse_overloaded(
         self, request: AdmittedRequest, fullness: float, waited_s: float
     ) -> None:
--- /dev/null
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/evacuations/__init__.py
@@ -0,0 +1,1 @@
+"""Evacuations of availability zones, as ordered by operators and told to entries."""
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
@@ -132,6 +132,7 @@
             rate_permits=rate_permits,
             endpoints=lambda service: process.endpoints(service),
             random=environment.random,
+            is_evacuated=lambda service: process.is_evacuated(service),
         ),
         endpoints=lambda service: process.endpoints(service),
         random=environment.random,
@@ -180,6 +181,7 @@
     from bergamotchute_consensus.replica_settings import ReplicaSettings
     from bergamotchute_daemon.control_log import ControlLog
     from bergamotchute_daemon.control_process import ControlProcess
+    from bergamotchute_daemon.evacuations.evacuation_orders import EvacuationOrders
     from bergamotchute_daemon.node_hub import NodeHub
     from bergamotchute_daemon.permit_server import PermitServer
     from bergamotchute_daemon.prompt_evidence_table import PromptEvidenceTable
@@ -215,12 +217,21 @@
         rate_limits=RateLimitLog(environment.log),
         permits=PermitServer(settings.link_address, peers),
     )
+    evacuations = EvacuationOrders(
+        control=control,
+        state=lambda: voter.state.state,
+        holder=settings.name,
+        log=environment.log,
+        known_zones=lambda: frozenset(settings.zones) | hub.known_zones(),
+        on_committed=hub.send_evacuation,
+    )
     return ControlProcess(
         address=settings.link_address,
         voter=voter,
         control=control,
         endpoint_table=table,
         node_hub=hub,
+        evacuations=evacuations,
         log=environment.log,
     )
 
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -15,6 +15,7 @@
 import anyio
 
 from bergamotchute_daemon.control_log import ControlLog, ControlUnavailable
+from bergamotchute_daemon.evacuations.evacuation_orders import read_evacuations
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.heartbeat_updates import apply_heartbeat
 from bergamotchute_daemon.link_set import LinkSet
@@ -25,6 +26,7 @@
 from bergamotchute_model import events
 from bergamotchute_model.commands import RecordDeparture
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat, EndpointPhase
+from bergamotchute_model.evacuations import EvacuationsInForce, ZoneEvacuation
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.node_messages import (
     AgentState,
@@ -131,6 +133,7 @@
     peer_groups: dict[Address, ControlGroup] = field(default_factory=dict)
     notified_departure_changes: int = -1
     notified_version: int = 0
+    notified_decision_revision: int = 0
     sent_rank_places: dict[Address, RankLocation] = field(default_factory=dict)
     placed_node_changes: int = 0
     assigned_term_and_changes: tuple[int, int] = (0, 0)
@@ -218,10 +221,13 @@
                 continue
             departures = self.voter.state.state.departures.departed_born_ms
             recorded = DeparturesRecorded(tuple(departures.items()))
+            evacuations = read_evacuations(self.voter.state.state)
             for follower in waiting:
                 follower.confirmed = True
                 if isinstance(follower.node, EntryState):
                     follower.outbox.post(recorded)
+                # Before the version: an entry sends no request without a configuration.
+                self._send_evacuations((follower,), evacuations)
                 self._send_version(follower)
             self.log.emit(
                 events.FOLLOWERS_CONFIRMED,
@@ -500,6 +506,7 @@
     def on_folder_opened(self) -> None:
         """Have the state confirmed again: it begins anew from the snapshot in the data folder."""
         self.notified_departure_changes = -1
+        self.notified_decision_revision = 0
         for follower in self.followers:
             follower.confirmed = False
         self.confirmation_needed.set()
@@ -516,6 +523,29 @@
             self.notified_departure_changes = state.departures.changes
             for endpoint, born_ms in state.departures.departed_born_ms.items():
                 self.send_departure(endpoint, born_ms)
+        decision = next(reversed(state.decisions.in_force.values()), None)
+        if decision is not None and decision.revision != self.notified_decision_revision:
+            self.notified_decision_revision = decision.revision
+            self._send_evacuations(self.followers, read_evacuations(state))
+
+    def send_evacuation(self, evacuation: ZoneEvacuation) -> None:
+        """Tell the entries of an order that was committed; the state here may not hold it yet."""
+        self._send_evacuations(self.followers, (evacuation,))
+
+    def _send_evacuations(
+        self, followers: Iterable[Follower], evacuations: tuple[ZoneEvacuation, ...]
+    ) -> None:
+        if not evacuations:
+            return
+        for follower in followers:
+            if isinstance(follower.node, EntryState) and follower.node.accepts_evacuations:
+                follower.outbox.post(EvacuationsInForce(evacuations))
+
+    def known_zones(self) -> frozenset[str]:
+        """Return the availability zones of the endpoints and entries that are known here."""
+        endpoints = (each.availability_zone for each in self.endpoint_table.heartbeats())
+        entries = (each.availability_zone for each in self.linked_nodes.open_entries())
+        return frozenset([*endpoints, *entries])
 
     async def record_departure(self, endpoint: str, born_ms: int) -> bool:
         """Record that one incarnation of an endpoint accepts no new work.
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_settings.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_settings.py
@@ -46,6 +46,8 @@
     :param stop_s: time between SIGTERM and SIGKILL, in seconds.
     :param retry_ratio: retries allowed for each request of a service, over all entries.
     :param retry_slack: further retries in each window of ten seconds, over all entries.
+    :param zones: the availability zones of the deployment; empty to know only those of endpoints and
+        entries.
     :param data_folder: the folder for stored data; empty for a process without a disk.
     :param endpoint: ``HOST:PORT`` of the endpoint beside an agent.
     :param metrics_port: the port that serves metrics; 0 to serve none.
@@ -62,6 +64,7 @@
     stop_s: float
     retry_ratio: float
     retry_slack: float
+    zones: tuple[str, ...] = ()
     data_folder: str = ""
     endpoint: str = ""
     metrics_port: int = 0
--- a/packages/bergamotchute-model/src/bergamotchute_model/events.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/events.py
@@ -295,6 +295,26 @@
 CONFIGURATION_REFUSED = _define_event_kind(
     1432, "configuration_refused", "An operator's configuration is invalid.", logging.WARNING
 )
+EVACUATION_ORDERED = _define_event_kind(
+    1440, "evacuation_ordered", "An operator's order to evacuate a zone, or to end it, is in force."
+)
+EVACUATION_UNCONFIRMED = _define_event_kind(
+    1441,
+    "evacuation_unsure",
+    "The log could not confirm an operator's order on a zone in time.",
+    logging.WARNING,
+)
+EVACUATION_REFUSED = _define_event_kind(
+    1442,
+    "evacuation_refused",
+    "An operator's order names a zone that is not known here.",
+    logging.WARNING,
+)
+EVACUATION_CHANGED = _define_event_kind(
+    1443,
+    "evacuation_changed",
+    "An entry stopped or resumed sending requests to a zone's endpoints.",
+)
 SETTINGS_RELOADED = _define_event_kind(
     1005, "settings_reloaded", "A process read its settings again."
 )
--- a/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
@@ -7,6 +7,7 @@
 from typing import Literal
 
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
+from bergamotchute_model.evacuations import EvacuationsInForce
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.prompt_parts import PromptEvidence
 from bergamotchute_model.rate_limits import PermitAnswer, RateLimitsReported, RequestPermit
@@ -18,6 +19,7 @@
 
     :param accepts_prompt_evidence: whether it reads :class:`PromptEvidence`; earlier builds don't.
     :param accepts_rate_limits: whether it reads :class:`RateLimitsReported`; earlier builds don't.
+    :param accepts_evacuations: whether it reads :class:`EvacuationsInForce`; earlier builds don't.
     """
 
     name: str
@@ -27,6 +29,7 @@
     kind: Literal["entry_state"] = "entry_state"
     accepts_prompt_evidence: bool = False
     accepts_rate_limits: bool = False
+    accepts_evacuations: bool = False
 
 
 @dataclass(frozen=True)
@@ -418,4 +421,5 @@
     | RateLimitsReported
     | RequestPermit
     | PermitAnswer
+    | EvacuationsInForce
 )
--- a/tests/direct/test_direct_entry.py
+++ b/tests/direct/test_direct_entry.py
@@ -19,6 +19,7 @@
 from bergamotchute_daemon.node_composition_root import NodeEnvironment, compose_direct_entry
 from bergamotchute_daemon.node_settings import ListenSettings, NodeSettings
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat, EndpointPhase
+from bergamotchute_model.evacuations import EvacuationsInForce, ZoneEvacuation
 from bergamotchute_model.headers import Headers
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.node_messages import (
@@ -377,3 +378,51 @@
         assert entry.endpoints_by_address is not indexed
 
     run_with_entry(body)
+
+
+def _evacuate(version: int, is_evacuated: bool) -> EvacuationsInForce:
+    return EvacuationsInForce((ZoneEvacuation("north", version, is_evacuated),))
+
+
+def test_endpoints_of_an_evacuated_zone_are_not_used_until_the_evacuation_ends() -> None:
+    async def body(entry: DirectEntry, _: list[NodeMessage]) -> None:
+        south = replace(
+            heartbeat(1),
+            endpoint="runner-2",
+            availability_zone="south",
+            address=Address("10.1.0.2", 80),
+        )
+        entry.on_message(CONTROL_ADDRESS, HeartbeatsReceived((heartbeat(1), south)))
+        entry.on_message(CONTROL_ADDRESS, _evacuate(1, True))
+        assert [each.endpoint for each in entry.endpoints("model")] == ["runner-2"]
+        # Heartbeats that come later must not bring the endpoint back.
+        entry.on_message(CONTROL_ADDRESS, HeartbeatsReceived((replace(heartbeat(2), slots=7),)))
+        assert [each.endpoint for each in entry.endpoints("model")] == ["runner-2"]
+        entry.on_message(CONTROL_ADDRESS, _evacuate(2, False))
+        entry.on_message(OTHER_CONTROL_ADDRESS, _evacuate(1, True))
+        assert len(entry.endpoints("model")) == 2
+
+    run_with_entry(body)
+
+
+def test_request_of_a_wholly_evacuated_service_is_refused_at_once_although_an_entry_just_started() -> (
+    None
+):
+    """An entry that has just started waits for endpoints, which an evacuation makes pointless."""
+    route = (
+        b'{"version": 5, "services": [{"name": "model"}], "routes": [{"host": "api.example",'
+        b' "pathPrefix": "/a/", "kind": "safe", "timeoutMs": 800, "service": "model"}]}'
+    )
+
+    async def body(entry: DirectEntry, _: list[NodeMessage]) -> None:
+        entry.on_message(CONTROL_ADDRESS, ConfigurationText(5, zlib.compress(route)))
+        entry.on_message(CONTROL_ADDRESS, HeartbeatsReceived((heartbeat(1),)))
+        entry.on_message(CONTROL_ADDRESS, _evacuate(1, True))
+        answer = RecordingWriter()
+        began = anyio.current_time()
+        await entry.handle_request(REQUEST, answer)  # type: ignore[arg-type]
+        assert answer.status == 503
+        assert answer.at - began < 0.1
+        assert answer.retry_after_s >= 2.0
+
+    run_with_entry(body)
