Refuse requests that wait for a slot when an entry of our own interface drains

Change: once the drain is announced, requests that were never sent are refused as not run, so that another entry takes them; streams that have begun and retries keep waiting.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/entry_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/entry_process.py
@@ -79,12 +79,18 @@
     async def drain(self) -> bool:
         """Announce the drain so that callers use other entries, then wait for requests in flight.
 
+        Requests that still wait for their first endpoint then are refused; they have not run.
+
         :return: whether all requests finished within the drain bound.
         """
         self.log.emit(events.PROCESS_DRAINING, running=self.app.callers.running)
         self.app.callers.leaving = True
         await self.control_client.announce_now()
         await anyio.sleep(max(DRAIN_ANNOUNCEMENT_S, self.settings.lame_duck_s))
+        # What still waits for a slot might get it too late to be answered before this process ends.
+        self.scheduling.refuse_waiting(
+            ProblemCode.DRAINING, "this entry is draining; send the request to another entry"
+        )
         return await self.app.callers.drain(self.settings.drain_bound_s)
 
     def announcement(self) -> EntryAnnouncement:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/request_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/request_runner.py
@@ -148,8 +148,13 @@
                 return await self.scheduling.admit(work, patience_s)
             except ProblemError as error:
                 # An expired view refuses new requests only; a stream that has begun may be resumed.
+                # A drain refuses those that were never sent, which another entry can take at once.
                 has_expired_view = error.problem.code is ProblemCode.VIEW_EXPIRED
-                if not (has_expired_view and exchange.answer.chunks):
+                is_draining = error.problem.code is ProblemCode.DRAINING
+                if not (
+                    (has_expired_view and exchange.answer.chunks)
+                    or (is_draining and exchange.attempts)
+                ):
                     exchange.answer.fail(_with_attempts_verdict(exchange, error.problem))
                     return None
 
--- a/tests/daemon/test_whole_path.py
+++ b/tests/daemon/test_whole_path.py
@@ -100,6 +100,34 @@
     run_system(body)
 
 
+def test_request_that_waits_for_a_slot_is_refused_when_its_entry_drains() -> None:
+    """It was passed on up to the end of the drain, and cut there when it had just begun."""
+
+    async def body(system: System) -> None:
+        await system.start(runners=1)
+        system.endpoints["runner-0"].tokens = 2_000
+        answers = []
+
+        async def run_stream() -> None:
+            answers.append(await system.caller(0).draft())
+
+        async with anyio.create_task_group() as tasks:
+            for _ in range(12):
+                tasks.start_soon(run_stream)
+            await anyio.sleep(0.5)
+            begun = len(system.endpoints["runner-0"].executions)
+            await system.entries["entry-0"].drain()
+        refused = [answer for answer in answers if answer.status != 200]
+        assert len(system.endpoints["runner-0"].executions) == begun < 12
+        assert len(refused) == 12 - begun
+        assert {answer.json()["code"] for answer in refused} == {"draining"}
+        assert {answer.json()["verdict"] for answer in refused} == {"not_run"}
+        served = [answer for answer in answers if answer.status == 200]
+        assert all(answer.complete for answer in served)
+
+    run_system(body)
+
+
 def test_disconnected_caller_releases_its_runner() -> None:
     async def body(system: System) -> None:
         await system.start(runners=1)
