Upgrade play: start and end an evacuation at each step

Change: an evacuation is started and ended in turn at the control VMs that know the call; its versions must go on over replaced, killed and earlier builds, and entries must hear of it.

--- a/tools/upgrade_play.py
+++ b/tools/upgrade_play.py
@@ -2,8 +2,9 @@
 
 Control VMs and entries of an earlier commit are replaced one after the other by those of the
 working tree, all killed, and replaced by the earlier ones again on the same folders. Meanwhile
-configurations are put and read back, and the entries must route by them. With ``--new-first`` the
-builds change places.
+configurations are put and read back, and the entries must route by them. An evacuation is started
+and ended in turn at the control VMs that know the call; its versions must go on over all
+replacements. With ``--new-first`` the builds change places.
 """
 
 from __future__ import annotations
@@ -18,7 +19,9 @@
 from dataclasses import dataclass, field
 from itertools import cycle
 from pathlib import Path
+from typing import Any
 
+from bergamotchute_model.event_record import parse_event
 from tools.node_processes import (
     CALLER_PORT,
     CONTROL_PORT,
@@ -32,6 +35,9 @@
 ROUTE_COUNT = 1_500
 VERSIONS_PER_STEP = 3
 
+ZONE = "north"
+"""The availability zone of all processes."""
+
 ACKNOWLEDGE_S = 5.0
 """The target for acknowledging a configuration, and for its way to entries and readers."""
 
@@ -49,12 +55,14 @@
     """The processes, and what was checked of them.
 
     :param failures: the checks that failed.
+    :param evacuation_version: orders that changed whether the zone is evacuated.
     """
 
     nodes: NodeProcesses
     version: int = 1
     check_count: int = 0
     failures: list[str] = field(default_factory=list)
+    evacuation_version: int = 0
     next_control: cycle[int] = field(default_factory=lambda: cycle(range(CONTROL_COUNT)))
 
     def check(self, name: str, holds: bool) -> None:
@@ -74,6 +82,56 @@
         entries = [name for name in self.nodes.processes if name.startswith("entry")]
         for number in range(len(entries)):
             self.check(f"{label}: entry-{number} routes by it", self._is_routed(number))
+        self._check_evacuation(label, len(entries))
+
+    def _check_evacuation(self, label: str, entry_count: int) -> None:
+        """Start or end an evacuation, unless all control VMs are of a build without it."""
+        verb = "end" if self.evacuation_version % 2 else "start"
+        path = f"/bergamotchute/evacuate/{ZONE}/{verb}"
+        statuses = self._order(path)
+        if set(statuses) == {404}:
+            print(f"{label}: no control VM knows evacuations", flush=True)
+            return
+        self.evacuation_version += 1
+        self.check(f"{label}: evacuation {verb} acknowledged, statuses {statuses}", 200 in statuses)
+        controls = [f"control-{number}" for number in range(CONTROL_COUNT)]
+        versions = [
+            each["version"]
+            for name in controls
+            for each in self._logged(name, "evacuation_ordered")
+        ]
+        is_next = max(versions, default=0) == self.evacuation_version
+        self.check(
+            f"{label}: evacuation has version {self.evacuation_version}, logged {versions}", is_next
+        )
+        heard = [self._has_heard(f"entry-{number}") for number in range(entry_count)]
+        self.check(f"{label}: an entry knows of the evacuation, {heard}", any(heard))
+
+    def _order(self, path: str) -> list[int]:
+        """Send an order to all control VMs until one acknowledges it; return the last statuses."""
+        deadline = time.monotonic() + ACKNOWLEDGE_S
+        while True:
+            hosts = [self.nodes.control_host(number) for number in range(CONTROL_COUNT)]
+            statuses = [call(host, CONTROL_PORT, "POST", path)[0] for host in hosts]
+            if 200 in statuses or set(statuses) == {404} or time.monotonic() > deadline:
+                return statuses
+            time.sleep(RETRY_DELAY_S)
+
+    def _has_heard(self, entry: str) -> bool:
+        """Return whether an entry logs the newest evacuation in time; earlier builds never do."""
+        deadline = time.monotonic() + ACKNOWLEDGE_S
+        while time.monotonic() < deadline:
+            heard = self._logged(entry, "evacuation_changed")
+            if any(each["version"] == self.evacuation_version for each in heard):
+                return True
+            time.sleep(RETRY_DELAY_S)
+        return False
+
+    def _logged(self, name: str, event: str) -> list[dict[str, Any]]:
+        """Return the fields of an event in the log of a process, in order."""
+        lines = (self.nodes.folder / f"{name}.log").read_bytes().splitlines()
+        records = [parse_event(line) for line in lines if event.encode() in line]
+        return [each.fields for each in records if each is not None and each.event == event]
 
     def _put(self) -> bool:
         text = configuration_text(self.version)
