Limit the requests to cold endpoints in any second

Cause: heartbeats say for how long an endpoint is cold, and nothing read it. All entries prefer an endpoint that just returned, as it is empty, and it crashes if one second brings more requests than its service allows. Change: a cold endpoint has a rate for which entries need permits, as for rates that endpoints name. It leaves room for two successive hosts of the schedule and for one request a second of each entry without permits. The agent beside an endpoint bounds the reservations that exist in any second, for entries that don't know yet. A heartbeat that is sent again carries the time that is left then. Services without coldPerS are served as before. Tests of the touched parts pass; two tests of tests/direct with time limits failed once at a load of 27 on the machine, and passed three times in a row when run again. Not measured on whole processes.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -283,6 +283,7 @@
         is_first = self.routing_table is None
         self.routing_table = RoutingTable(configuration)
         self.forwarder.placement.engine_timings = self.routing_table.engine_timings
+        self.forwarder.rate_permits.cold_limits.set_services(configuration.services)
         limits = configuration.limits
         self.server.limits = ServerLimits(
             limits.head_bytes, limits.body_bytes, limits.head_timeout_s, limits.idle_timeout_s
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/endpoint_chooser.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/endpoint_chooser.py
@@ -17,6 +17,7 @@
 )
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
 from bergamotchute_policy.direct_placement import DirectPlacement, EndpointCandidate
+from bergamotchute_policy.slot_queue import UNLIMITED_REQUESTS
 from bergamotchute_policy.slot_search import SlotSearch, patience_s
 from bergamotchute_policy.stream_pace import StreamPace
 
@@ -26,6 +27,12 @@
 MIN_PERMIT_PAUSE_S = 0.02
 """Shortest time until a permit is requested again after one was refused."""
 
+LIMITED_AGENT_PAUSE_S = 0.2
+"""Pause for an endpoint whose agent refuses even a request that accepts any load.
+
+It keeps the bound of reservations in a second, see ``reservation_rate.py``.
+"""
+
 MIN_REPORTED_WAIT_S = 0.1
 """Shortest wait for a slot that the reason of a refusal mentions.
 
@@ -154,6 +161,7 @@
                 self._due_at(request),
                 wait_until,
                 request.priority,
+                self.rate_permits.cold_limits.most_per_s(endpoint.service),
             )
             outcome = await self.slots.reserve(endpoint.address, slot_request)
             if outcome is None:
@@ -170,6 +178,10 @@
                 outcome.reservation.release()
                 search.on_refused(target)
                 continue
+            if target.most >= UNLIMITED_REQUESTS:
+                self.placement.on_pause_requested(
+                    endpoint, LIMITED_AGENT_PAUSE_S, anyio.current_time()
+                )
             if target.queue:
                 self._refuse_overloaded(
                     request, outcome.requests / max(1, endpoint.slots), outcome.waited_s
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/rate_permits.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/rate_permits.py
@@ -9,12 +9,14 @@
 import anyio
 from anyio.streams.memory import MemoryObjectSendStream
 
+from bergamotchute_daemon.direct.cold_limits import ColdLimits
 from bergamotchute_daemon.direct.request_format import ResponseMetadata
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.rate_limit_log import RateLimitLog
 from bergamotchute_model import events
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
 from bergamotchute_model.rate_limits import PermitAnswer, RateLimitsReported, RequestPermit
+from bergamotchute_policy.cold_limit import ColdLimit
 from bergamotchute_policy.permit_schedule import BURST_REQUESTS, Permit, PermitSchedule
 from bergamotchute_policy.rate_limit_table import UNLIMITED
 
@@ -27,16 +29,23 @@
 Meanwhile the entry uses its own part of the endpoint's rate.
 """
 
+NO_PART_PAUSE_S = 0.25
+"""Time until an entry asks again that gets no answer and may not use an own part of a cold rate."""
+
 
 @dataclass
 class RatePermits:
     """Gets a permit for each request to an endpoint with a limit; others need none.
 
+    A cold endpoint has the lower of the limit that it names and the one of its service.
+
     :param limits: the limits that this entry read or was told.
     :param post_request: requests a permit at a control VM; returns whether one is linked.
     :param post_limits: tells the control VMs of limits, which pass them on.
     :param entry_count: returns the entries among which a rate is divided when no permit comes.
+    :param cold_limits: the cold endpoints and their limits.
     :param own_schedule: the permits from this entry's own part of each rate.
+    :param own_cold_schedule: the same for cold endpoints, without bursts.
     :param refused_count: permits that were refused since the start.
     """
 
@@ -46,7 +55,9 @@
     entry_count: Callable[[], int]
     random: Random
     log: EventLog
+    cold_limits: ColdLimits = field(default_factory=ColdLimits)
     own_schedule: PermitSchedule = field(default_factory=PermitSchedule)
+    own_cold_schedule: PermitSchedule = field(default_factory=PermitSchedule)
     requested_count: int = 0
     refused_count: int = 0
     answer_senders: dict[int, MemoryObjectSendStream[PermitAnswer]] = field(default_factory=dict)
@@ -54,6 +65,11 @@
 
     def requests_per_s(self, endpoint: EndpointHeartbeat) -> float:
         """Return the limit of an endpoint; infinity for none."""
+        named = self._named_requests_per_s(endpoint)
+        cold = self.cold_limits.limit(endpoint)
+        return named if cold is None else min(named, cold.requests_per_s)
+
+    def _named_requests_per_s(self, endpoint: EndpointHeartbeat) -> float:
         return self.limits.table.requests_per_s(
             endpoint.endpoint, endpoint.born_ms, anyio.current_time()
         )
@@ -103,10 +119,18 @@
         )
         permit = await self._request_permit(request)
         if permit is None:
-            permit = self._use_own_part(request)
+            cold = self.cold_limits.limit(endpoint)
+            permit = (
+                self._use_own_part(request)
+                if cold is None
+                else self._use_own_cold_part(request, cold, self._named_requests_per_s(endpoint))
+            )
         if permit.granted:
             await anyio.sleep(permit.wait_s)
             return Permit(True, anyio.current_time() - asked_at)
+        if self._named_requests_per_s(endpoint) == UNLIMITED:
+            # The limit ends with the cold time.
+            permit = replace(permit, wait_s=min(permit.wait_s, self.cold_limits.left_s(endpoint)))
         self.refused_count += 1
         self.log.emit(
             events.PERMIT_REFUSED,
@@ -154,6 +178,16 @@
             initial_debt=BURST_REQUESTS - 1.0 + self.random.random(),
         )
 
+    def _use_own_cold_part(
+        self, request: RequestPermit, cold: ColdLimit, named_requests_per_s: float
+    ) -> Permit:
+        rate = min(cold.own_requests_per_s, named_requests_per_s / self.entry_count())
+        if not rate:
+            return Permit(False, NO_PART_PAUSE_S)
+        return self.own_cold_schedule.request_permit(
+            replace(request, requests_per_s=rate), anyio.current_time(), burst=1.0
+        )
+
     def on_message(self, message: RateLimitsReported | PermitAnswer) -> None:
         """Record the limits that a control VM passes on, or deliver its answer.
 
@@ -168,6 +202,7 @@
         """Return the gauges by name."""
         return {
             **self.limits.gauges(),
+            **self.cold_limits.gauges(),
             "permits_requested_total": float(self.requested_count),
             "permits_refused_total": float(self.refused_count),
         }
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/slot_reservations.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/slot_reservations.py
@@ -94,6 +94,8 @@
     :param due_at: when it needs the slot to meet its objective, on the runtime's clock.
     :param wait_until: when it stops waiting, on the runtime's clock.
     :param priority: 0 is the most urgent.
+    :param most_per_s: the most reservations at the endpoint that may exist in any second; 0 for no
+        bound.
     """
 
     most: int
@@ -101,6 +103,7 @@
     due_at: float
     wait_until: float
     priority: int = 0
+    most_per_s: int = 0
 
 
 @dataclass
@@ -170,6 +173,7 @@
                 round(slot_request.due_at - now, 3),
                 slot_request.priority,
                 round(slot_request.wait_until - now, 3),
+                slot_request.most_per_s,
             )
         )
         reservation: Reservation | None = None
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/heartbeat_updates.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/heartbeat_updates.py
@@ -8,6 +8,7 @@
 from bergamotchute_model import events
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
 from bergamotchute_model.identifiers import Address
+from bergamotchute_model.node_messages import HeartbeatsReceived
 from bergamotchute_policy.endpoint_table import EndpointTable
 
 
@@ -29,5 +30,16 @@
             phase=heartbeat.phase,
             born_ms=heartbeat.born_ms,
             heartbeat=heartbeat.sequence,
+            cold_left_ms=round(1000 * heartbeat.cold_left_s),
         )
     return is_change
+
+
+def all_heartbeats(table: EndpointTable) -> HeartbeatsReceived:
+    """Return the message that tells an entry of all endpoints."""
+    return HeartbeatsReceived(table.all_heartbeats(anyio.current_time()))
+
+
+def local_heartbeats(table: EndpointTable) -> HeartbeatsReceived:
+    """Return the message that tells another control VM of the endpoints monitored here."""
+    return HeartbeatsReceived(table.local_heartbeats(anyio.current_time()))
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
@@ -81,6 +81,7 @@
     settings: NodeSettings, request_format: RequestFormat, environment: NodeEnvironment
 ) -> DirectEntry:
     """Return an entry that sends requests to endpoints itself, without starting it."""
+    from bergamotchute_daemon.direct.cold_limits import ColdLimits
     from bergamotchute_daemon.direct.direct_entry import DirectEntry
     from bergamotchute_daemon.direct.direct_forwarder import DirectForwarder
     from bergamotchute_daemon.direct.endpoint_calls import EndpointCalls
@@ -104,6 +105,12 @@
         entry_count=lambda: forwarder.entry_count,
         random=environment.random,
         log=environment.log,
+        cold_limits=ColdLimits(
+            table=table,
+            excess=settings.cold_excess,
+            slack=settings.cold_slack,
+            entry_count=lambda: forwarder.entry_count,
+        ),
     )
     prompt_guard = PromptGuard(
         table=PromptEvidenceTable(environment.log),
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -17,7 +17,7 @@
 from bergamotchute_daemon.control_log import ControlLog, ControlUnavailable
 from bergamotchute_daemon.evacuations.evacuation_orders import read_evacuations
 from bergamotchute_daemon.event_log import EventLog
-from bergamotchute_daemon.heartbeat_updates import apply_heartbeat
+from bergamotchute_daemon.heartbeat_updates import all_heartbeats, apply_heartbeat, local_heartbeats
 from bergamotchute_daemon.link_set import LinkSet
 from bergamotchute_daemon.permit_server import PermitServer
 from bergamotchute_daemon.prompt_evidence_table import PromptEvidenceTable
@@ -154,7 +154,7 @@
         """Yield the local state that another control VM receives from no other process."""
         yield ControlPeer(self.address, accepts_prompt_evidence=True, accepts_rate_limits=True)
         yield self.linked_nodes.whole()
-        yield HeartbeatsReceived(self.endpoint_table.local_heartbeats())
+        yield local_heartbeats(self.endpoint_table)
         yield from self.assigned.values()
 
     async def serve_link(self, link: Link[NodeMessage]) -> None:
@@ -330,7 +330,7 @@
             self.log.emit(events.LINK_OPENED, peer=node.name)
         if isinstance(node, EntryState):
             if is_new_follower:
-                follower.outbox.post(HeartbeatsReceived(self.endpoint_table.heartbeats()))
+                follower.outbox.post(all_heartbeats(self.endpoint_table))
                 follower.outbox.post(RankLocations(tuple(self.sent_rank_places.values())))
                 follower.accepts_prompt_evidence = node.accepts_prompt_evidence
                 if node.accepts_prompt_evidence:
@@ -443,7 +443,7 @@
         if new_heartbeats:
             self._post_to_entries(HeartbeatsReceived(tuple(new_heartbeats)))
         newer = [
-            self.endpoint_table.newer_local_heartbeat(heartbeat)
+            self.endpoint_table.newer_local_heartbeat(heartbeat, anyio.current_time())
             for heartbeat in heartbeats
             if heartbeat.phase is EndpointPhase.SILENT
         ]
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_settings.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_settings.py
@@ -46,6 +46,9 @@
     :param stop_s: time between SIGTERM and SIGKILL, in seconds.
     :param retry_ratio: retries allowed for each request of a service, over all entries.
     :param retry_slack: further retries in each window of ten seconds, over all entries.
+    :param cold_excess: the factor by which the requests of one second may exceed those that a service
+        names for a cold endpoint, over all entries.
+    :param cold_slack: further requests to a cold endpoint in each second, over all entries.
     :param zones: the availability zones of the deployment; empty to know only those of endpoints and
         entries.
     :param data_folder: the folder for stored data; empty for a process without a disk.
@@ -64,6 +67,8 @@
     stop_s: float
     retry_ratio: float
     retry_slack: float
+    cold_excess: float = 1.0
+    cold_slack: float = 0.0
     zones: tuple[str, ...] = ()
     data_folder: str = ""
     endpoint: str = ""
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
@@ -208,6 +208,7 @@
             "rank_pace": self.reported_pace or 0.0,
             "commanding": float(self.commanding is not None),
             "rank_silent": float(self.is_rank_unresponsive),
+            "reservations_refused_by_rate_total": float(self.slots.rate.refused_count),
         }
 
     async def _poll_rank(self) -> None:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/slot_reservation_server.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/slot_reservation_server.py
@@ -13,6 +13,7 @@
     SlotAnswer,
     SlotState,
 )
+from bergamotchute_policy.reservation_rate import ReservationRate
 from bergamotchute_policy.slot_ledger import SlotLedger
 from bergamotchute_policy.slot_queue import WaitingRequest
 from bergamotchute_wire.link import Link
@@ -24,9 +25,11 @@
     """Serve the links on which entries reserve and release slots.
 
     :param ledger: the reservations and waiting requests of the endpoint.
+    :param rate: the bound of the reservations in any second, as entries name it.
     """
 
     ledger: SlotLedger = field(default_factory=SlotLedger)
+    rate: ReservationRate = field(default_factory=ReservationRate)
 
     async def serve_entry(self, link: Link[NodeMessage]) -> None:
         """Serve one entry until its link closes, which ends the entry's reservations and waits."""
@@ -35,7 +38,9 @@
                 while True:
                     self._handle_message(outbox, await link.receive())
             finally:
+                ended = len(self.ledger.reserved.get(outbox, ()))
                 self.ledger.release_holder(outbox)
+                self.rate.on_ended(ended, anyio.current_time())
                 self._answer_waiting()
 
     def on_request_count(self, requests: int) -> None:
@@ -47,6 +52,11 @@
         if isinstance(message, ReserveSlot):
             requests = self.ledger.requests + len(self.ledger.line)
             now = anyio.current_time()
+            self.rate.set_bound(message.most_per_s)
+            if not self._may_grant(now):
+                self.rate.refused_count += 1
+                outbox.post(SlotAnswer(message.number, SlotState.REFUSED, requests))
+                return
             request = WaitingRequest(
                 outbox,
                 message.number,
@@ -59,16 +69,22 @@
             outbox.post(SlotAnswer(message.number, state, requests))
             self._answer_waiting()
         elif isinstance(message, ReleaseSlot):
+            ended = message.number in self.ledger.reserved.get(outbox, ())
             self.ledger.release_slot(outbox, message.number)
+            self.rate.on_ended(ended, anyio.current_time())
             self._answer_waiting()
 
     def _answer_waiting(self) -> None:
         now = anyio.current_time()
-        while (served := self.ledger.reserve_for_next(now)) is not None:
+        while self._may_grant(now) and (served := self.ledger.reserve_for_next(now)) is not None:
             self._post_answer(served, SlotState.RESERVED, self.ledger.requests - 1)
         for turned_away in self.ledger.take_rejected(now):
             self._post_answer(turned_away, SlotState.REFUSED, self.ledger.requests)
 
+    def _may_grant(self, now: float) -> bool:
+        existing = sum(len(numbers) for numbers in self.ledger.reserved.values())
+        return self.rate.may_grant(existing, now)
+
     def _post_answer(self, request: WaitingRequest, state: SlotState, other_requests: int) -> None:
         """Send an entry the result of a request that waited for a slot."""
         assert isinstance(request.holder, Outbox)
--- a/packages/bergamotchute-model/src/bergamotchute_model/endpoint_heartbeat.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/endpoint_heartbeat.py
@@ -26,6 +26,8 @@
     :param born_ms: start of the current incarnation, in Unix milliseconds by the endpoint's clock.
     :param sequence: increases with each heartbeat of one incarnation.
     :param slots: count of requests that the endpoint can run concurrently.
+    :param cold_left_s: for how long the endpoint is still cold, counted from the time at which this
+        was sent, in seconds.
     """
 
     endpoint: str
@@ -36,6 +38,7 @@
     availability_zone: str
     slots: int
     phase: EndpointPhase
+    cold_left_s: float = 0.0
 
     @property
     def order(self) -> tuple[int, int]:
--- a/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
@@ -363,6 +363,8 @@
     :param priority: 0 is the most urgent.
     :param patience_s: time within which the request must begin before its caller gives up, in
         seconds.
+    :param most_per_s: the most reservations that may exist in any second; 0 for no bound, ``None``
+        if the entry doesn't say.
     """
 
     number: int
@@ -371,6 +373,7 @@
     due_s: float
     priority: int
     patience_s: float
+    most_per_s: int | None = None
     kind: Literal["reserve_slot"] = "reserve_slot"
 
 
--- a/packages/bergamotchute-model/src/bergamotchute_model/versioned_configuration.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/versioned_configuration.py
@@ -113,11 +113,15 @@
 
     :param max_connections: count of connections that an endpoint accepts in total.
     :param engine: ``None`` for a plain service.
+    :param cold_s: time for which an endpoint is cold after its start, in seconds.
+    :param cold_per_s: requests a second for a cold endpoint, over all entries; 0 for no limit.
     """
 
     name: str
     max_connections: int
     engine: EnginePerformance | None = None
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/permit_schedule.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/permit_schedule.py
@@ -58,14 +58,20 @@
     schedules: dict[str, _Schedule] = field(default_factory=dict)
 
     def request_permit(
-        self, request: RequestPermit, now: float, initial_debt: float = 0.0
+        self,
+        request: RequestPermit,
+        now: float,
+        initial_debt: float = 0.0,
+        burst: float | None = None,
     ) -> Permit:
         """Grant a permit if the request may be sent within its patience.
 
         :param initial_debt: permits that count as granted when the schedule is new.
+        :param burst: requests that may be sent at once after a pause; ``None`` for the usual number.
         """
         rate = max(MIN_REQUESTS_PER_S, request.requests_per_s)
-        burst = BURST_REQUESTS + BURST_S * rate
+        if burst is None:
+            burst = BURST_REQUESTS + BURST_S * rate
         schedule = self.schedules.get(request.endpoint)
         if schedule is None or schedule.born_ms < request.born_ms:
             self._make_room()
--- a/tests/adapter/test_configuration_format.py
+++ b/tests/adapter/test_configuration_format.py
@@ -50,6 +50,8 @@
         {
             "name": "model",
             "maxConns": 400,
+            "coldS": 3.0,
+            "coldPerS": 26,
             "engine": {
                 "slots": 6,
                 "kvCapacityTokens": 247000,
@@ -88,6 +90,7 @@
     assert configuration.services[0].engine.step_s == pytest.approx(0.00484)
     assert configuration.services[0].engine.step_per_context_token_s == pytest.approx(2.2e-8)
     assert configuration.services[1].engine is None
+    assert [(each.cold_s, each.cold_per_s) for each in configuration.services] == [(3, 26), (0, 0)]
     assert configuration.teams == (TeamRule("parish", ("a", "b"), 2),)
 
 
--- a/tests/adapter/test_heartbeats_and_ranks.py
+++ b/tests/adapter/test_heartbeats_and_ranks.py
@@ -37,6 +37,9 @@
     assert heartbeat.order == (1775642652344, 4)
     assert heartbeat.address == Address("10.128.0.9", 8080)
     assert heartbeat.phase is EndpointPhase.READY
+    assert heartbeat.cold_left_s == 0
+    cold = read_heartbeat("i-1", json.dumps({**HEARTBEAT, "coldLeftMs": 1250.5}).encode())
+    assert cold.cold_left_s == pytest.approx(1.2505)
 
 
 @pytest.mark.parametrize(
--- a/tests/adapter/test_odd_values.py
+++ b/tests/adapter/test_odd_values.py
@@ -68,6 +68,11 @@
     assert_refused(read_runner_1, with_value(HEARTBEAT, value, "born"))
 
 
+@pytest.mark.parametrize("value", [2**70, -3, "4", True, [], {}, 600_001], ids=repr)
+def test_heartbeat_with_an_odd_cold_time_is_passed_on(value: Any) -> None:
+    assert_refused(read_runner_1, with_value(HEARTBEAT, value, "coldLeftMs"))
+
+
 @pytest.mark.parametrize("slots", [0, 100_000, 2**53])
 def test_heartbeat_with_impossible_slots_is_passed_on(slots: int) -> None:
     assert_refused(read_runner_1, with_value(HEARTBEAT, slots, "slots"))
@@ -134,6 +139,7 @@
         ("routes", 0, "timeoutMs"),
         ("routes", 0, "sloMs"),
         ("services", 0, "engine", "step_ms"),
+        ("services", 0, "coldPerS"),
         ("limits", "idleTimeoutMs"),
     ],
 )
--- a/tests/daemon/test_node_settings.py
+++ b/tests/daemon/test_node_settings.py
@@ -38,6 +38,10 @@
     assert settings.seed_link_addresses == (Address("10.0.0.1", 7280), Address("10.0.0.2", 7280))
     assert settings.listen.control == "10.0.0.1:80"
     assert settings.data_folder == ""
+    assert (settings.cold_excess, settings.cold_slack) == (1.0, 0.0)
+    bounds = "retry_slack = 92\ncold_excess = 1.5\ncold_slack = 5"
+    settings = write_settings(tmp_path, VALID.replace("retry_slack = 92", bounds)).read()
+    assert (settings.cold_excess, settings.cold_slack) == (1.5, 5.0)
 
 
 @pytest.mark.parametrize(
