Explain where a running entry would send a request now

Cause: when requests were refused, an operator had to conclude from the logs which endpoints an entry took for usable. The command's name was taken by reports of another interface, so a call is one more subject of it.

--- a/packages/bergamotchute-cli/src/bergamotchute_cli/reports.py
+++ b/packages/bergamotchute-cli/src/bergamotchute_cli/reports.py
@@ -11,6 +11,7 @@
 from bergamotchute_cli.command_error import CommandError
 from bergamotchute_cli.entry_client import EntryClient, format_problem, parse_json_object
 from bergamotchute_cli.exit_code import ExitCode
+from bergamotchute_cli.explain_call import add_call_options, run_explain_call
 from bergamotchute_cli.options import (
     Subcommands,
     add_admin_options,
@@ -37,6 +38,11 @@
   bergamotchute explain --team night-desk
   bergamotchute explain --request entry-1.17
 
+With --call, a running entry shows where a request would go now; nothing is sent. --at gives its
+metrics address, and no token is needed.
+
+  bergamotchute explain --call api.example/drafts/one --as parish --at 10.1.0.4:9464
+
 Exit code: 0 explained, 1 refused, 2 usage, 3 no entry answered.
 """
 ADDRESSES_DESCRIPTION = """Show which entries callers should use now. No token is needed.
@@ -59,6 +65,8 @@
     subject = explain.add_mutually_exclusive_group(required=True)
     for name in ("request", "endpoint", "team"):
         subject.add_argument(f"--{name}", metavar="NAME")
+    subject.add_argument("--call", metavar="HOST/PATH")
+    add_call_options(explain)
     add_admin_options(explain)
     add_output_option(explain)
     explain.set_defaults(run=run_explain)
@@ -83,6 +91,8 @@
 
 def run_explain(options: argparse.Namespace) -> int:
     """Print the explanation of a subject and return the exit code."""
+    if options.call:
+        return run_explain_call(options)
     subjects = {name: getattr(options, name) for name in ("request", "endpoint", "team")}
     query = {name: value for name, value in subjects.items() if value}
     document = anyio.run(_fetch_report, create_admin_client(options), "/v1/admin/explain", query)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_runner.py
@@ -126,6 +126,8 @@
 
     :param ready_handler: answers the platform's readiness checks.
     """
+    from bergamotchute_daemon.direct.explain_api import explain_handler
+
     environment = create_node_environment(settings, "entry")
     process = compose_direct_entry(settings, request_format, environment)
     environment.log.emit(events.PROCESS_STARTED, listen=settings.listen.callers)
@@ -133,7 +135,7 @@
         tasks.start_soon(process.run)
         guard, metrics = process.forwarder.prompt_guard, process.forwarder.metrics
         handler = prompt_part_handler(guard.table, guard.clear, metrics.handle_request)
-        _serve_metrics(tasks, settings, handler)
+        _serve_metrics(tasks, settings, explain_handler(process, handler))
         ready = Http1Server(ready_handler(process))
         tasks.start_soon(ready.serve, Address.parse(settings.listen.ready))
         await _run_until_stopped(
