Move takeovers, retry decisions and the steps of attempts out of direct_forwarder.py

The forwarder had 675 lines, and hedged requests need the same steps. The forwarder has 422 lines. No behaviour changes.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -165,7 +165,7 @@
             case LoadsReported():
                 self._update_loads(message)
             case ControlGroup():
-                self.forwarder.set_entry_count(message.entry_count)
+                self.forwarder.retries.set_entry_count(message.entry_count)
             case RankLocations(places):
                 for place in places:
                     self._update_rank_place(place)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Awaitable, Callable, Collection
 from dataclasses import dataclass, field
 from random import Random
 
 import anyio
 
 from bergamotchute_daemon.direct.admitted_request import AdmittedRequest, RequestRefused
+from bergamotchute_daemon.direct.attempt_steps import AttemptSteps
 from bergamotchute_daemon.direct.endpoint_attempt import EndpointAttempt
 from bergamotchute_daemon.direct.endpoint_calls import HTTP_OK, EndpointCalls
 from bergamotchute_daemon.direct.endpoint_chooser import (
@@ -20,19 +20,18 @@
 from bergamotchute_daemon.direct.event_stream import EventStream, InvalidEventStream
 from bergamotchute_daemon.direct.prompt_guard import PromptGuard
 from bergamotchute_daemon.direct.rate_permits import RatePermits
-from bergamotchute_daemon.direct.read_or_replace import ReadResult, Received, read_or_replace
 from bergamotchute_daemon.direct.request_progress import AttemptFailure, RequestProgress
+from bergamotchute_daemon.direct.retry_decisions import RetryDecisions
+from bergamotchute_daemon.direct.takeover import AttemptReplaced, Takeover
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.node_metrics import NodeMetrics
 from bergamotchute_model import events
-from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
 from bergamotchute_model.headers import Headers
 from bergamotchute_model.prompt_parts import Suspect
 from bergamotchute_model.verdict import Verdict
 from bergamotchute_policy.crash_suspects import SuspectAction, SuspectDecision
 from bergamotchute_policy.direct_placement import DirectPlacement
 from bergamotchute_policy.response_times import ResponseTimes
-from bergamotchute_policy.retry import RetryBudget
 from bergamotchute_wire.http1_messages import (
     EndpointFailure,
     ResponseHead,
@@ -61,12 +60,6 @@
 ENDPOINT_WAIT_TIMEOUT_S = 1.3
 """Longest time that one request waits for an endpoint; endpoints send heartbeats every 1.2 s."""
 
-MIN_BUDGET_ENTRIES = 10
-"""Entries that share the retry budget until more are known."""
-
-MAX_REFUSED_ATTEMPTS = 3
-"""Attempts that may fail, by a refused connection or request, before the caller is refused."""
-
 MIN_RETRY_AFTER_S = 0.1
 QUARANTINED_STATUS = 400
 """Status for a request that crashes endpoints; callers don't retry it, anywhere."""
@@ -76,42 +69,33 @@
 class DirectForwarder:
     """Forwards requests to endpoints, and retries where that is safe.
 
-    :param endpoints: returns the endpoints of a service, from the latest heartbeats.
-    :param retry_ratio: retries allowed per request of a service, in the long run.
-    :param retry_capacity: the largest burst of retries of a service, over all entries.
-    :param retry_refill_per_s: retries added to the budget of a service per second at any load, over
-        all entries.
-    :param entry_count: entries that share the budget, as far as this one was told.
     :param ends_at: when this entry ends, on the runtime's clock; infinite until it stops.
     :param unsent: the requests that wait for an endpoint, by the scope of their wait.
     """
 
     calls: EndpointCalls
+    steps: AttemptSteps
+    takeover: Takeover
+    retries: RetryDecisions
     placement: DirectPlacement
     chooser: EndpointChooser
-    endpoints: Callable[[str], Collection[EndpointHeartbeat]]
     random: Random
     log: EventLog
     metrics: NodeMetrics
     prompt_guard: PromptGuard
     rate_permits: RatePermits
-    retry_ratio: float
-    retry_capacity: float
-    retry_refill_per_s: float
-    entry_count: int = MIN_BUDGET_ENTRIES
     started_at: float = field(default_factory=anyio.current_time)
     ends_at: float = math.inf
     response_times: ResponseTimes = field(default_factory=ResponseTimes)
     unsent: dict[anyio.CancelScope, AdmittedRequest] = field(default_factory=dict)
     changed: anyio.Event = field(default_factory=anyio.Event)
-    retry_budgets: dict[str, RetryBudget] = field(default_factory=dict)
 
     async def forward_request(self, request: AdmittedRequest, writer: ResponseWriter) -> None:
         """Forward a request and write the response.
 
         :raises RequestRefused: if no endpoint gave a response.
         """
-        self._retry_budget(request).on_first_attempt()
+        self.retries.budget(request).on_first_attempt()
         progress = RequestProgress(EventStream(request.metadata.resume_after))
         with anyio.CancelScope(deadline=request.deadline) as scope:
             await self._run_attempts(request, writer, progress)
@@ -143,11 +127,11 @@
                     reason += f" for another {wait_s:.2f} s"
                 self._fail_request(request, writer, progress, reason)
                 return
-            attempt = self._create_attempt(request, writer, progress, chosen)
+            attempt = self.steps.create_attempt(request, writer, progress, chosen)
             result = await self._run_attempt(attempt)
             if result is None:
                 return
-            if not self._decide_retry(request, progress, result):
+            if not self.retries.decide(request, progress, result):
                 await self._finish_with_failure(request, writer, progress, result)
                 return
 
@@ -231,24 +215,6 @@
             return True
         return False
 
-    def _create_attempt(
-        self,
-        request: AdmittedRequest,
-        writer: ResponseWriter,
-        progress: RequestProgress,
-        chosen: ChosenEndpoint,
-    ) -> EndpointAttempt:
-        """Count a new attempt, which holds the chosen endpoint's slot until it is closed."""
-        progress.attempt_count += 1
-        attempt = EndpointAttempt(
-            request, writer, progress, chosen, progress.attempt_count, progress.stream.events
-        )
-        if chosen.reservation is not None:
-            attempt.resources.callback(chosen.reservation.release)
-        self.placement.on_request_sent(attempt.endpoint)
-        attempt.resources.callback(self.placement.on_request_ended, attempt.endpoint)
-        return attempt
-
     async def _run_attempt(self, attempt: EndpointAttempt) -> AttemptFailure | None:
         """Run an attempt, and those that replace it while its endpoint is silent.
 
@@ -257,31 +223,18 @@
         while True:
             attempt.progress.stream.discard_partial_event()
             try:
-                outcome = await self._run_step(attempt, self._complete_response)
+                outcome = await self.steps.run_step(attempt, self._complete_response)
             finally:
                 await attempt.close()
             if outcome is None:
                 return None
             if isinstance(outcome, AttemptFailure):
-                self._record_failed_attempt(attempt, outcome)
+                self.steps.record_failed_attempt(attempt, outcome)
                 return outcome
             reason = f"no data; {outcome.endpoint.endpoint} took over"
-            self._record_failed_attempt(attempt, AttemptFailure(Verdict.MAY_HAVE_RUN, reason))
+            self.steps.record_failed_attempt(attempt, AttemptFailure(Verdict.MAY_HAVE_RUN, reason))
             attempt = outcome
 
-    async def _run_step(
-        self,
-        attempt: EndpointAttempt,
-        step: Callable[[EndpointAttempt], Awaitable[AttemptFailure | EndpointAttempt | None]],
-    ) -> AttemptFailure | EndpointAttempt | None:
-        """Run a step of an attempt, and record a failure of its endpoint."""
-        try:
-            return await step(attempt)
-        except EndpointFailure as failure:
-            await self.calls.record_failure(attempt, failure)
-            verdict = Verdict.MAY_HAVE_RUN if failure.may_have_arrived else Verdict.NOT_RUN
-            return AttemptFailure(verdict, failure.reason)
-
     async def _complete_response(
         self, attempt: EndpointAttempt
     ) -> AttemptFailure | EndpointAttempt | None:
@@ -292,7 +245,7 @@
                 objective_timeout_s = (
                     HEAD_TIMEOUT_OBJECTIVE_RATIO * attempt.request.route.objective_s
                 )
-                head = await self._read_or_replace(
+                head = await self.takeover.read_or_replace(
                     attempt,
                     max(MIN_HEAD_TIMEOUT_S, objective_timeout_s),
                     attempt.connection.read_response_head,
@@ -305,126 +258,12 @@
                 await self._forward_stream(attempt)
             else:
                 await self._forward_buffered(attempt)
-        except _AttemptReplaced as replaced:
+        except AttemptReplaced as replaced:
             return replaced.replacement
         self.placement.on_success(attempt.endpoint)
         self._record_completed_request(attempt)
         return None
 
-    async def _read_or_replace(
-        self,
-        attempt: EndpointAttempt,
-        timeout_s: float,
-        read: Callable[[], Awaitable[ReadResult]],
-        is_usable: Callable[[ReadResult], bool] = lambda _: True,
-    ) -> ReadResult:
-        """Read from an endpoint; after each timeout, have another one take over if it can.
-
-        The response to a request that is not idempotent is awaited without this timeout, since the
-        request can't be sent again.
-
-        :raises EndpointFailure: if the endpoint failed.
-        :raises _AttemptReplaced: if another endpoint's response has begun meanwhile.
-        """
-        if not attempt.request.route.idempotent:
-            return await read()
-
-        async def read_on() -> ReadResult:
-            try:
-                return await read()
-            except EndpointFailure as failure:
-                await self.calls.record_failure(attempt, failure)
-                raise
-
-        while True:
-            with anyio.move_on_after(timeout_s):
-                return await read()
-            self.placement.on_no_progress(attempt.endpoint, anyio.current_time())
-            if not self._can_fail_over(attempt):
-                continue
-            outcome = await read_or_replace(
-                read_on, lambda: self._find_replacement(attempt), self._drop_attempt, is_usable
-            )
-            if isinstance(outcome, Received):
-                return outcome.value
-            if outcome is not None:
-                raise _AttemptReplaced(outcome)
-
-    async def _find_replacement(self, silent: EndpointAttempt) -> EndpointAttempt | None:
-        """Send the request to another endpoint and wait until its response has begun.
-
-        :return: the attempt there; ``None`` if the request may not be sent, or the attempt failed.
-        """
-        request, progress = silent.request, silent.progress
-        decision = await self.prompt_guard.decide(request)
-        if decision.action in (SuspectAction.REJECT, SuspectAction.HOLD):
-            return None
-        excluded = progress.failed_endpoints | {silent.endpoint.endpoint}
-        try:
-            chosen = await self.chooser.choose(request, excluded, True)
-        except RequestRefused as refusal:
-            self._log_retry_decision(request, progress, refusal.reason)
-            return None
-        if chosen is None:
-            return None
-        attempt = self._create_attempt(request, silent.writer, progress, chosen)
-        try:
-            reason = AttemptFailure(Verdict.MAY_HAVE_RUN, "no data")
-            if not self._decide_retry(request, progress, reason):
-                await attempt.close()
-                return None
-            failure = await self._run_step(attempt, self._begin_response)
-        except BaseException:
-            await self._drop_attempt(attempt)
-            raise
-        if isinstance(failure, AttemptFailure):
-            await attempt.close()
-            self._record_failed_attempt(attempt, failure)
-            return None
-        return attempt
-
-    async def _drop_attempt(self, attempt: EndpointAttempt) -> None:
-        """Close an attempt that is not needed: the silent endpoint went on, or the request ended."""
-        await attempt.close()
-        self.log.emit(
-            events.ATTEMPT_DROPPED,
-            request_id=attempt.request.metadata.request_id,
-            endpoint=attempt.endpoint.endpoint,
-            attempt=attempt.number,
-        )
-
-    async def _begin_response(self, attempt: EndpointAttempt) -> AttemptFailure | None:
-        """Send the request and read what shows that the endpoint serves it.
-
-        That is the first data of a stream, or the whole of any other response.
-
-        :raises EndpointFailure: if the endpoint failed.
-        """
-        await self.calls.send_request(attempt)
-        head = await attempt.connection.read_response_head()
-        failure = await self.calls.on_response_head(attempt, head)
-        if failure is not None:
-            return failure
-        if attempt.is_stream:
-            attempt.body = await attempt.connection.read_body_chunk()
-            if attempt.body is None:
-                return AttemptFailure(Verdict.MAY_HAVE_RUN, "the stream ended without an event")
-        else:
-            attempt.body = await self.calls.read_body(attempt)
-        return None
-
-    def _can_fail_over(self, attempt: EndpointAttempt) -> bool:
-        """Return whether another attempt is allowed and a healthy endpoint is available for it."""
-        request, progress = attempt.request, attempt.progress
-        if (
-            progress.sent_count >= request.route.max_endpoints
-            or self._retry_budget(request).available_retries < 1.0
-        ):
-            return False
-        excluded = progress.failed_endpoints | {attempt.endpoint.endpoint}
-        known = self.endpoints(request.service.name)
-        return self.placement.has_healthy_endpoint(known, excluded, anyio.current_time())
-
     async def _forward_buffered(self, attempt: EndpointAttempt) -> None:
         """Read a response that is no stream to its end, and forward it.
 
@@ -447,7 +286,7 @@
 
         :raises EndpointFailure: if the stream breaks off, or does not continue the events that the
             caller already has.
-        :raises _AttemptReplaced: if the stream stalls and another endpoint has taken over.
+        :raises AttemptReplaced: if the stream stalls and another endpoint has taken over.
         """
         assert attempt.head is not None
         writer, progress = attempt.writer, attempt.progress
@@ -455,7 +294,7 @@
         data, attempt.body = attempt.body, None
         while True:
             if data is None:
-                data = await self._read_or_replace(
+                data = await self.takeover.read_or_replace(
                     attempt, STREAM_IDLE_TIMEOUT_S, attempt.connection.read_body_chunk
                 )
             if data is None:
@@ -489,65 +328,6 @@
             first_event_s = progress.response_started_at - attempt.sent_at
             self.chooser.stream_pace(attempt.request).on_first_event(first_event_s)
 
-    def _record_failed_attempt(self, attempt: EndpointAttempt, result: AttemptFailure) -> None:
-        progress = attempt.progress
-        progress.failed_endpoints.add(attempt.endpoint.endpoint)
-        self.metrics.on_attempt(result.verdict)
-        progress.last_failure = result
-        progress.last_failed_endpoint = attempt.endpoint.endpoint
-        if result.verdict is Verdict.MAY_HAVE_RUN:
-            progress.may_have_run = True
-        self.log.emit(
-            events.ATTEMPT_FAILED,
-            request_id=attempt.request.metadata.request_id,
-            endpoint=attempt.endpoint.endpoint,
-            attempt=attempt.number,
-            verdict=result.verdict,
-            reason=result.reason,
-            events_passed=progress.stream.events,
-        )
-
-    def _decide_retry(
-        self, request: AdmittedRequest, progress: RequestProgress, result: AttemptFailure
-    ) -> bool:
-        """Return whether to try another endpoint; if so, take the retry from the budget."""
-        reason = self._reason_against_retry(request, progress, result)
-        self._log_retry_decision(request, progress, reason)
-        return not reason
-
-    def _log_retry_decision(
-        self, request: AdmittedRequest, progress: RequestProgress, reason: str
-    ) -> None:
-        """Log whether another endpoint is tried.
-
-        :param reason: why not; empty if it is.
-        """
-        self.log.emit(
-            events.REQUEST_NOT_RETRIED if reason else events.REQUEST_RETRIED,
-            request_id=request.metadata.request_id,
-            attempt=progress.attempt_count + 1,
-            resume_after=progress.stream.last_event_id,
-            reason=reason,
-            budget=round(self._retry_budget(request).available_retries, 1),
-        )
-
-    def _reason_against_retry(
-        self, request: AdmittedRequest, progress: RequestProgress, result: AttemptFailure
-    ) -> str:
-        """Return why the request must not be retried, or an empty string if it may be.
-
-        Takes the retry from the budget in the latter case.
-        """
-        if result.verdict is Verdict.MAY_HAVE_RUN and not request.route.idempotent:
-            return "the request may have run and is not idempotent"
-        if progress.sent_count >= max(1, request.route.max_endpoints):
-            return "the route's limit of endpoints per request is reached"
-        if progress.attempt_count > MAX_REFUSED_ATTEMPTS:
-            return "too many endpoints refused the connection or the request"
-        if progress.sent_count and not self._retry_budget(request).take_retry():
-            return "the retry budget is exhausted"
-        return ""
-
     async def _finish_with_failure(
         self,
         request: AdmittedRequest,
@@ -592,31 +372,6 @@
         pause_s = self.chooser.seconds_until_accepting(request)
         raise RequestRefused(503, reason, pause_s + MIN_RETRY_AFTER_S + jitter_s)
 
-    def set_entry_count(self, entry_count: int) -> None:
-        """Adjust this entry's part of the shared retry budget to the number of entries.
-
-        The highest count that was told stays: entries that are not linked may still serve callers.
-        """
-        if entry_count <= self.entry_count:
-            return
-        self.entry_count = entry_count
-        for budget in self.retry_budgets.values():
-            budget.set_bounds(
-                self.retry_capacity / entry_count, self.retry_refill_per_s / entry_count
-            )
-
-    def _retry_budget(self, request: AdmittedRequest) -> RetryBudget:
-        """Return the refilled retry budget of the request's service."""
-        name = request.service.name
-        if name not in self.retry_budgets:
-            self.retry_budgets[name] = RetryBudget(
-                self.retry_ratio,
-                self.retry_capacity / self.entry_count,
-                self.retry_refill_per_s / self.entry_count,
-            )
-        self.retry_budgets[name].refill(anyio.current_time())
-        return self.retry_budgets[name]
-
     def _record_completed_request(self, attempt: EndpointAttempt) -> None:
         request, progress = attempt.request, attempt.progress
         response_started_at = progress.response_started_at or request.arrived_at
@@ -656,14 +411,6 @@
         )
 
 
-class _AttemptReplaced(Exception):
-    """Another endpoint took over the request of a silent one."""
-
-    def __init__(self, replacement: EndpointAttempt) -> None:
-        super().__init__()
-        self.replacement = replacement
-
-
 def _answers_request(head: ResponseHead) -> bool:
     """Return whether a response is an answer, not a refusal or a failure of the endpoint."""
     return head.status < 500 and head.status not in (408, 421, 429)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
@@ -81,13 +81,16 @@
     settings: NodeSettings, request_format: RequestFormat, environment: NodeEnvironment
 ) -> DirectEntry:
     """Return an entry that sends requests to endpoints itself, without starting it."""
+    from bergamotchute_daemon.direct.attempt_steps import AttemptSteps
     from bergamotchute_daemon.direct.direct_entry import DirectEntry
     from bergamotchute_daemon.direct.direct_forwarder import DirectForwarder
     from bergamotchute_daemon.direct.endpoint_calls import EndpointCalls
     from bergamotchute_daemon.direct.endpoint_chooser import EndpointChooser
     from bergamotchute_daemon.direct.prompt_guard import PromptGuard
     from bergamotchute_daemon.direct.rate_permits import RatePermits
+    from bergamotchute_daemon.direct.retry_decisions import RetryDecisions
     from bergamotchute_daemon.direct.slot_reservations import SlotReservations
+    from bergamotchute_daemon.direct.takeover import Takeover
     from bergamotchute_daemon.prompt_evidence_table import PromptEvidenceTable
     from bergamotchute_daemon.rate_limit_log import RateLimitLog
     from bergamotchute_policy.direct_placement import DirectPlacement
@@ -101,7 +104,7 @@
         post_limits=lambda report: links.post_to_all_that(
             lambda group: group.accepts_rate_limits, report
         ),
-        entry_count=lambda: forwarder.entry_count,
+        entry_count=lambda: retries.entry_count,
         random=environment.random,
         log=environment.log,
     )
@@ -123,26 +126,41 @@
         prompt_guard=prompt_guard,
         rate_permits=rate_permits,
     )
+    chooser = EndpointChooser(
+        placement=placement,
+        slots=SlotReservations(environment.dial_slots, environment.random, environment.log),
+        rate_permits=rate_permits,
+        endpoints=lambda service: process.endpoints(service),
+        random=environment.random,
+        is_evacuated=lambda service: process.is_evacuated(service),
+    )
+    retries = RetryDecisions(
+        log=environment.log,
+        retry_ratio=RETRY_BUDGET_RATIO * settings.retry_ratio,
+        retry_capacity=RETRY_BURST_RATIO * settings.retry_slack,
+        retry_refill_per_s=RETRY_BURST_RATIO * settings.retry_slack / RETRY_WINDOW_S,
+    )
+    metrics = NodeMetrics(lambda: process.gauges())
+    steps = AttemptSteps(calls, placement, environment.log, metrics)
     forwarder = DirectForwarder(
         calls=calls,
-        placement=placement,
-        chooser=EndpointChooser(
+        steps=steps,
+        takeover=Takeover(
+            steps=steps,
             placement=placement,
-            slots=SlotReservations(environment.dial_slots, environment.random, environment.log),
-            rate_permits=rate_permits,
+            chooser=chooser,
             endpoints=lambda service: process.endpoints(service),
-            random=environment.random,
-            is_evacuated=lambda service: process.is_evacuated(service),
+            prompt_guard=prompt_guard,
+            retries=retries,
         ),
-        endpoints=lambda service: process.endpoints(service),
+        retries=retries,
+        placement=placement,
+        chooser=chooser,
         random=environment.random,
         log=environment.log,
-        metrics=NodeMetrics(lambda: process.gauges()),
+        metrics=metrics,
         prompt_guard=prompt_guard,
         rate_permits=rate_permits,
-        retry_ratio=RETRY_BUDGET_RATIO * settings.retry_ratio,
-        retry_capacity=RETRY_BURST_RATIO * settings.retry_slack,
-        retry_refill_per_s=RETRY_BURST_RATIO * settings.retry_slack / RETRY_WINDOW_S,
     )
     links = _compose_control_links(
         settings, environment, lambda: process, majority_of_parents, wants_loads=True
--- a/tests/direct/test_direct_responses.py
+++ b/tests/direct/test_direct_responses.py
@@ -191,16 +191,16 @@
 
         for number in range(3):
             await path.add_endpoint(f"runner-{number}", fail)
-        path.forwarder.retry_capacity, path.forwarder.retry_ratio = 100.0, 0.0
-        path.forwarder.set_entry_count(40)
+        path.retries.retry_capacity, path.retries.retry_ratio = 100.0, 0.0
+        path.retries.set_entry_count(40)
         for _ in range(20):
             await path.send_request("status", "GET")
         # Each of 40 entries may send 2.5 retries: 100 together.
         assert len(path.received_requests) == 20 + 2
         # More entries were linked; the lower count comes from one that knows few.
-        path.forwarder.set_entry_count(100)
-        path.forwarder.set_entry_count(4)
-        budget = next(iter(path.forwarder.retry_budgets.values()))
+        path.retries.set_entry_count(100)
+        path.retries.set_entry_count(4)
+        budget = next(iter(path.retries.retry_budgets.values()))
         assert budget.capacity == 1.0
         assert budget.available_retries <= 1.0
 
--- a/tests/support/entry_fixture.py
+++ b/tests/support/entry_fixture.py
@@ -12,14 +12,17 @@
 from anyio.abc import Listener, SocketStream, TaskGroup
 
 from bergamotchute_daemon.direct.admitted_request import RequestRefused
+from bergamotchute_daemon.direct.attempt_steps import AttemptSteps
 from bergamotchute_daemon.direct.direct_forwarder import DirectForwarder
 from bergamotchute_daemon.direct.endpoint_calls import EndpointCalls
 from bergamotchute_daemon.direct.endpoint_chooser import EndpointChooser
 from bergamotchute_daemon.direct.filters import admit_request, require_routing_table
 from bergamotchute_daemon.direct.prompt_guard import PromptGuard
 from bergamotchute_daemon.direct.rate_permits import RatePermits
+from bergamotchute_daemon.direct.retry_decisions import RetryDecisions
 from bergamotchute_daemon.direct.routing_table import RoutingTable
 from bergamotchute_daemon.direct.slot_reservations import SlotReservations
+from bergamotchute_daemon.direct.takeover import Takeover
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.node_metrics import NodeMetrics
 from bergamotchute_daemon.prompt_evidence_table import PromptEvidenceTable
@@ -180,21 +183,33 @@
         self.calls = EndpointCalls(
             REQUEST_FORMAT, self.placement, self._on_leaving, self.log, prompt_guard, rate_permits
         )
+        metrics = NodeMetrics(dict)
+        self.retries = RetryDecisions(
+            self.log, retry_ratio=0.2, retry_capacity=100.0, retry_refill_per_s=0.0
+        )
+        chooser = EndpointChooser(
+            self.placement, self.slots, rate_permits, lambda _: self.endpoints, Random(1)
+        )
+        steps = AttemptSteps(self.calls, self.placement, self.log, metrics)
         self.forwarder = DirectForwarder(
             calls=self.calls,
-            placement=self.placement,
-            chooser=EndpointChooser(
-                self.placement, self.slots, rate_permits, lambda _: self.endpoints, Random(1)
+            steps=steps,
+            takeover=Takeover(
+                steps,
+                self.placement,
+                chooser,
+                lambda _: self.endpoints,
+                prompt_guard,
+                self.retries,
             ),
-            endpoints=lambda _: self.endpoints,
+            retries=self.retries,
+            placement=self.placement,
+            chooser=chooser,
             random=Random(1),
             log=self.log,
-            metrics=NodeMetrics(dict),
+            metrics=metrics,
             prompt_guard=prompt_guard,
             rate_permits=rate_permits,
-            retry_ratio=0.2,
-            retry_capacity=100.0,
-            retry_refill_per_s=0.0,
         )
         self.server = Http1Server(self._handle)
         self.address = Address("127.0.0.1", 0)
