Send slow requests to a second endpoint too, within a limit that operators set

The setting second_send_share (0 by default) allows extra requests as a share of requests. The second endpoint must have a free slot now; a refusal there leaves the first send as it is. The slower send is cut off and its slot released.

With the default of 0 an entry sends what it sent before.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/attempt_steps.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/attempt_steps.py
@@ -10,6 +10,7 @@
 from bergamotchute_daemon.direct.endpoint_attempt import EndpointAttempt
 from bergamotchute_daemon.direct.endpoint_calls import EndpointCalls
 from bergamotchute_daemon.direct.endpoint_chooser import ChosenEndpoint
+from bergamotchute_daemon.direct.event_stream import EventStream, InvalidEventStream
 from bergamotchute_daemon.direct.request_progress import AttemptFailure, RequestProgress
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.node_metrics import NodeMetrics
@@ -67,9 +68,7 @@
 
         :raises EndpointFailure: if the endpoint failed.
         """
-        await self.calls.send_request(attempt)
-        head = await attempt.connection.read_response_head()
-        failure = await self.calls.on_response_head(attempt, head)
+        failure = await self.send_and_read_head(attempt)
         if failure is not None:
             return failure
         if attempt.is_stream:
@@ -80,6 +79,38 @@
             attempt.body = await self.calls.read_body(attempt)
         return None
 
+    async def send_and_read_head(self, attempt: EndpointAttempt) -> AttemptFailure | None:
+        """Send the request and read the head of the response.
+
+        :raises EndpointFailure: if the endpoint failed.
+        """
+        await self.calls.send_request(attempt)
+        head = await attempt.connection.read_response_head()
+        return await self.calls.on_response_head(attempt, head)
+
+    async def read_first_event(
+        self, attempt: EndpointAttempt, read: Callable[[], Awaitable[bytes | None]]
+    ) -> None:
+        """Read the body of a stream ahead until it contains an event.
+
+        :param read: returns the next bytes of the body, ``None`` at its end.
+        :raises EndpointFailure: if the stream ends before.
+        """
+        stream = EventStream(attempt.progress.stream.last_event_id)
+        body = b""
+        while (data := await read()) is not None:
+            body += data
+            try:
+                whole = stream.feed(data)
+            except InvalidEventStream as error:
+                raise EndpointFailure(str(error), True) from error
+            if whole:
+                attempt.body = body
+                return
+        raise EndpointFailure(
+            "the stream ended before an event was complete", True, attempt.connection.has_ended
+        )
+
     async def drop_attempt(self, attempt: EndpointAttempt) -> None:
         """Close an attempt that is not needed: the silent endpoint went on, or the request ended."""
         await attempt.close()
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -306,6 +306,7 @@
             "evacuated_zones": float(len(self.evacuations.evacuated_zones())),
             **self.forwarder.prompt_guard.table.gauges(),
             **self.forwarder.rate_permits.gauges(),
+            **self.forwarder.hedges.gauges(),
         }
 
     async def _forget_removed_endpoints(self) -> None:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
@@ -18,6 +18,7 @@
     EndpointChooser,
 )
 from bergamotchute_daemon.direct.event_stream import EventStream, InvalidEventStream
+from bergamotchute_daemon.direct.hedged_requests import HedgedRequests
 from bergamotchute_daemon.direct.prompt_guard import PromptGuard
 from bergamotchute_daemon.direct.rate_permits import RatePermits
 from bergamotchute_daemon.direct.request_progress import AttemptFailure, RequestProgress
@@ -76,6 +77,7 @@
     calls: EndpointCalls
     steps: AttemptSteps
     takeover: Takeover
+    hedges: HedgedRequests
     retries: RetryDecisions
     placement: DirectPlacement
     chooser: EndpointChooser
@@ -231,8 +233,10 @@
             if isinstance(outcome, AttemptFailure):
                 self.steps.record_failed_attempt(attempt, outcome)
                 return outcome
-            reason = f"no data; {outcome.endpoint.endpoint} took over"
-            self.steps.record_failed_attempt(attempt, AttemptFailure(Verdict.MAY_HAVE_RUN, reason))
+            if not outcome.is_hedge:
+                reason = f"no data; {outcome.endpoint.endpoint} took over"
+                failure = AttemptFailure(Verdict.MAY_HAVE_RUN, reason)
+                self.steps.record_failed_attempt(attempt, failure)
             attempt = outcome
 
     async def _complete_response(
@@ -242,18 +246,13 @@
         try:
             if attempt.head is None:
                 await self.calls.send_request(attempt)
-                objective_timeout_s = (
-                    HEAD_TIMEOUT_OBJECTIVE_RATIO * attempt.request.route.objective_s
-                )
-                head = await self.takeover.read_or_replace(
-                    attempt,
-                    max(MIN_HEAD_TIMEOUT_S, objective_timeout_s),
-                    attempt.connection.read_response_head,
-                    _answers_request,
-                )
-                failure = await self.calls.on_response_head(attempt, head)
-                if failure is not None:
-                    return failure
+                outcome: AttemptFailure | EndpointAttempt | None
+                if self.hedges.covers(attempt):
+                    outcome = await self.hedges.begin_response(attempt, self._begin_response)
+                else:
+                    outcome = await self._read_head(attempt)
+                if outcome is not None:
+                    return outcome
             if attempt.is_stream:
                 await self._forward_stream(attempt)
             else:
@@ -264,6 +263,43 @@
         self._record_completed_request(attempt)
         return None
 
+    async def _read_head(self, attempt: EndpointAttempt) -> AttemptFailure | None:
+        """Read the head of a response, or return why it can't be forwarded.
+
+        :raises EndpointFailure: if the endpoint failed.
+        :raises AttemptReplaced: if another endpoint's response has begun meanwhile.
+        """
+        objective_timeout_s = HEAD_TIMEOUT_OBJECTIVE_RATIO * attempt.request.route.objective_s
+        head = await self.takeover.read_or_replace(
+            attempt,
+            max(MIN_HEAD_TIMEOUT_S, objective_timeout_s),
+            attempt.connection.read_response_head,
+            _answers_request,
+        )
+        return await self.calls.on_response_head(attempt, head)
+
+    async def _begin_response(
+        self, attempt: EndpointAttempt
+    ) -> AttemptFailure | EndpointAttempt | None:
+        """Read the first event of a stream, or the whole of any other response, ahead.
+
+        :raises EndpointFailure: if the endpoint failed.
+        """
+        try:
+            failure = await self._read_head(attempt)
+            if failure is None and attempt.is_stream:
+                await self.steps.read_first_event(
+                    attempt,
+                    lambda: self.takeover.read_or_replace(
+                        attempt, STREAM_IDLE_TIMEOUT_S, attempt.connection.read_body_chunk
+                    ),
+                )
+            elif failure is None:
+                attempt.body = await self.calls.read_body(attempt)
+        except AttemptReplaced as replaced:
+            return replaced.replacement
+        return failure
+
     async def _forward_buffered(self, attempt: EndpointAttempt) -> None:
         """Read a response that is no stream to its end, and forward it.
 
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/endpoint_attempt.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/endpoint_attempt.py
@@ -28,6 +28,7 @@
     :param head: the head of a response that can be forwarded; ``None`` until it was read.
     :param body: the body that was read ahead: the first chunk of a stream, or all of another
         response; ``None`` if nothing was.
+    :param is_hedge: whether it was sent beside an attempt that was slow.
     :param has_failed: whether a failure of the endpoint was recorded.
     :param resources: the slot, the buffered bytes and the load that the attempt counts as.
     """
@@ -43,6 +44,7 @@
     exchange: EndpointExchange | None = None
     head: ResponseHead | None = None
     body: bytes | None = None
+    is_hedge: bool = False
     has_failed: bool = False
     resources: ExitStack = field(default_factory=ExitStack)
 
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/endpoint_chooser.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/endpoint_chooser.py
@@ -176,6 +176,33 @@
                 )
             search.on_refused(target)
 
+    async def reserve_now(
+        self, request: AdmittedRequest, candidate: EndpointCandidate
+    ) -> ChosenEndpoint | None:
+        """Reserve a slot that is free now and get a permit without a wait; ``None`` if there is none.
+
+        An endpoint without an agent has no reservation. One whose agent does not answer is not used.
+        """
+        endpoint, now = candidate.heartbeat, anyio.current_time()
+        slot_request = SlotRequest(candidate.most, 0, now, now, request.priority)
+        outcome = await self.slots.reserve(endpoint.address, slot_request)
+        reservation = None if outcome is None else outcome.reservation
+        if outcome is not None:
+            self.placement.on_load_reported(endpoint, outcome.requests, anyio.current_time())
+        if reservation is None and endpoint.address in self.slots.agents:
+            return None
+        is_granted = False
+        try:
+            permit = await self.rate_permits.acquire(endpoint, request.metadata.request_id, 0.0)
+            is_granted = permit.granted and self._still_accepts_requests(request, endpoint)
+        finally:
+            if not is_granted and reservation is not None:
+                reservation.release()
+        if not permit.granted:
+            wait_s = max(MIN_PERMIT_PAUSE_S, permit.wait_s)
+            self.placement.on_permit_refused(endpoint, wait_s, anyio.current_time())
+        return ChosenEndpoint(candidate, reservation, 0) if is_granted else None
+
     def _still_accepts_requests(
         self, request: AdmittedRequest, endpoint: EndpointHeartbeat
     ) -> bool:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/prompt_guard.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/prompt_guard.py
@@ -52,6 +52,17 @@
             return decision
         return FORWARD
 
+    def is_unsuspected(self, request: AdmittedRequest) -> bool:
+        """Return whether a request may be sent to a further endpoint now, as nothing suspects it."""
+        suspects, service = self.table.suspects, request.service.name
+        if not suspects.crashes_by_part and not suspects.quarantines:
+            return True
+        self.table.update()
+        decision = suspects.decide(
+            service, request.suspects, anyio.current_time(), self.stops_group(service)
+        )
+        return decision.action is SuspectAction.FORWARD
+
     def _record_probe(self, request: AdmittedRequest) -> None:
         suspects, service = self.table.suspects, request.service.name
         parts = tuple(suspects.held_parts(service, request.suspects))
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/request_progress.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/request_progress.py
@@ -30,6 +30,7 @@
     :param sent_count: endpoints that accepted a connection for the request.
     :param attempt_count: attempts so far, including refused connections.
     :param may_have_run: whether any endpoint may have run the request.
+    :param has_second_send: whether the request is being sent to another endpoint while one has it.
     :param endpoint_wait_ends_at: how long the request may wait for a first endpoint, on the
         runtime's clock; ``None`` until it waits.
     :param last_failure: the outcome of the last attempt.
@@ -44,6 +45,7 @@
     sent_count: int = 0
     attempt_count: int = 0
     may_have_run: bool = False
+    has_second_send: bool = False
     endpoint_wait_ends_at: float | None = None
     last_failure: AttemptFailure | None = None
     last_failed_endpoint: str = ""
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/takeover.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/takeover.py
@@ -75,12 +75,16 @@
             self.placement.on_no_progress(attempt.endpoint, anyio.current_time())
             if not self._can_fail_over(attempt):
                 continue
-            outcome = await read_or_replace(
-                read_on,
-                lambda: self._find_replacement(attempt),
-                self.steps.drop_attempt,
-                is_usable,
-            )
+            attempt.progress.has_second_send = True
+            try:
+                outcome = await read_or_replace(
+                    read_on,
+                    lambda: self._find_replacement(attempt),
+                    self.steps.drop_attempt,
+                    is_usable,
+                )
+            finally:
+                attempt.progress.has_second_send = False
             if isinstance(outcome, Received):
                 return outcome.value
             if outcome is not None:
@@ -123,7 +127,8 @@
         """Return whether another attempt is allowed and a healthy endpoint is available for it."""
         request, progress = attempt.request, attempt.progress
         if (
-            progress.sent_count >= request.route.max_endpoints
+            progress.has_second_send
+            or progress.sent_count >= request.route.max_endpoints
             or self.retries.budget(request).available_retries < 1.0
         ):
             return False
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
@@ -86,6 +86,7 @@
     from bergamotchute_daemon.direct.direct_forwarder import DirectForwarder
     from bergamotchute_daemon.direct.endpoint_calls import EndpointCalls
     from bergamotchute_daemon.direct.endpoint_chooser import EndpointChooser
+    from bergamotchute_daemon.direct.hedged_requests import HedgedRequests
     from bergamotchute_daemon.direct.prompt_guard import PromptGuard
     from bergamotchute_daemon.direct.rate_permits import RatePermits
     from bergamotchute_daemon.direct.retry_decisions import RetryDecisions
@@ -153,6 +154,14 @@
             prompt_guard=prompt_guard,
             retries=retries,
         ),
+        hedges=HedgedRequests(
+            share=settings.second_send_share,
+            steps=steps,
+            chooser=chooser,
+            prompt_guard=prompt_guard,
+            retries=retries,
+            log=environment.log,
+        ),
         retries=retries,
         placement=placement,
         chooser=chooser,
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_settings.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_settings.py
@@ -5,7 +5,7 @@
 import tomllib
 from dataclasses import dataclass, field, fields
 from pathlib import Path
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -46,6 +46,8 @@
     :param stop_s: time between SIGTERM and SIGKILL, in seconds.
     :param retry_ratio: retries allowed for each request of a service, over all entries.
     :param retry_slack: further retries in each window of ten seconds, over all entries.
+    :param second_send_share: requests that may be sent to a second endpoint because the first one is
+        slow, as a share of requests; 0 to send none.
     :param zones: the availability zones of the deployment; empty to know only those of endpoints and
         entries.
     :param data_folder: the folder for stored data; empty for a process without a disk.
@@ -64,6 +66,7 @@
     stop_s: float
     retry_ratio: float
     retry_slack: float
+    second_send_share: Annotated[float, msgspec.Meta(ge=0.0, le=1.0)] = 0.0
     zones: tuple[str, ...] = ()
     data_folder: str = ""
     endpoint: str = ""
--- a/packages/bergamotchute-model/src/bergamotchute_model/events.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/events.py
@@ -102,6 +102,18 @@
     "No control VM granted a permit; the entry uses its own part of the endpoint's rate.",
     logging.WARNING,
 )
+HEDGE_SENT = _define_event_kind(
+    1140, "hedge_sent", "A request whose endpoint is slow was sent to a second endpoint."
+)
+HEDGE_WON = _define_event_kind(
+    1141, "hedge_won", "The second endpoint answered first; the first one was cut off."
+)
+HEDGE_LOST = _define_event_kind(
+    1142, "hedge_lost", "The second endpoint failed or was slower, and was cut off."
+)
+HEDGE_NOT_SENT = _define_event_kind(
+    1143, "hedge_not_sent", "A request whose endpoint is slow was not sent to a second endpoint."
+)
 REQUEST_NOT_RETRIED = _define_event_kind(
     1107, "request_not_retried", "A failed request is not tried at another endpoint."
 )
--- a/tests/daemon/test_node_settings.py
+++ b/tests/daemon/test_node_settings.py
@@ -61,6 +61,15 @@
         SettingsFile(tmp_path / "none.toml").read()
 
 
+@pytest.mark.parametrize("share", ["-0.1", "1.5", "nan"])
+def test_share_of_extra_requests_that_is_none_is_accepted(tmp_path: Path, share: str) -> None:
+    assert write_settings(tmp_path, VALID).read().second_send_share == 0.0
+    text = f"second_send_share = 0.02\n{VALID}"
+    assert write_settings(tmp_path, text).read().second_send_share == 0.02
+    with pytest.raises(NodeSettingsError, match="second_send_share"):
+        write_settings(tmp_path, text.replace("0.02", share)).read()
+
+
 def test_a_change_is_reported_until_the_file_is_read_again(tmp_path: Path) -> None:
     file = write_settings(tmp_path, VALID)
     file.read()
--- a/tests/direct/test_slot_reservations.py
+++ b/tests/direct/test_slot_reservations.py
@@ -11,12 +11,10 @@
     SlotOutcome,
     SlotRequest,
 )
-from bergamotchute_daemon.ranks.slot_reservation_server import SlotReservationServer
-from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
-from bergamotchute_model.identifiers import Address
 from support.entry_fixture import (
     EntryFixture,
     ReceivedRequest,
+    add_agent,
     chunked,
     event,
     run_with_entry,
@@ -35,20 +33,6 @@
     await stream.send(stream_head(request) + chunked(event(1)) + b"0\r\n\r\n")
 
 
-async def add_agent(
-    path: EntryFixture, endpoint: EndpointHeartbeat, number: int
-) -> SlotReservationServer:
-    """Add an agent that manages the slots of an endpoint, and link the entry to it."""
-    agent_slots = SlotReservationServer()
-    address = Address(f"10.0.0.{number}", 7000)
-    path.network.serve(f"agent-{number}", address, "/slots", agent_slots.serve_entry)
-    path.slots.set_used_endpoints(path.slots.used | {endpoint.address})
-    path.slots.set_agent(endpoint.address, address)
-    while path.slots.links[address].outbox is None:
-        await anyio.lowlevel.checkpoint()
-    return agent_slots
-
-
 def test_a_request_goes_to_an_endpoint_with_a_free_slot() -> None:
     async def body(path: EntryFixture) -> None:
         first = await path.add_endpoint("runner-1", send_stream)
--- a/tests/support/entry_fixture.py
+++ b/tests/support/entry_fixture.py
@@ -8,6 +8,7 @@
 from random import Random
 
 import anyio
+import anyio.lowlevel
 import h11
 from anyio.abc import Listener, SocketStream, TaskGroup
 
@@ -17,6 +18,7 @@
 from bergamotchute_daemon.direct.endpoint_calls import EndpointCalls
 from bergamotchute_daemon.direct.endpoint_chooser import EndpointChooser
 from bergamotchute_daemon.direct.filters import admit_request, require_routing_table
+from bergamotchute_daemon.direct.hedged_requests import HedgedRequests
 from bergamotchute_daemon.direct.prompt_guard import PromptGuard
 from bergamotchute_daemon.direct.rate_permits import RatePermits
 from bergamotchute_daemon.direct.retry_decisions import RetryDecisions
@@ -26,6 +28,7 @@
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.node_metrics import NodeMetrics
 from bergamotchute_daemon.prompt_evidence_table import PromptEvidenceTable
+from bergamotchute_daemon.ranks.slot_reservation_server import SlotReservationServer
 from bergamotchute_daemon.rate_limit_log import RateLimitLog
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat, EndpointPhase
 from bergamotchute_model.identifiers import Address
@@ -191,6 +194,7 @@
             self.placement, self.slots, rate_permits, lambda _: self.endpoints, Random(1)
         )
         steps = AttemptSteps(self.calls, self.placement, self.log, metrics)
+        self.hedges = HedgedRequests(0.0, steps, chooser, prompt_guard, self.retries, self.log)
         self.forwarder = DirectForwarder(
             calls=self.calls,
             steps=steps,
@@ -202,6 +206,7 @@
                 prompt_guard,
                 self.retries,
             ),
+            hedges=self.hedges,
             retries=self.retries,
             placement=self.placement,
             chooser=chooser,
@@ -290,6 +295,20 @@
             return await exchange(stream, route, method, body, **headers)
 
 
+async def add_agent(
+    path: EntryFixture, endpoint: EndpointHeartbeat, number: int
+) -> SlotReservationServer:
+    """Add an agent that manages the slots of an endpoint, and link the entry to it."""
+    agent_slots = SlotReservationServer()
+    address = Address(f"10.0.0.{number}", 7000)
+    path.network.serve(f"agent-{number}", address, "/slots", agent_slots.serve_entry)
+    path.slots.set_used_endpoints(path.slots.used | {endpoint.address})
+    path.slots.set_agent(endpoint.address, address)
+    while path.slots.links[address].outbox is None:
+        await anyio.lowlevel.checkpoint()
+    return agent_slots
+
+
 async def wait_until(condition: Callable[[], bool]) -> None:
     """Wait until a condition holds; the time limit of the test ends the wait if it never does."""
     while not condition():  # noqa: ASYNC110 - the condition has no event of its own.
