Take a status outside of 100 to 599 as a malformed response everywhere

Cause: the HTTP library accepts any three digits, so an endpoint's 600, 700 or 999 reached callers as an answer, an agent's endpoint could answer with them, and for an order to a rank they meant that it was not carried out. The text of a 502 quoted the library, such as 'illegal status line: bytearray(...)'.

Responses of endpoints, agents' endpoints and ranks with such a status are now malformed: the request may have run, and goes to another endpoint only where it may be repeated. The command line treats one from an entry alike. What the library says is the 'detail' of attempt_failed; reasons no longer contain it, nor the errors of the operating system for a refused connection.

--- a/packages/bergamotchute-cli/src/bergamotchute_cli/caller.py
+++ b/packages/bergamotchute-cli/src/bergamotchute_cli/caller.py
@@ -14,6 +14,7 @@
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.problem import ProblemCode
 from bergamotchute_model.verdict import Verdict
+from bergamotchute_wire.http1_messages import MAX_STATUS
 
 CONNECT_TIMEOUT_S = 2.0
 IDLE_TIMEOUT_S = 60.0
@@ -203,6 +204,10 @@
             async with client.stream(
                 request.method, url, content=request.body, headers=request.headers(self.token)
             ) as response:
+                if response.status_code > MAX_STATUS:
+                    raise httpx.RemoteProtocolError(
+                        f"malformed response: {response.status_code} is no HTTP status"
+                    )
                 send_attempt.status = response.status_code
                 send_attempt.request_id = response.headers.get(REQUEST_ID_HEADER, "")
                 await _read_response(response, send_attempt, write_output)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/attempt_steps.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/attempt_steps.py
@@ -59,7 +59,7 @@
         except EndpointFailure as failure:
             await self.calls.record_failure(attempt, failure)
             verdict = Verdict.MAY_HAVE_RUN if failure.may_have_arrived else Verdict.NOT_RUN
-            return AttemptFailure(verdict, failure.reason)
+            return AttemptFailure(verdict, failure.reason, detail=failure.detail)
 
     async def begin_response(self, attempt: EndpointAttempt) -> AttemptFailure | None:
         """Send the request and read what shows that the endpoint serves it.
@@ -137,5 +137,6 @@
             attempt=attempt.number,
             verdict=result.verdict,
             reason=result.reason,
+            detail=result.detail,
             events_passed=progress.stream.events,
         )
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/request_progress.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/request_progress.py
@@ -13,6 +13,7 @@
 class AttemptFailure:
     """The outcome of an attempt that did not complete the request.
 
+    :param detail: what a library says of the cause, for the log only.
     :param head: the endpoint's own error response, sent to the caller if no attempt does better.
     """
 
@@ -20,6 +21,7 @@
     reason: str
     head: ResponseHead | None = None
     body: bytes = b""
+    detail: str = ""
 
 
 @dataclass
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/http1_client.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/http1_client.py
@@ -8,6 +8,7 @@
 
 from bergamotchute_model.identifiers import Address
 from bergamotchute_wire.http1_messages import (
+    MAX_STATUS,
     EndpointFailure,
     RequestHead,
     ResponseHead,
@@ -28,6 +29,17 @@
 """
 
 
+def read_status(response: h11.Response) -> int:
+    """Return the status of a final response.
+
+    :raises EndpointFailure: if it is no status of HTTP; the request may have run all the same.
+    """
+    status: int = response.status_code
+    if status > MAX_STATUS:
+        raise EndpointFailure(f"malformed response: {status} is no HTTP status", True)
+    return status
+
+
 def encode_request(protocol: h11.Connection, head: RequestHead, body: bytes) -> bytes:
     """Return the bytes of a complete request."""
     request = h11.Request(
@@ -93,7 +105,7 @@
         for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
-                return ResponseHead(event.status_code, decode_headers(event.headers))
+                return ResponseHead(read_status(event), decode_headers(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise EndpointFailure(
                     "the connection ended before a response", True, self.has_ended
@@ -122,7 +134,7 @@
                     return event  # type: ignore[return-value]
                 self.protocol.receive_data(await self._receive())
         except h11.RemoteProtocolError as error:
-            raise EndpointFailure(f"malformed response: {error}", True, self.has_ended) from error
+            raise EndpointFailure("malformed response", True, self.has_ended, str(error)) from error
 
     async def _receive(self) -> bytes:
         """Return the next bytes, empty when the endpoint closed the connection."""
@@ -169,7 +181,9 @@
                     await anyio.connect_tcp(address.host, address.port, tls=True)
                 )
             return EndpointExchange(await anyio.connect_tcp(address.host, address.port))
-    except (OSError, TimeoutError) as error:
+    except TimeoutError as error:
+        raise EndpointFailure("connecting to the endpoint timed out", False) from error
+    except OSError as error:
         raise EndpointFailure(
-            f"connecting to the endpoint failed: {error or 'timeout'}", False
+            "connecting to the endpoint failed", False, detail=str(error)
         ) from error
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/http1_messages.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/http1_messages.py
@@ -23,19 +23,31 @@
 """Headers that apply to a single connection, RFC 9110 section 7.6.1."""
 
 
+MAX_STATUS = 599
+"""Highest status of HTTP, RFC 9110 section 15; the library accepts all numbers of three digits."""
+
+
 class EndpointFailure(Exception):
     """An exchange with an endpoint ended without a complete response.
 
-    :param reason: the cause, for logs.
+    :param reason: the cause, for logs and callers.
     :param may_have_arrived: whether a byte of the request may have reached the endpoint.
     :param connection_ended: whether the endpoint closed or reset the connection.
+    :param detail: what a library says of the cause, for logs only.
     """
 
-    def __init__(self, reason: str, may_have_arrived: bool, connection_ended: bool = False) -> None:
+    def __init__(
+        self,
+        reason: str,
+        may_have_arrived: bool,
+        connection_ended: bool = False,
+        detail: str = "",
+    ) -> None:
         super().__init__(reason)
         self.reason = reason
         self.may_have_arrived = may_have_arrived
         self.connection_ended = connection_ended
+        self.detail = detail
 
 
 @dataclass(frozen=True)
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/persistent_connection.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/persistent_connection.py
@@ -15,6 +15,7 @@
     MAX_RESPONSE_CHUNKS,
     RECEIVE_BYTES,
     encode_request,
+    read_status,
 )
 from bergamotchute_wire.http1_messages import EndpointFailure, RequestHead
 
@@ -30,7 +31,6 @@
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
     anyio.EndOfStream,
-    h11.ProtocolError,
 )
 """Errors that end a call without a complete response."""
 
@@ -67,6 +67,10 @@
                     await self._connect()
                     has_begun_sending = True
                     return await self._exchange(method, target, body)
+        except h11.ProtocolError as error:
+            raise EndpointFailure(
+                "malformed response", has_begun_sending, detail=str(error)
+            ) from error
         except CALL_ERRORS as error:
             raise EndpointFailure(str(error) or type(error).__name__, has_begun_sending) from error
 
@@ -123,18 +127,18 @@
             if event is h11.NEED_DATA:
                 protocol.receive_data(await stream.receive(RECEIVE_BYTES))
             elif isinstance(event, h11.Response):
-                status = event.status_code
+                status = read_status(event)
             elif isinstance(event, h11.Data):
                 body += event.data
                 chunk_count += 1
                 if len(body) > MAX_RESPONSE_BYTES or chunk_count > MAX_RESPONSE_CHUNKS:
-                    raise h11.RemoteProtocolError("the response has too many bytes or chunks")
+                    raise EndpointFailure("the response has too many bytes or chunks", True)
             elif isinstance(event, h11.EndOfMessage):
                 return status, bytes(body)
             elif isinstance(event, h11.InformationalResponse):
                 interim_count += 1
                 if interim_count > MAX_INTERIM_RESPONSES:
-                    raise h11.RemoteProtocolError("too many interim responses")
+                    raise EndpointFailure("too many interim responses", True)
             else:
                 raise anyio.EndOfStream
 
--- a/tests/operator/test_caller_retries.py
+++ b/tests/operator/test_caller_retries.py
@@ -50,6 +50,7 @@
 def test_request_without_a_key_is_not_retried_once_it_may_have_run() -> None:
     for failure in (
         LOST_ANSWER,
+        httpx.Response(700, content=b"no status of HTTP"),
         problem_response(503, "outcome_unknown", "may_have_run", retry=True),
     ):
         answer, _, request_lines = send(ORDER_WITHOUT_KEY, [failure], [CREATED])
