--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/explain_api.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/explain_api.py
@@ -129,7 +129,7 @@
     return EntryKnowledge(
         entry.routing_table,
         entry.stopping,
-        forwarder.entry_count,
+        forwarder.retries.entry_count,
         forwarder.placement,
         known_endpoints,
         permits.cold_limits.most_per_s,
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/request_progress.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/request_progress.py
@@ -13,6 +13,7 @@
 class AttemptFailure:
     """The outcome of an attempt that did not complete the request.
 
+    :param detail: what a library says of the cause, for the log only.
     :param head: the endpoint's own error response, sent to the caller if no attempt does better.
     """
 
@@ -20,6 +21,7 @@
     reason: str
     head: ResponseHead | None = None
     body: bytes = b""
+    detail: str = ""
 
 
 @dataclass
@@ -30,6 +32,7 @@
     :param sent_count: endpoints that accepted a connection for the request.
     :param attempt_count: attempts so far, including refused connections.
     :param may_have_run: whether any endpoint may have run the request.
+    :param has_second_send: whether the request is being sent to another endpoint while one has it.
     :param endpoint_wait_ends_at: how long the request may wait for a first endpoint, on the
         runtime's clock; ``None`` until it waits.
     :param last_failure: the outcome of the last attempt.
@@ -44,6 +47,7 @@
     sent_count: int = 0
     attempt_count: int = 0
     may_have_run: bool = False
+    has_second_send: bool = False
     endpoint_wait_ends_at: float | None = None
     last_failure: AttemptFailure | None = None
     last_failed_endpoint: str = ""
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_settings.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_settings.py
@@ -5,7 +5,7 @@
 import tomllib
 from dataclasses import dataclass, field, fields
 from pathlib import Path
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -49,6 +49,8 @@
     :param cold_excess: the factor by which the requests of one second may exceed those that a service
         names for a cold endpoint, over all entries.
     :param cold_slack: further requests to a cold endpoint in each second, over all entries.
+    :param second_send_share: requests that may be sent to a second endpoint because the first one is
+        slow, as a share of requests; 0 to send none.
     :param zones: the availability zones of the deployment; empty to know only those of endpoints and
         entries.
     :param data_folder: the folder for stored data; empty for a process without a disk.
@@ -69,6 +71,7 @@
     retry_slack: float
     cold_excess: float = 1.0
     cold_slack: float = 0.0
+    second_send_share: Annotated[float, msgspec.Meta(ge=0.0, le=1.0)] = 0.0
     zones: tuple[str, ...] = ()
     data_folder: str = ""
     endpoint: str = ""
--- a/tests/support/entry_fixture.py
+++ b/tests/support/entry_fixture.py
@@ -8,21 +8,27 @@
 from random import Random
 
 import anyio
+import anyio.lowlevel
 import h11
 from anyio.abc import Listener, SocketStream, TaskGroup
 
 from bergamotchute_daemon.direct.admitted_request import RequestRefused
+from bergamotchute_daemon.direct.attempt_steps import AttemptSteps
 from bergamotchute_daemon.direct.direct_forwarder import DirectForwarder
 from bergamotchute_daemon.direct.endpoint_calls import EndpointCalls
 from bergamotchute_daemon.direct.endpoint_chooser import EndpointChooser
 from bergamotchute_daemon.direct.filters import admit_request, require_routing_table
+from bergamotchute_daemon.direct.hedged_requests import HedgedRequests
 from bergamotchute_daemon.direct.prompt_guard import PromptGuard
 from bergamotchute_daemon.direct.rate_permits import RatePermits
+from bergamotchute_daemon.direct.retry_decisions import RetryDecisions
 from bergamotchute_daemon.direct.routing_table import RoutingTable
 from bergamotchute_daemon.direct.slot_reservations import SlotReservations
+from bergamotchute_daemon.direct.takeover import Takeover
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.node_metrics import NodeMetrics
 from bergamotchute_daemon.prompt_evidence_table import PromptEvidenceTable
+from bergamotchute_daemon.ranks.slot_reservation_server import SlotReservationServer
 from bergamotchute_daemon.rate_limit_log import RateLimitLog
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat, EndpointPhase
 from bergamotchute_model.identifiers import Address
@@ -180,21 +186,35 @@
         self.calls = EndpointCalls(
             REQUEST_FORMAT, self.placement, self._on_leaving, self.log, prompt_guard, rate_permits
         )
+        metrics = NodeMetrics(dict)
+        self.retries = RetryDecisions(
+            self.log, retry_ratio=0.2, retry_capacity=100.0, retry_refill_per_s=0.0
+        )
+        chooser = EndpointChooser(
+            self.placement, self.slots, rate_permits, lambda _: self.endpoints, Random(1)
+        )
+        steps = AttemptSteps(self.calls, self.placement, self.log, metrics)
+        self.hedges = HedgedRequests(0.0, steps, chooser, prompt_guard, self.retries, self.log)
         self.forwarder = DirectForwarder(
             calls=self.calls,
-            placement=self.placement,
-            chooser=EndpointChooser(
-                self.placement, self.slots, rate_permits, lambda _: self.endpoints, Random(1)
+            steps=steps,
+            takeover=Takeover(
+                steps,
+                self.placement,
+                chooser,
+                lambda _: self.endpoints,
+                prompt_guard,
+                self.retries,
             ),
-            endpoints=lambda _: self.endpoints,
+            hedges=self.hedges,
+            retries=self.retries,
+            placement=self.placement,
+            chooser=chooser,
             random=Random(1),
             log=self.log,
-            metrics=NodeMetrics(dict),
+            metrics=metrics,
             prompt_guard=prompt_guard,
             rate_permits=rate_permits,
-            retry_ratio=0.2,
-            retry_capacity=100.0,
-            retry_refill_per_s=0.0,
         )
         self.server = Http1Server(self._handle)
         self.address = Address("127.0.0.1", 0)
@@ -275,6 +295,20 @@
             return await exchange(stream, route, method, body, **headers)
 
 
+async def add_agent(
+    path: EntryFixture, endpoint: EndpointHeartbeat, number: int
+) -> SlotReservationServer:
+    """Add an agent that manages the slots of an endpoint, and link the entry to it."""
+    agent_slots = SlotReservationServer()
+    address = Address(f"10.0.0.{number}", 7000)
+    path.network.serve(f"agent-{number}", address, "/slots", agent_slots.serve_entry)
+    path.slots.set_used_endpoints(path.slots.used | {endpoint.address})
+    path.slots.set_agent(endpoint.address, address)
+    while path.slots.links[address].outbox is None:
+        await anyio.lowlevel.checkpoint()
+    return agent_slots
+
+
 async def wait_until(condition: Callable[[], bool]) -> None:
     """Wait until a condition holds; the time limit of the test ends the wait if it never does."""
     while not condition():  # noqa: ASYNC110 - the condition has no event of its own.
