--- /dev/null
+++ b/tools/node_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measures what the processes of a deployment cost in processor time."""
--- a/tools/node_processes.py
+++ b/tools/node_processes.py
@@ -9,7 +9,7 @@
 import socket
 import subprocess
 import sys
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -20,6 +20,7 @@
 SEED_COUNT = 3
 
 CONTROL_PORT, DIRECTORY_PORT, CALLER_PORT, READY_PORT, LINK_PORT = 8200, 8201, 8227, 8220, 7340
+ENDPOINT_PORT = 9000
 
 FIRST_NETWORK, LAST_NETWORK, NETWORKS_EACH = 1, 250, 3
 CLAIM_HOST_NUMBER = 254
@@ -36,7 +37,7 @@
 retry_ratio = 0.2
 retry_slack = 90
 data_folder = "{folder}"
-[listen]
+{own}[listen]
 {listen}
 """
 
@@ -88,11 +89,13 @@
     :param folder: where folders, settings and logs are.
     :param network: the third number of the loopback addresses, so that several deployments can run
         at the same time; entries use the next one.
+    :param profiled: the roles whose processes write a profile ``NAME.prof`` when they are stopped.
     :param log_writers: they write the logs, so that a full disk stops no log.
     """
 
     folder: Path
     network: int
+    profiled: Collection[str] = ()
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
     log_writers: list[subprocess.Popen[bytes]] = field(default_factory=list)
 
@@ -104,6 +107,10 @@
         """Return the address of an entry."""
         return f"127.0.{self.network + 1}.{number + 1}"
 
+    def endpoint_host(self, number: int) -> str:
+        """Return the address of an endpoint, and of the agent beside it."""
+        return f"127.0.{self.network + 2}.{number + 1}"
+
     def start_control(self, number: int, build: Build, found: bool = False) -> None:
         """Start a control VM on its folder."""
         host = self.control_host(number)
@@ -114,9 +121,15 @@
         """Start an entry."""
         host = self.entry_host(number)
         listen = f'callers = "{host}:{CALLER_PORT}"\nready = "{host}:{READY_PORT}"'
-        self._start(f"entry-{number}", host, listen, build, False)
+        self._start(f"entry-{number}", host, listen, build)
+
+    def start_agent(self, number: int, build: Build) -> None:
+        """Start the agent beside a rank."""
+        host = self.endpoint_host(number)
+        self._start(f"agent-{number}", host, "", build)
 
-    def _start(self, name: str, host: str, listen: str, build: Build, found: bool) -> None:
+    def _start(self, name: str, host: str, listen: str, build: Build, found: bool = False) -> None:
+        role = name.partition("-")[0]
         data_folder = self.folder / name
         data_folder.mkdir(exist_ok=True)
         settings = self.folder / f"{name}.toml"
@@ -130,16 +143,20 @@
                 found=json.dumps(found),
                 folder=data_folder,
                 listen=listen,
+                own=f'endpoint = "{host}:{ENDPOINT_PORT}"\n' if role == "agent" else "",
             )
         )
-        role = name.partition("-")[0]
         with (self.folder / f"{name}.log").open("ab") as log:
             writer = subprocess.Popen(["cat"], stdin=subprocess.PIPE, stdout=log)
         assert writer.stdin is not None
+        profiler = ("-m", "tools.node_bench.profiled", str(self.folder / f"{name}.prof"))
+        prefix = profiler if role in self.profiled else ("-m",)
+        program = (*prefix, "bergamotchute_platform", role, "--settings", str(settings))
+        python_path = os.pathsep.join((build.python_path, str(ROOT)))
         with writer.stdin as pipe:
             self.processes[name] = subprocess.Popen(
-                [sys.executable, "-m", "bergamotchute_platform", role, "--settings", str(settings)],
-                env={**os.environ, "PYTHONPATH": build.python_path},
+                [sys.executable, *program],
+                env={**os.environ, "PYTHONPATH": python_path},
                 stdout=pipe,
                 stderr=subprocess.STDOUT,
             )
