Start control VMs without the messages of relays

Control VMs of the platform have no relays, but each imported the messages of relays through the voter: 14 data classes, 40 of some 360 ms of imports by -X importtime. The links from relays are now in a module of their own, which is imported with the first link.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/_voter_state.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/_voter_state.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import cast
+from typing import TYPE_CHECKING, cast
 
 from bergamotchute_consensus.log_entry import EntryContent, LogEntry
 from bergamotchute_consensus.snapshot import Snapshot
 from bergamotchute_model.commands import AnyCommand, Command, CommandResult
-from bergamotchute_model.control_messages import ControlMessage, ViewDelta
 from bergamotchute_state.control_state import ControlState
 from bergamotchute_wire.message_codec import MessageCodec
 from bergamotchute_wire.outbox import Outbox
 
+if TYPE_CHECKING:
+    from bergamotchute_model.control_messages import ControlMessage
+
 COMMAND_CODEC: MessageCodec[Command] = MessageCodec(Command)
 RESULT_CODEC: MessageCodec[CommandResult] = MessageCodec(CommandResult)
 
@@ -118,6 +120,9 @@
                 self._send_delta(follower)
 
     def _send_delta(self, follower: Follower) -> None:
+        # A late import: control VMs without relays start without the messages of relays.
+        from bergamotchute_model.control_messages import ViewDelta
+
         newest = self.state.view_revision
         changes = self.state.changes_since(follower.revision) or ()
         follower.outbox.post(ViewDelta(follower.revision, newest, changes))
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/voter.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, replace
 from functools import partial
 from random import Random
+from typing import TYPE_CHECKING
 
 import anyio
 import anyio.to_thread
@@ -58,23 +59,16 @@
 from bergamotchute_daemon._pending_requests import OnFailure, OnSuccess, PendingRequests
 from bergamotchute_daemon._proposed_commands import ProposedCommands
 from bergamotchute_daemon._voter_peer_links import VoterPeerLinks
-from bergamotchute_daemon._voter_state import COMMAND_CODEC, RESULT_CODEC, VoterState
+from bergamotchute_daemon._voter_state import RESULT_CODEC, VoterState
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_model import events
-from bergamotchute_model.control_messages import (
-    ControlMessage,
-    LeaseGrant,
-    ProposalFailed,
-    Propose,
-    Proposed,
-    RenewLease,
-    Subscribe,
-)
 from bergamotchute_model.identifiers import Address
-from bergamotchute_model.status_messages import ControlStatus, QueryStatus, StatusReport
+from bergamotchute_model.status_messages import ControlStatus
 from bergamotchute_wire.link import Dial, Link, LinkClosed
 from bergamotchute_wire.message_codec import MalformedMessageError, MessageCodec
-from bergamotchute_wire.outbox import Outbox, open_outbox
+
+if TYPE_CHECKING:
+    from bergamotchute_model.control_messages import ControlMessage
 
 CONSENSUS_CODEC: MessageCodec[ConsensusMessage] = MessageCodec(ConsensusMessage)
 STATUS_CODEC: MessageCodec[ControlStatus] = MessageCodec(ControlStatus)
@@ -371,67 +365,10 @@
 
     async def serve_relay(self, link: Link[ControlMessage]) -> None:
         """Serve one relay until its link closes."""
-        async with open_outbox(link) as outbox:
-            try:
-                while True:
-                    self.on_relay_message(outbox, await link.receive())
-            finally:
-                self.state.remove_follower(outbox)
-
-    def on_relay_message(self, outbox: Outbox[ControlMessage], message: ControlMessage) -> None:
-        """Handle one message of a relay."""
-        match message:
-            case RenewLease():
-                self.on_renew_lease(outbox, message)
-            case Subscribe():
-                self.state.add_follower(outbox, message.revision)
-            case Propose():
-                self.on_propose(outbox, message)
-            case QueryStatus():
-                self.on_ask_status(outbox, message)
-            case _:
-                pass
-
-    def on_renew_lease(self, outbox: Outbox[ControlMessage], message: RenewLease) -> None:
-        """Grant a lease once a quorum round that starts now confirms the view; else do nothing."""
-
-        def grant(_: int, __: bytes) -> None:
-            self.state.send_changes()
-            outbox.post(LeaseGrant(message.number, VIEW_LEASE_S, self.state.state.view_revision))
-
-        self.submit_request(RequestPurpose.READ, b"", grant, lambda *_: None)
-
-    def on_propose(self, outbox: Outbox[ControlMessage], message: Propose) -> None:
-        """Commit a command, locally or through the leader, and answer with its result."""
-
-        def answer(index: int, result: bytes) -> None:
-            decoded = RESULT_CODEC.decode(result)
-            outbox.post(Proposed(message.proposal_id, index, decoded))
-
-        def refuse(committed_maybe: bool, leader: Member | None) -> None:
-            address = leader.address if leader else None
-            failed = ProposalFailed(
-                message.proposal_id,
-                committed_maybe,
-                "no leader confirmed the command; send it again",
-                address,
-            )
-            outbox.post(failed)
-
-        self.submit_request(
-            RequestPurpose.COMMAND, COMMAND_CODEC.encode(message.command), answer, refuse
-        )
-
-    def on_ask_status(self, outbox: Outbox[ControlMessage], message: QueryStatus) -> None:
-        """Report the leader's view of the control group."""
-
-        def answer(_: int, result: bytes) -> None:
-            outbox.post(StatusReport(message.query_id, control=STATUS_CODEC.decode(result)))
-
-        def refuse(_: bool, __: Member | None) -> None:
-            outbox.post(StatusReport(message.query_id))
+        # A late import: control VMs without relays start without the messages of relays.
+        from bergamotchute_daemon._voter_relay_link import serve_relay
 
-        self.submit_request(RequestPurpose.STATUS, b"", answer, refuse)
+        await serve_relay(self, link)
 
     def submit_request(
         self, purpose: RequestPurpose, command: bytes, success: OnSuccess, failure: OnFailure
