Emit events without looking up the caller, and reuse the JSON encoder

Each event walked the stack for its file and line, which no handler writes, lowered and searched the names of its fields, and built an encoder. The agent also subtracts its counts in C.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/event_log.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/event_log.py
@@ -6,6 +6,7 @@
 import logging
 from collections import deque
 from collections.abc import Callable
+from functools import cache
 from pathlib import Path
 
 from bergamotchute_model.event_record import EventRecord, FieldValue
@@ -88,10 +89,25 @@
             endpoint=endpoint,
             group=group,
             revision=revision,
-            fields={name: _redact_value(name, value) for name, value in fields.items()},
+            fields={
+                name: REDACTED if _is_secret(name) else value for name, value in fields.items()
+            },
         )
         self.recent_records.append(record)
-        self.logger.log(kind.level, kind.name, extra={"event_record": record})
+        if self.logger.isEnabledFor(kind.level):
+            # Unlike Logger.log, this doesn't look up the caller, which no handler writes.
+            self.logger.handle(
+                self.logger.makeRecord(
+                    self.logger.name,
+                    kind.level,
+                    "(unknown file)",
+                    0,
+                    kind.name,
+                    (),
+                    None,
+                    extra={"event_record": record},
+                )
+            )
         return record
 
     def stamp(self) -> HybridTimestamp:
@@ -108,12 +124,12 @@
         return [record for record in self.recent_records if record.sequence > after]
 
 
-def _redact_value(name: str, value: FieldValue) -> FieldValue:
-    if name in _UNREDACTED_FIELD_NAMES or not any(
-        part in name.lower() for part in _SECRET_NAME_PARTS
-    ):
-        return value
-    return REDACTED
+@cache
+def _is_secret(name: str) -> bool:
+    """Return whether the name of a field, which stands in the code, suggests a secret."""
+    if name in _UNREDACTED_FIELD_NAMES:
+        return False
+    return any(part in name.lower() for part in _SECRET_NAME_PARTS)
 
 
 class JsonLineFormatter(logging.Formatter):
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import operator
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 from dataclasses import dataclass, field, replace
@@ -309,10 +310,7 @@
             return
         if previous is None or len(previous.counts) != len(counts.counts) or self.status is None:
             return
-        selections = tuple(
-            new_count - old_count
-            for new_count, old_count in zip(counts.counts, previous.counts, strict=True)
-        )
+        selections = tuple(map(operator.sub, counts.counts, previous.counts))
         if self.commander_outbox is None or min(selections) < 0 or not any(selections):
             return
         self.commander_outbox.post(
--- a/packages/bergamotchute-model/src/bergamotchute_model/event_record.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/event_record.py
@@ -14,6 +14,8 @@
 
 FieldValue = str | int | float | bool
 
+_JSON_LINE = json.JSONEncoder(separators=(",", ":"))
+
 
 @dataclass(frozen=True)
 class EventRecord:
@@ -53,7 +55,7 @@
 
     def to_json(self) -> str:
         """Return the event as a single line of JSON, without a newline."""
-        return json.dumps(vars(self), separators=(",", ":"))
+        return _JSON_LINE.encode(vars(self))
 
 
 @cache
