Rank endpoints with fewer calls, and stop at the first with a free slot

An entry asks several times per request whether the endpoints that it uses have a free slot, and looked at all of them each time. A healthy endpoint that is not slow always counts, so the first one decides; slow ones are looked at when no other has a free slot. Ranking creates no object per endpoint and looks up each load less often.

--- a/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
@@ -7,8 +7,9 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from heapq import nsmallest
+from operator import itemgetter
 from random import Random
 
 from xxhash import xxh3_64_intdigest
@@ -156,14 +157,16 @@
         usable = self._usable(endpoints, avoided, now, latest_permit_at=now)
         ranked = nsmallest(
             2,
-            (self._rank_candidate(each, now) for each in usable),
-            key=lambda candidate_rank: candidate_rank[:2],
+            [self._rank_endpoint(each, now) for each in usable],
+            key=itemgetter(0, 1),
         )
         if not ranked:
             return None
-        chosen, next_best = ranked[0][2], ranked[-1][2]
-        capacity = self.capacity(chosen.heartbeat, now)
-        return replace(chosen, most=max(capacity - 1, int(next_best.fullness * capacity)))
+        _, _, fullness, chosen = ranked[0]
+        _, _, next_fullness, _ = ranked[-1]
+        capacity = self.capacity(chosen, now)
+        most = max(capacity - 1, int(next_fullness * capacity))
+        return EndpointCandidate(chosen, fullness, most)
 
     def select_by_permit(
         self,
@@ -202,7 +205,7 @@
             for each in endpoints
             if each.endpoint not in avoided and self.accepts_requests(each, now)
         ]
-        healthy = [each for each in accepting if self._is_healthy(each, now)]
+        healthy = [each for each in accepting if self._is_sound(each, now)]
         with_room = [
             each
             for each in healthy or accepting
@@ -237,11 +240,24 @@
         )
 
     def has_free_slot(self, endpoints: Iterable[EndpointHeartbeat], now: float) -> bool:
-        """Return whether an endpoint that would be chosen seems to have a free slot."""
-        return any(
-            self._fullness(each, now) < 1.0 and self.load(each).permit_expected_at <= now
-            for each in self._preferred(endpoints, now)
-        )
+        """Return whether an endpoint that would be chosen seems to have a free slot.
+
+        This is asked several times for each request. Healthy endpoints that are not slow are always
+        preferred, so the first of them with a free slot decides, and only others need a closer look.
+        """
+        slow: list[EndpointHeartbeat] = []
+        for each in endpoints:
+            if self.load(each).is_slow(now):
+                slow.append(each)
+            elif self._is_healthy(each, now) and self._has_room(each, now):
+                return True
+        if not any(self._is_healthy(each, now) and self._has_room(each, now) for each in slow):
+            return False
+        return any(self._has_room(each, now) for each in self._preferred(endpoints, now))
+
+    def _has_room(self, endpoint: EndpointHeartbeat, now: float) -> bool:
+        has_permit = self.load(endpoint).permit_expected_at <= now
+        return has_permit and self._fullness(endpoint, now) < 1.0
 
     def _preferred(
         self, endpoints: Iterable[EndpointHeartbeat], now: float
@@ -251,11 +267,14 @@
 
     def _fullness(self, endpoint: EndpointHeartbeat, now: float) -> float:
         load = self.load(endpoint)
-        return (load.in_flight + load.estimated_others(now)) / self.capacity(endpoint, now)
+        requests = load.in_flight + load.estimated_others(now)
+        return requests / self._capacity(endpoint, load, now)
 
     def capacity(self, endpoint: EndpointHeartbeat, now: float) -> int:
         """Return how many requests may run at an endpoint."""
-        load = self.load(endpoint)
+        return self._capacity(endpoint, self.load(endpoint), now)
+
+    def _capacity(self, endpoint: EndpointHeartbeat, load: EndpointLoadEstimate, now: float) -> int:
         limit = self._limit(endpoint, load, now)
         max_requests = None if limit is None else limit.max_requests(now)
         if max_requests is None:
@@ -266,11 +285,11 @@
         self, endpoint: EndpointHeartbeat, load: EndpointLoadEstimate, now: float
     ) -> ConcurrencyLimit | None:
         """Return the limit of the endpoint's rank group; ``None`` if it needs none."""
-        timing = self.engine_timings.get(endpoint.service)
-        if not load.group or timing is None:
+        timing = self.engine_timings.get(endpoint.service) if load.group else None
+        if timing is None:
             return None
         limit = self.limits.get(load.group)
-        if limit is None or limit.timing != timing:
+        if limit is None or (limit.timing is not timing and limit.timing != timing):
             limit = self.limits[load.group] = ConcurrencyLimit(timing, now)
         return limit
 
@@ -326,19 +345,24 @@
         return fast if is_enough else endpoints
 
     def _is_healthy(self, endpoint: EndpointHeartbeat, now: float) -> bool:
-        if not self.accepts_requests(endpoint, now):
-            return False
-        barred = self.load(endpoint).ejected_until > now
-        stalled = self.rank_groups.is_stalled(endpoint.address, now)
-        return endpoint.phase is EndpointPhase.READY and not barred and not stalled
+        return self.accepts_requests(endpoint, now) and self._is_sound(endpoint, now)
+
+    def _is_sound(self, endpoint: EndpointHeartbeat, now: float) -> bool:
+        """Return whether an endpoint that accepts requests is ready, not ejected and not stalled."""
+        return (
+            endpoint.phase is EndpointPhase.READY
+            and self.load(endpoint).ejected_until <= now
+            and not self.rank_groups.is_stalled(endpoint.address, now)
+        )
 
-    def _rank_candidate(
+    def _rank_endpoint(
         self, endpoint: EndpointHeartbeat, now: float
-    ) -> tuple[float, float, EndpointCandidate]:
+    ) -> tuple[float, float, float, EndpointHeartbeat]:
+        """Return the cost of an endpoint, a random number, its fullness and the endpoint."""
         fullness = self._fullness(endpoint, now)
         in_other_zone = endpoint.availability_zone != self.availability_zone
         cost = fullness + (OTHER_ZONE_PENALTY if in_other_zone else 0.0)
-        return cost, self.random.random(), EndpointCandidate(endpoint, fullness)
+        return cost, self.random.random(), fullness, endpoint
 
     def on_request_sent(self, endpoint: EndpointHeartbeat) -> None:
         """Count a request that is sent to an endpoint."""
