--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -14,6 +14,7 @@
 
 import anyio
 
+from bergamotchute_daemon.changed_loads import ChangedLoads
 from bergamotchute_daemon.control_log import ControlLog, ControlUnavailable
 from bergamotchute_daemon.evacuations.evacuation_orders import read_evacuations
 from bergamotchute_daemon.event_log import EventLog
@@ -109,11 +110,7 @@
         what the process at its other end reads.
     :param commander_assigner: assigns commanders while this control VM is the leader.
     :param assigned: the newest assignment of each rank group.
-    :param loads: endpoint loads that followers reported since the last
-        :meth:`send_changed_loads`.
-    :param peer_loads: endpoint loads that other control VMs reported in the same time.
-    :param paces: paces of slow endpoints that followers reported in the same time.
-    :param peer_paces: paces of slow endpoints that other control VMs reported in the same time.
+    :param loads: loads and paces of endpoints reported since the last :meth:`send_changed_loads`.
     """
 
     address: Address
@@ -137,10 +134,7 @@
     sent_rank_places: dict[Address, RankLocation] = field(default_factory=dict)
     placed_node_changes: int = 0
     assigned_term_and_changes: tuple[int, int] = (0, 0)
-    loads: dict[Address, int] = field(default_factory=dict)
-    peer_loads: dict[Address, int] = field(default_factory=dict)
-    paces: dict[Address, float] = field(default_factory=dict)
-    peer_paces: dict[Address, float] = field(default_factory=dict)
+    loads: ChangedLoads = field(default_factory=ChangedLoads)
     departures_in_progress: set[tuple[str, int]] = field(default_factory=set)
     confirmation_needed: anyio.Event = field(default_factory=anyio.Event)
     packed: ConfigurationText = field(default_factory=lambda: ConfigurationText(-1, b""))
@@ -243,12 +237,8 @@
                 self._on_follower_state(follower, message)
             case ControlPeer():
                 self._on_peer(follower, message)
-            case LoadsReported() if follower.peer is None:
-                self.loads.update(message.loads)
-                self.paces.update(message.paces)
             case LoadsReported():
-                self.peer_loads.update(message.loads)
-                self.peer_paces.update(message.paces)
+                self.loads.add(message, is_from_peer=follower.peer is not None)
             case SubscribeToLoads():
                 follower.is_load_subscriber = True
             case QueryConfiguration():
@@ -461,19 +451,11 @@
 
     def send_changed_loads(self) -> None:
         """Send entries and the other control VMs the loads that changed since the last call."""
-        local_loads, self.loads = self.loads, {}
-        peer_loads, self.peer_loads = self.peer_loads, {}
-        local_paces, self.paces = self.paces, {}
-        peer_paces, self.peer_paces = self.peer_paces, {}
-        if local_loads:
-            self.peers.post_all(
-                LoadsReported(tuple(local_loads.items()), tuple(local_paces.items()))
-            )
-        if local_loads or peer_loads:
-            loads, paces = peer_loads | local_loads, peer_paces | local_paces
-            self._post_to_load_subscribers(
-                LoadsReported(tuple(loads.items()), tuple(paces.items()))
-            )
+        for_peers, for_entries = self.loads.take()
+        if for_peers is not None:
+            self.peers.post_all(for_peers)
+        if for_entries is not None:
+            self._post_to_load_subscribers(for_entries)
 
     def send_node_changes(self) -> None:
         """Send follower changes to the other control VMs, and the addresses of ranks to entries."""
