--- a/packages/bergamotchute-wire/src/bergamotchute_wire/http1_client.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/http1_client.py
@@ -30,9 +30,16 @@
 
 def encode_request(protocol: h11.Connection, head: RequestHead, body: bytes) -> bytes:
     """Return the bytes of a complete request."""
-    request = h11.Request(
-        method=head.method, target=head.target, headers=encode_headers(head.headers)
-    )
+    return send_request_event(protocol, request_event(head), body)
+
+
+def request_event(head: RequestHead) -> h11.Request:
+    """Return the head of a request as h11 takes it, which validates it."""
+    return h11.Request(method=head.method, target=head.target, headers=encode_headers(head.headers))
+
+
+def send_request_event(protocol: h11.Connection, request: h11.Request, body: bytes) -> bytes:
+    """Return the bytes of a complete request whose head was validated."""
     data = protocol.send(request) or b""
     if body:
         data += protocol.send(h11.Data(data=body)) or b""
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/persistent_connection.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/persistent_connection.py
@@ -4,6 +4,7 @@
 
 import select
 from dataclasses import dataclass, field
+from functools import lru_cache
 
 import anyio
 import h11
@@ -14,7 +15,8 @@
     MAX_INTERIM_RESPONSES,
     MAX_RESPONSE_CHUNKS,
     RECEIVE_BYTES,
-    encode_request,
+    request_event,
+    send_request_event,
 )
 from bergamotchute_wire.http1_messages import EndpointFailure, RequestHead
 
@@ -35,6 +37,17 @@
 """Errors that end a call without a complete response."""
 
 
+@lru_cache(maxsize=64)
+def _request_event(host: str, method: str, target: str, body_bytes: int) -> h11.Request:
+    """Return the head of a call; the same few are made several times a second."""
+    headers = (
+        ("host", host),
+        ("content-type", "application/json"),
+        ("content-length", str(body_bytes)),
+    )
+    return request_event(RequestHead(method, target, headers))
+
+
 @dataclass
 class PersistentConnection:
     """Makes one call at a time over a reused connection; a failed call closes the connection.
@@ -92,13 +105,8 @@
         assert self.protocol is not None
         whole = False
         try:
-            headers = (
-                ("host", str(self.address)),
-                ("content-type", "application/json"),
-                ("content-length", str(len(body))),
-            )
-            head = RequestHead(method, target, headers)
-            await self.stream.send(encode_request(self.protocol, head, body))
+            request = _request_event(str(self.address), method, target, len(body))
+            await self.stream.send(send_request_event(self.protocol, request, body))
             status, answer = await self._read_response(self.protocol, self.stream)
             whole = (
                 self.protocol.our_state is h11.DONE
