Read on from the endpoint of a stream whose caller reads slowly

Cause: an entry read the next part of a stream only after its caller's connection had taken the last one. The wait also counted as a pause of the engine, which lowers the limit of its rank group.

The caller that has taken nothing for the longest time is cut off first when these are used up (caller_too_slow). The endpoint's slot is released once the stream is complete here.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -307,6 +307,7 @@
             **self.forwarder.prompt_guard.table.gauges(),
             **self.forwarder.rate_permits.gauges(),
             **self.forwarder.hedges.gauges(),
+            **self.forwarder.unread.gauges(),
         }
 
     async def _forget_removed_endpoints(self) -> None:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_forwarder.py
@@ -10,6 +10,7 @@
 
 from bergamotchute_daemon.direct.admitted_request import AdmittedRequest, RequestRefused
 from bergamotchute_daemon.direct.attempt_steps import AttemptSteps
+from bergamotchute_daemon.direct.caller_stream import CallerStream, UnreadStreams
 from bergamotchute_daemon.direct.endpoint_attempt import EndpointAttempt
 from bergamotchute_daemon.direct.endpoint_calls import HTTP_OK, EndpointCalls
 from bergamotchute_daemon.direct.endpoint_chooser import (
@@ -86,6 +87,7 @@
     metrics: NodeMetrics
     prompt_guard: PromptGuard
     rate_permits: RatePermits
+    unread: UnreadStreams
     started_at: float = field(default_factory=anyio.current_time)
     ends_at: float = math.inf
     response_times: ResponseTimes = field(default_factory=ResponseTimes)
@@ -99,8 +101,23 @@
         """
         self.retries.budget(request).on_first_attempt()
         progress = RequestProgress(EventStream(request.metadata.resume_after))
+        if not request.is_stream:
+            await self._forward_until_deadline(request, writer, progress)
+            return
+
+        async def forward_stream(caller: CallerStream) -> None:
+            progress.caller = caller
+            await self._forward_until_deadline(request, writer, progress)
+
+        await self.unread.run(request.metadata.request_id, writer, forward_stream)
+
+    async def _forward_until_deadline(
+        self, request: AdmittedRequest, writer: ResponseWriter, progress: RequestProgress
+    ) -> None:
         with anyio.CancelScope(deadline=request.deadline) as scope:
             await self._run_attempts(request, writer, progress)
+            if progress.caller is not None:
+                await progress.caller.drain()
         if scope.cancelled_caught:
             self._fail_request(request, writer, progress, "the deadline has passed")
 
@@ -325,7 +342,8 @@
         :raises AttemptReplaced: if the stream stalls and another endpoint has taken over.
         """
         assert attempt.head is not None
-        writer, progress = attempt.writer, attempt.progress
+        writer, progress, caller = attempt.writer, attempt.progress, attempt.progress.caller
+        assert caller is not None
         is_answered = False
         data, attempt.body = attempt.body, None
         while True:
@@ -353,12 +371,15 @@
                     await writer.write_head(
                         attempt.head.status, _headers_without_length(attempt.head)
                     )
-                await writer.write_chunk(whole)
+                await caller.write(whole)
         if progress.stream.has_partial_event or not is_answered:
             # One that resumes without an event leaves open whether the caller has them all.
             raise EndpointFailure(
                 "the stream ended before an event was complete", True, attempt.connection.has_ended
             )
+        if caller.is_writing:
+            await attempt.close()
+            await caller.drain()
         await writer.finish()
         if progress.sent_count == 1 and progress.response_started_at is not None:
             first_event_s = progress.response_started_at - attempt.sent_at
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/request_progress.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/request_progress.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from bergamotchute_daemon.direct.caller_stream import CallerStream
 from bergamotchute_daemon.direct.event_stream import EventStream
 from bergamotchute_model.verdict import Verdict
 from bergamotchute_wire.http1_messages import ResponseHead
@@ -28,6 +29,7 @@
 class RequestProgress:
     """What became of the attempts of a request so far, and of its response.
 
+    :param caller: writes a stream to the caller; ``None`` for other responses.
     :param failed_endpoints: identifiers of the endpoints whose attempts failed.
     :param sent_count: endpoints that accepted a connection for the request.
     :param attempt_count: attempts so far, including refused connections.
@@ -43,6 +45,7 @@
     """
 
     stream: EventStream
+    caller: CallerStream | None = None
     failed_endpoints: set[str] = field(default_factory=set)
     sent_count: int = 0
     attempt_count: int = 0
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
@@ -82,6 +82,7 @@
 ) -> DirectEntry:
     """Return an entry that sends requests to endpoints itself, without starting it."""
     from bergamotchute_daemon.direct.attempt_steps import AttemptSteps
+    from bergamotchute_daemon.direct.caller_stream import UnreadStreams
     from bergamotchute_daemon.direct.direct_entry import DirectEntry
     from bergamotchute_daemon.direct.direct_forwarder import DirectForwarder
     from bergamotchute_daemon.direct.endpoint_calls import EndpointCalls
@@ -170,6 +171,7 @@
         metrics=metrics,
         prompt_guard=prompt_guard,
         rate_permits=rate_permits,
+        unread=UnreadStreams(environment.log),
     )
     links = _compose_control_links(
         settings, environment, lambda: process, majority_of_parents, wants_loads=True
--- a/packages/bergamotchute-model/src/bergamotchute_model/events.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/events.py
@@ -114,6 +114,12 @@
 HEDGE_NOT_SENT = _define_event_kind(
     1143, "hedge_not_sent", "A request whose endpoint is slow was not sent to a second endpoint."
 )
+CALLER_TOO_SLOW = _define_event_kind(
+    1144,
+    "caller_too_slow",
+    "A stream was cut off: its caller read the slowest, and too much waited for callers.",
+    logging.WARNING,
+)
 REQUEST_NOT_RETRIED = _define_event_kind(
     1107, "request_not_retried", "A failed request is not tried at another endpoint."
 )
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/byte_budget.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/byte_budget.py
@@ -35,6 +35,11 @@
     budget: ByteBudget
     size: int = 0
 
+    def shrink(self, size: int) -> None:
+        """Release a part of the bytes."""
+        self.budget.held -= size
+        self.size -= size
+
     def try_grow(self, size: int) -> bool:
         """Claim more bytes if they fit into the budget; return whether they did."""
         if self.budget.held + size > self.budget.limit_bytes:
--- a/packages/bergamotchute-wire/src/bergamotchute_wire/http1_server.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/http1_server.py
@@ -7,13 +7,14 @@
 from __future__ import annotations
 
 import logging
+import select
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import TypeAlias
 
 import anyio
 import h11
-from anyio.abc import ByteStream, SocketStream
+from anyio.abc import ByteStream, SocketAttribute, SocketStream
 from anyio.streams.stapled import MultiListener
 
 from bergamotchute_model.headers import Headers
@@ -120,6 +121,15 @@
         if data:
             await self._write(self.protocol.send(h11.Data(data=data)) or b"")
 
+    def is_writable(self) -> bool:
+        """Return whether the connection takes a few more bytes without a wait."""
+        raw = self.stream.extra(SocketAttribute.raw_socket, None)
+        if raw is None or raw.fileno() < 0:
+            return True
+        poller = select.poll()
+        poller.register(raw.fileno(), select.POLLOUT)
+        return bool(poller.poll(0))
+
     async def finish(self) -> None:
         """Complete the response, even if the request is cancelled meanwhile."""
         data = self.protocol.send(h11.EndOfMessage()) or b""
--- a/tests/support/entry_fixture.py
+++ b/tests/support/entry_fixture.py
@@ -14,6 +14,7 @@
 
 from bergamotchute_daemon.direct.admitted_request import RequestRefused
 from bergamotchute_daemon.direct.attempt_steps import AttemptSteps
+from bergamotchute_daemon.direct.caller_stream import UnreadStreams
 from bergamotchute_daemon.direct.direct_forwarder import DirectForwarder
 from bergamotchute_daemon.direct.endpoint_calls import EndpointCalls
 from bergamotchute_daemon.direct.endpoint_chooser import EndpointChooser
@@ -215,6 +216,7 @@
             metrics=metrics,
             prompt_guard=prompt_guard,
             rate_permits=rate_permits,
+            unread=UnreadStreams(self.log),
         )
         self.server = Http1Server(self._handle)
         self.address = Address("127.0.0.1", 0)
