Keep what control VMs work out from the linked nodes until these change

The count of entries is asked five times a second, the addresses for callers with each call to the directory; each went through all nodes of all control VMs. With 27 entries, 72 agents and nine control VMs, least of two runs taken in turns: count 28 -> 0.1 us, addresses 73 -> 0.4 us.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -616,11 +616,7 @@
 
     def entry_addresses(self, availability_zone: str) -> tuple[Address, ...]:
         """Return the entries for callers of an availability zone, those of the same zone first."""
-        entries = sorted(
-            self.linked_nodes.open_entries(),
-            key=lambda entry: (entry.availability_zone != availability_zone, entry.address),
-        )
-        return tuple(entry.address for entry in entries)
+        return self.linked_nodes.entry_addresses(availability_zone)
 
 
 def _rank_place(agent: AgentState) -> RankLocation:
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/linked_nodes.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/linked_nodes.py
@@ -19,6 +19,20 @@
 """Step in which the count of entries is told; each change is sent to all followers."""
 
 
+MAX_ADDRESS_LISTS = 16
+"""Limit on the kept lists of addresses; callers may name any zone."""
+
+
+@dataclass
+class _Derived:
+    """What was worked out from the nodes at one count of changes, as callers ask for it often."""
+
+    changes: int = -1
+    open_entries: tuple[EntryState, ...] = ()
+    entry_count: int = 0
+    addresses_by_zone: dict[str, tuple[Address, ...]] = field(default_factory=dict)
+
+
 @dataclass
 class LinkedNodes:
     """Tracks the followers of this control VM and of its peers, the other control VMs.
@@ -32,6 +46,7 @@
     peer_nodes: dict[Address, dict[str, Node]] = field(default_factory=dict)
     changes: int = 0
     _unsent_names: set[str] = field(default_factory=set)
+    _derived: _Derived = field(default_factory=_Derived)
 
     def on_local_state(self, link: Hashable, node: Node) -> None:
         """Record the state that a follower reports of itself."""
@@ -92,15 +107,40 @@
         An entry that any control VM reports as closed is left out, so a closing entry disappears
         even before all its parents have reported it.
         """
-        entries = [node for node in self._all_nodes() if isinstance(node, EntryState)]
-        closed = {entry.name for entry in entries if not entry.open}
-        found = {entry.name: entry for entry in entries if entry.name not in closed}
-        return tuple(found[name] for name in sorted(found))
+        return self._current().open_entries
+
+    def entry_addresses(self, availability_zone: str) -> tuple[Address, ...]:
+        """Return the entries for callers of an availability zone, those of the same zone first."""
+        known = self._current().addresses_by_zone
+        addresses = known.get(availability_zone)
+        if addresses is None:
+            entries = sorted(
+                self.open_entries(),
+                key=lambda entry: (entry.availability_zone != availability_zone, entry.address),
+            )
+            addresses = tuple(entry.address for entry in entries)
+            if len(known) >= MAX_ADDRESS_LISTS:
+                known.clear()
+            known[availability_zone] = addresses
+        return addresses
 
     def entry_count(self) -> int:
         """Return the count of entries, rounded up so that it rarely changes."""
-        names = {node.name for node in self._all_nodes() if isinstance(node, EntryState)}
-        return -(-len(names) // ENTRY_COUNT_STEP) * ENTRY_COUNT_STEP
+        return self._current().entry_count
+
+    def _current(self) -> _Derived:
+        """Return what follows from the nodes as they are now."""
+        if self._derived.changes != self.changes:
+            entries = [node for node in self._all_nodes() if isinstance(node, EntryState)]
+            closed = {entry.name for entry in entries if not entry.open}
+            found = {entry.name: entry for entry in entries if entry.name not in closed}
+            count = len({entry.name for entry in entries})
+            self._derived = _Derived(
+                self.changes,
+                tuple(found[name] for name in sorted(found)),
+                -(-count // ENTRY_COUNT_STEP) * ENTRY_COUNT_STEP,
+            )
+        return self._derived
 
     def _all_nodes(self) -> Iterator[Node]:
         for _, node in self.local_nodes.values():
