--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_hub.py
@@ -18,6 +18,7 @@
 from bergamotchute_daemon.control_log import ControlLog, ControlUnavailable
 from bergamotchute_daemon.evacuations.evacuation_orders import read_evacuations
 from bergamotchute_daemon.event_log import EventLog
+from bergamotchute_daemon.follower import Follower
 from bergamotchute_daemon.heartbeat_updates import all_heartbeats, apply_heartbeat, local_heartbeats
 from bergamotchute_daemon.link_set import LinkSet
 from bergamotchute_daemon.permit_server import PermitServer
@@ -70,37 +71,6 @@
 """Sent to followers until the members of the control group are known."""
 
 
-@dataclass(eq=False)
-class Follower:
-    """A process connected over a link.
-
-    :param confirmed: whether a quorum confirmed the local state since the link opened and the
-        data folder was last opened.
-    :param version: the newest configuration version reported to the follower.
-    :param sent_text_version: the version whose text was last sent to the follower.
-    :param awaits_text: whether the follower asked for a text that the local state lacked.
-    :param node: the state that the follower reported; ``None`` before its first report.
-    :param peer: the address of a control VM; ``None`` for an entry or agent.
-    :param is_load_subscriber: whether the follower receives the loads of endpoints.
-    :param accepts_prompt_evidence: whether an entry reads :class:`PromptEvidence`.
-    :param accepts_rate_limits: whether the follower reads :class:`RateLimitsReported`; a control VM
-        then answers :class:`RequestPermit` as well.
-    :param scope: ends the serving of the link when it is cancelled.
-    """
-
-    outbox: Outbox[NodeMessage]
-    scope: anyio.CancelScope
-    confirmed: bool = False
-    version: int = 0
-    sent_text_version: int = 0
-    awaits_text: bool = False
-    node: EntryState | AgentState | None = None
-    peer: Address | None = None
-    is_load_subscriber: bool = False
-    accepts_prompt_evidence: bool = False
-    accepts_rate_limits: bool = False
-
-
 @dataclass
 class NodeHub:
     """Serves the links of entries, agents and other control VMs.
--- a/tests/daemon/test_control_walks.py
+++ b/tests/daemon/test_control_walks.py
@@ -21,7 +21,8 @@
     PendingRequests,
 )
 from bergamotchute_daemon._voter_state import RESULT_CODEC
-from bergamotchute_daemon.node_hub import Follower, NodeHub
+from bergamotchute_daemon.follower import Follower
+from bergamotchute_daemon.node_hub import NodeHub
 from bergamotchute_daemon.voter import Voter
 from bergamotchute_model.commands import ConfigurationPut
 from bergamotchute_model.node_messages import AgentState, DeparturesRecorded, EntryState
