--- a/tests/adapter/test_configuration_format.py
+++ b/tests/adapter/test_configuration_format.py
@@ -201,3 +201,13 @@
         with pytest.raises(ValueError):  # noqa: PT011 - each names another part.
             reader.read(json.dumps(invalid).encode())
     assert reader.read(json.dumps(plain).encode()).routes[0].shares == (RouteShare("desk", 1),)
+
+
+def test_regions_that_a_route_or_team_names_are_accepted() -> None:
+    """Such a configuration must not be refused; with one region there is nothing to choose."""
+    plain = copy.deepcopy(VALID)
+    plain["routes"][0]["allowedRegions"] = ["region-1"]
+    plain["tenants"] = [{"name": "team-1", "apiKeys": ["key-1"], "allowedRegions": ["region-1"]}]
+    for refuses_unclear in (False, True):
+        configuration = ConfigurationReader(refuses_unclear).read(json.dumps(plain).encode())
+        assert [team.name for team in configuration.teams] == ["team-1"]
