--- a/packages/bergamotchute-wire/src/bergamotchute_wire/outbox.py
+++ b/packages/bergamotchute-wire/src/bergamotchute_wire/outbox.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Iterator
+from collections import deque
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 from typing import Generic, TypeVar
 
 import anyio
+import anyio.lowlevel
 
 from bergamotchute_wire.link import Link, LinkClosed
 
@@ -31,38 +33,49 @@
     def __init__(self, link: Link[Message], batch_delay_s: float = 0.0) -> None:
         self.link = link
         self.batch_delay_s = batch_delay_s
-        self._sender, self._receiver = anyio.create_memory_object_stream[Message](
-            MAX_QUEUED_MESSAGES
-        )
+        self._queue: deque[Message] = deque()
+        self._is_closed = False
+        # Set while run() waits for a message. A memory object stream takes more processor time.
+        self._posted: anyio.Event | None = None
 
     def post(self, message: Message) -> None:
         """Queue a message; it is dropped when the link is closed."""
-        try:
-            self._sender.send_nowait(message)
-        except anyio.WouldBlock:
-            self._sender.close()
-        except (anyio.ClosedResourceError, anyio.BrokenResourceError):
+        if self._is_closed:
             return
-
-    def _take_queued(self) -> Iterator[Message]:
-        """Yield the messages queued now, to fill a batch of :data:`MAX_BATCH_MESSAGES`."""
-        for _ in range(MAX_BATCH_MESSAGES - 1):
-            try:
-                yield self._receiver.receive_nowait()
-            except (anyio.WouldBlock, anyio.EndOfStream):
-                return
+        if len(self._queue) >= MAX_QUEUED_MESSAGES:
+            self._is_closed = True
+            return
+        self._queue.append(message)
+        if self._posted is not None:
+            self._posted.set()
+
+    async def _wait_for_message(self) -> bool:
+        """Wait until a message is queued; return whether there is one."""
+        if self._queue:
+            await anyio.lowlevel.checkpoint()
+        elif not self._is_closed:
+            self._posted = anyio.Event()
+            await self._posted.wait()
+            self._posted = None
+        return bool(self._queue)
+
+    def _take_batch(self) -> list[Message]:
+        """Take the messages queued now, at most :data:`MAX_BATCH_MESSAGES`."""
+        count = min(len(self._queue), MAX_BATCH_MESSAGES)
+        return [self._queue.popleft() for _ in range(count)]
 
     async def run(self) -> None:
         """Send until the link closes or the queue overflows; then close the link."""
         try:
-            async for message in self._receiver:
+            while await self._wait_for_message():
                 if self.batch_delay_s:
                     await anyio.sleep(self.batch_delay_s)
-                await self.link.send_all([message, *self._take_queued()])
+                await self.link.send_all(self._take_batch())
         except LinkClosed:
             pass
         finally:
-            self._receiver.close()
+            self._is_closed = True
+            self._queue.clear()
             await self.link.aclose()
 
 
