Test of hedged orders: let nothing but the kind of the route prevent them

The route of the fixture allows one endpoint, so the test passed also when the check for requests that may be repeated was removed. It fails then now.

--- a/tests/direct/test_hedged_requests.py
+++ b/tests/direct/test_hedged_requests.py
@@ -4,14 +4,16 @@
 
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import anyio
 import pytest
 from anyio.abc import SocketStream
 
+from bergamotchute_daemon.direct.routing_table import RoutingTable
 from bergamotchute_policy.hedging import MIN_KNOWN_TIMES, FirstAnswerTimes, HedgeLimit
 from support.entry_fixture import (
+    CONFIGURATION,
     EntryFixture,
     ReceivedRequest,
     add_agent,
@@ -133,6 +135,12 @@
     run_with_entry(body)
 
 
+def allow_two_endpoints(entry: EntryFixture) -> None:
+    """Let nothing but the kind of the route keep an order from a second endpoint."""
+    routes = tuple(replace(each, max_endpoints=2) for each in CONFIGURATION.routes)
+    entry.routing_table = RoutingTable(replace(CONFIGURATION, routes=routes))
+
+
 def use_up_limit(entry: EntryFixture) -> None:
     enable(entry, 0.01)
     entry.hedges.limits["model"] = HedgeLimit(0.01)
@@ -154,7 +162,7 @@
 @pytest.mark.parametrize(
     ("route", "first", "prevent", "occupied"),
     [
-        ("order", SlowEndpoint(0.2), enable, 0),
+        ("order", SlowEndpoint(0.2), allow_two_endpoints, 0),
         ("stream", SlowEndpoint(pause_s=0.2), enable, 0),
         ("status", SlowEndpoint(0.2), disable, 0),
         ("status", SlowEndpoint(0.2), forget_times, 0),
