--- a/tools/group_bench/group_simulation.py
+++ b/tools/group_bench/group_simulation.py
@@ -72,6 +72,7 @@
 
     :param requests: all requests, in order of their first arrival.
     :param passes: all passes with work.
+    :param free_at_refusals: share of the slots that were free at each refusal.
     """
 
     def __init__(self, file: GroupFile, seed: int) -> None:
@@ -81,6 +82,7 @@
         self.now = 0.0
         self.requests: list[SimulatedRequest] = []
         self.passes: list[PassRecord] = []
+        self.free_at_refusals: list[float] = []
         self.demand = ExpertDemand(file.engine, file.demand, Random(seed + 1000))
         self.ranks = [SimulatedRank() for _ in range(file.group.ranks)]
         self.ledgers = [SlotLedger() for _ in self.ranks]
@@ -248,6 +250,8 @@
 
     def _refuse(self, request: SimulatedRequest, entry: SimulatedEntry) -> None:
         request.refusals += 1
+        request.refusal_waits_s.append(self.now - request.asked_at)
+        self.free_at_refusals.append(self._free_share())
         if request.refusals > CALLER_RETRIES:
             request.outcome = "refused"
             return
@@ -255,6 +259,11 @@
         delay_s = min(entry.placement.random_retry_delay_s(self.engine), left_s / 3)
         self._call_at(self.now + delay_s, lambda: self._ask(request))
 
+    def _free_share(self) -> float:
+        """Return the share of the slots that no request has."""
+        taken = sum(min(self.engine.slots, ledger.requests) for ledger in self.ledgers)
+        return 1.0 - taken / (self.engine.slots * len(self.ledgers))
+
     def _stop_waiting(self, request: SimulatedRequest) -> None:
         if self.waiting.pop(request.number, None) is not None:
             number, entry = self.places.pop(request.number)
--- a/tools/group_bench/simulated_request.py
+++ b/tools/group_bench/simulated_request.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from tools.group_bench.group_file import RequestKind
 
@@ -18,6 +18,7 @@
     :param last_event_at: when the caller got the newest event.
     :param longest_pause_s: the longest time between two events.
     :param refusals: how often it was refused.
+    :param refusal_waits_s: how long it had waited for a slot at each refusal.
     :param started_at: when it got a slot.
     :param outcome: what became of it: empty while it runs or waits.
     """
@@ -35,6 +36,7 @@
     refusals: int = 0
     outcome: str = ""
     started_at: float = 0.0
+    refusal_waits_s: list[float] = field(default_factory=list)
 
     @property
     def is_late_to_begin(self) -> bool:
--- a/tools/measure_groups.py
+++ b/tools/measure_groups.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterator
 from concurrent.futures import ProcessPoolExecutor
 from contextlib import ExitStack, contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from pathlib import Path
 from unittest.mock import patch
 
@@ -18,12 +18,39 @@
 
 from tools.group_bench.group_file import read_group_file
 from tools.group_bench.group_simulation import GroupSimulation
+from tools.group_bench.simulated_request import SimulatedRequest
 from tools.group_bench.ways import WAYS
 
 PROCESSES = 3
 WINDOW_S = 2.0
 
 
+SOON_S = 0.1
+"""A refusal within this time of the attempt counts as one at once."""
+
+
+@dataclass(frozen=True)
+class KindFigures:
+    """What became of the requests of one kind, as shares of them.
+
+    :param refused: refused, came back and got nothing.
+    :param left: given up by their callers before or during the response.
+    :param refused_late: refusals after a wait, per request.
+    :param refusal_wait_ms: mean wait of those refusals.
+    :param start_wait_ms: mean time from the newest attempt to the slot, of the served ones.
+    """
+
+    name: str
+    requests: int
+    in_time: float
+    late: float
+    refused: float
+    left: float
+    refused_late: float
+    refusal_wait_ms: float
+    start_wait_ms: float
+
+
 @dataclass(frozen=True)
 class Figures:
     """What one run gave.
@@ -51,6 +78,29 @@
     skew: float
     requests: float
     changes: int
+    free_at_refusals: float
+    kinds: tuple[KindFigures, ...]
+
+
+def kind_figures(name: str, requests: list[SimulatedRequest]) -> KindFigures:
+    """Return what became of the requests of one kind."""
+
+    def share(has: Callable[[SimulatedRequest], bool]) -> float:
+        return sum(has(each) for each in requests) / len(requests)
+
+    waits_s = [wait for each in requests for wait in each.refusal_waits_s if wait > SOON_S]
+    starts_s = [each.started_at - each.asked_at for each in requests if each.outcome == "done"]
+    return KindFigures(
+        name=name,
+        requests=len(requests),
+        in_time=share(lambda each: each.is_in_time),
+        late=share(lambda each: each.outcome == "done" and not each.is_in_time),
+        refused=share(lambda each: each.outcome == "refused"),
+        left=share(lambda each: each.outcome == "left"),
+        refused_late=len(waits_s) / len(requests),
+        refusal_wait_ms=1000 * float(np.mean(waits_s or [0.0])),
+        start_wait_ms=1000 * float(np.mean(starts_s or [0.0])),
+    )
 
 
 @contextmanager
@@ -96,6 +146,11 @@
         skew=float(np.mean([each.skew for each in simulation.passes])),
         requests=float(np.mean([each.requests for each in simulation.passes])),
         changes=simulation.commander.changes,
+        free_at_refusals=float(np.mean(simulation.free_at_refusals or [0.0])),
+        kinds=tuple(
+            kind_figures(kind.name, [each for each in ended if each.kind is kind])
+            for kind in file.kinds
+        ),
     )
 
 
@@ -117,6 +172,7 @@
         ("skew", "{:.2f}".format),
         ("requests", "{:.2f}".format),
         ("changes", "{:.0f}".format),
+        ("free_at_refusals", "{:.3f}".format),
     ]
     lines = [f"{'file':10} {'way':28} " + " ".join(f"{name[:9]:>9}" for name, _ in columns)]
     for (file, way), figures in rows.items():
@@ -128,6 +184,18 @@
     return "\n".join(lines)
 
 
+def kind_table(rows: dict[tuple[str, str], list[Figures]]) -> str:
+    """Return what became of each kind of request, in the mean over the seeds."""
+    columns = [each.name for each in fields(KindFigures) if each.name != "name"]
+    lines = [f"{'file':10} {'way':28} {'kind':14} " + " ".join(f"{name:>15}" for name in columns)]
+    for (file, way), figures in rows.items():
+        for by_seed in zip(*(each.kinds for each in figures), strict=True):
+            means = [float(np.mean([getattr(each, name) for each in by_seed])) for name in columns]
+            values = " ".join(f"{mean:>15.{0 if mean > 9 else 3}f}" for mean in means)
+            lines.append(f"{file:10} {way:28} {by_seed[0].name:14} {values}")
+    return "\n".join(lines)
+
+
 def main() -> None:
     """Play the files of the command line and print the table."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -135,6 +203,7 @@
     parser.add_argument("--way", action="append", choices=sorted(WAYS), help="default: all")
     parser.add_argument("--seeds", type=int, default=4)
     parser.add_argument("--processes", type=int, default=PROCESSES)
+    parser.add_argument("--kinds", action="store_true", help="print each kind of request too")
     options = parser.parse_args()
     ways = options.way or list(WAYS)
     runs = [
@@ -147,6 +216,8 @@
         ):
             rows.setdefault((path.stem, way), []).append(figures)
     print(table(rows))
+    if options.kinds:
+        print(kind_table(rows))
 
 
 if __name__ == "__main__":
