Count the requests at an endpoint in tokens, besides slots

A few long prompts could exceed the memory of an engine that had free slots. ReserveSlot now carries the tokens that a request needs and the size of the memory; SlotLedger grants a slot only if both have room. The entry refuses a request that is larger than the whole memory with 413. Without the figures, as from earlier builds, only slots count. Tests of the ledger, the search, the header and an entry with two agents pass.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/admitted_request.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/admitted_request.py
@@ -48,6 +48,11 @@
         """What a crash of an endpoint could be due to: this request, and parts of its prompt."""
         return (request_name(self.digest), *self.metadata.shared_parts)
 
+    @property
+    def tokens(self) -> int:
+        """The tokens of the prompt and the longest output; 0 if unknown."""
+        return sum(self.metadata.token_counts or ())
+
     @property
     def is_stream(self) -> bool:
         """Whether the response is a stream of events."""
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/endpoint_chooser.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/endpoint_chooser.py
@@ -154,6 +154,8 @@
                 self._due_at(request),
                 wait_until,
                 request.priority,
+                request.tokens,
+                engine,
             )
             outcome = await self.slots.reserve(endpoint.address, slot_request)
             if outcome is None:
@@ -170,11 +172,13 @@
                 outcome.reservation.release()
                 search.on_refused(target)
                 continue
-            if target.queue:
+            if target.is_last and is_retry:
+                return None
+            if target.is_last:
                 self._refuse_overloaded(
                     request, outcome.requests / max(1, endpoint.slots), outcome.waited_s
                 )
-            search.on_refused(target)
+            search.on_refused(target, outcome.lacks_memory)
 
     def _still_accepts_requests(
         self, request: AdmittedRequest, endpoint: EndpointHeartbeat
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/filters.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/filters.py
@@ -10,7 +10,7 @@
 from bergamotchute_daemon.direct.admitted_request import AdmittedRequest, RequestRefused
 from bergamotchute_daemon.direct.request_format import RequestMetadata
 from bergamotchute_daemon.direct.routing_table import RoutingTable
-from bergamotchute_model.versioned_configuration import RouteRule
+from bergamotchute_model.versioned_configuration import RouteRule, ServiceRule
 from bergamotchute_wire.http1_server import CallerRequest
 
 
@@ -43,6 +43,17 @@
     return "", route.priority
 
 
+def require_memory(service: ServiceRule, metadata: RequestMetadata) -> None:
+    """Refuse a request that is larger than the whole memory of its service's engines.
+
+    No endpoint can ever run it, so there is no time after which to retry.
+    """
+    tokens = sum(metadata.token_counts or ())
+    if service.engine is not None and 0 < service.engine.memory_tokens < tokens:
+        reason = f"{tokens} tokens exceed the engines' memory of {service.engine.memory_tokens}"
+        raise RequestRefused(413, reason)
+
+
 def admit_request(
     routing_table: RoutingTable,
     request: CallerRequest,
@@ -61,6 +72,7 @@
     if metadata.time_left_s is not None:
         time_left_s = min(time_left_s, metadata.time_left_s)
     service = routing_table.choose_service(route, random)
+    require_memory(service, metadata)
     return AdmittedRequest(
         head=request.head,
         body=request.body,
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/request_format.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/request_format.py
@@ -21,6 +21,7 @@
         first.
     :param shared_parts: the identifiers of the parts of the prompt, without the last, which belongs
         to this request or its session alone.
+    :param token_counts: the prompt tokens and the maximum of output tokens; ``None`` if unknown.
     """
 
     request_id: str
@@ -28,6 +29,7 @@
     time_left_s: float | None
     resume_after: str = ""
     shared_parts: tuple[str, ...] = ()
+    token_counts: tuple[int, int] | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/slot_reservations.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/slot_reservations.py
@@ -21,6 +21,7 @@
     SlotAnswer,
     SlotState,
 )
+from bergamotchute_model.versioned_configuration import EnginePerformance
 from bergamotchute_wire.link import Dial, DialFailed, Link, LinkClosed
 from bergamotchute_wire.outbox import Outbox, open_outbox
 
@@ -78,11 +79,13 @@
     :param reservation: ``None`` if the agent refused or the wait timed out.
     :param requests: other requests that run at the endpoint or wait for it.
     :param waited_s: how long the request waited for its slot, in seconds.
+    :param lacks_memory: whether the request does not fit into the endpoint's memory now.
     """
 
     reservation: Reservation | None
     requests: int
     waited_s: float = 0.0
+    lacks_memory: bool = False
 
 
 @dataclass(frozen=True)
@@ -94,6 +97,8 @@
     :param due_at: when it needs the slot to meet its objective, on the runtime's clock.
     :param wait_until: when it stops waiting, on the runtime's clock.
     :param priority: 0 is the most urgent.
+    :param tokens: tokens of its prompt and its longest output; 0 if unknown.
+    :param engine: the figures of the endpoint's engine; ``None`` for a plain endpoint.
     """
 
     most: int
@@ -101,6 +106,8 @@
     due_at: float
     wait_until: float
     priority: int = 0
+    tokens: int = 0
+    engine: EnginePerformance | None = None
 
 
 @dataclass
@@ -162,6 +169,7 @@
         number = self.asked_count
         sender, receiver = anyio.create_memory_object_stream[SlotAnswer](2)
         link.answer_senders[number] = sender
+        engine = slot_request.engine
         outbox.post(
             ReserveSlot(
                 number,
@@ -170,6 +178,9 @@
                 round(slot_request.due_at - now, 3),
                 slot_request.priority,
                 round(slot_request.wait_until - now, 3),
+                slot_request.tokens,
+                engine.memory_tokens if engine is not None else 0,
+                round(engine.usual_prompt + engine.usual_output) if engine is not None else 0,
             )
         )
         reservation: Reservation | None = None
@@ -179,7 +190,7 @@
                 link.paused_until = now + SILENT_AGENT_PAUSE_S
                 self.log.emit(events.AGENT_SILENT, peer=str(agent), waited_s=AGENT_ANSWER_TIMEOUT_S)
                 return None
-            requests = answer.requests
+            requests, lacks_memory = answer.requests, answer.lacks_memory
             if answer.state is SlotState.WAITING:
                 answer = await _next_answer(receiver, slot_request.wait_until)
                 if answer is None and link.outbox is not outbox:
@@ -194,7 +205,7 @@
                 # The agent may have reserved the slot although its answer was late or the caller
                 # has left.
                 outbox.post(ReleaseSlot(number))
-        return SlotOutcome(reservation, requests, anyio.current_time() - now)
+        return SlotOutcome(reservation, requests, anyio.current_time() - now, lacks_memory)
 
     def _ensure_link(self, agent: Address) -> _AgentLink:
         """Return the link to an agent, and begin to connect it if it is new."""
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/slot_reservation_server.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/slot_reservation_server.py
@@ -54,9 +54,12 @@
                 now + message.due_s,
                 message.priority,
                 now + message.patience_s,
+                message.tokens,
             )
+            self.ledger.set_memory(message.memory_tokens, message.usual_tokens)
             state = self.ledger.reserve_slot(request, message.queue, now)
-            outbox.post(SlotAnswer(message.number, state, requests))
+            lacks_memory = state is SlotState.REFUSED and self.ledger.lacks_memory(request)
+            outbox.post(SlotAnswer(message.number, state, requests, lacks_memory))
             self._answer_waiting()
         elif isinstance(message, ReleaseSlot):
             self.ledger.release_slot(outbox, message.number)
--- a/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
@@ -363,6 +363,10 @@
     :param priority: 0 is the most urgent.
     :param patience_s: time within which the request must begin before its caller gives up, in
         seconds.
+    :param tokens: tokens of its prompt and its longest output; 0 if unknown.
+    :param memory_tokens: count of tokens that fit into the endpoint's memory; 0 if unknown.
+    :param usual_tokens: tokens of a usual prompt and output, which count for a request whose own
+        are unknown.
     """
 
     number: int
@@ -371,6 +375,9 @@
     due_s: float
     priority: int
     patience_s: float
+    tokens: int = 0
+    memory_tokens: int = 0
+    usual_tokens: int = 0
     kind: Literal["reserve_slot"] = "reserve_slot"
 
 
@@ -379,11 +386,13 @@
     """An agent's answer to :class:`ReserveSlot`; a second answer follows when a wait ends.
 
     :param requests: count of other requests that run at the endpoint or wait for it.
+    :param lacks_memory: whether the request does not fit into the endpoint's memory now.
     """
 
     number: int
     state: SlotState
     requests: int
+    lacks_memory: bool = False
     kind: Literal["slot_answer"] = "slot_answer"
 
 
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/slot_queue.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/slot_queue.py
@@ -49,6 +49,7 @@
     :param priority: 0 is the most urgent.
     :param gives_up_at: when the caller gives up unless the request has started, on the runtime's
         clock.
+    :param tokens: tokens of its prompt and its longest output; 0 if unknown.
     """
 
     holder: Hashable
@@ -57,6 +58,7 @@
     due_at: float
     priority: int = 0
     gives_up_at: float = float("inf")
+    tokens: int = 0
 
     def is_late(self, now: float) -> bool:
         """Return whether the request can no longer start in time."""
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/slot_search.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/slot_search.py
@@ -56,11 +56,13 @@
 
     :param most: maximum number of other requests at the endpoint for the slot to be taken.
     :param queue: maximum length of the queue that the request may join; 0 if it must not queue.
+    :param is_last: whether the search ends with this request.
     """
 
     candidate: EndpointCandidate
     most: int
     queue: int = 0
+    is_last: bool = False
 
 
 @dataclass
@@ -72,6 +74,7 @@
     :param is_retry: whether the request was sent before; it then takes the best endpoint, whatever
         the endpoint's load.
     :param refused: identifiers of endpoints whose agents refused a slot.
+    :param without_memory: those of them where the request did not fit into the memory.
     """
 
     placement: DirectPlacement
@@ -79,6 +82,7 @@
     engine: EnginePerformance | None
     is_retry: bool = False
     refused: set[str] = field(default_factory=set)
+    without_memory: set[str] = field(default_factory=set)
 
     def next_slot_request(
         self,
@@ -94,22 +98,32 @@
         The search ends with an endpoint that is still the best choice after its agent refused, or
         that is chosen after :data:`MAX_REFUSALS` refusals.
         """
-        chosen = self.placement.select_endpoint(endpoints, self.avoided, now)
+        chosen = None
+        if self.without_memory:
+            # Their load in requests would make them the best choice again.
+            avoided = {*self.avoided, *self.without_memory}
+            chosen = self.placement.select_endpoint(endpoints, avoided, now)
+        if chosen is None:
+            chosen = self.placement.select_endpoint(endpoints, self.avoided, now)
         if chosen is None:
             chosen = self.placement.select_by_permit(endpoints, self.avoided, now, latest_permit_at)
         if chosen is None:
             return None
         if chosen.heartbeat.endpoint not in self.refused and len(self.refused) < MAX_REFUSALS:
             return SlotRequest(chosen, chosen.most)
+        queue = max_queue_length(self.engine) if self.engine is not None else 0
         if self.is_retry or self.engine is None:
-            return SlotRequest(chosen, UNLIMITED_REQUESTS)
+            return SlotRequest(chosen, UNLIMITED_REQUESTS, queue, is_last=True)
         # Allow one request more than there are slots: the engine starts it in the pass after
         # another request ends. Without it, the value of the served requests was lower on each of
         # six replayed days of production load. A limit that leaves slots free has no such gap.
         capacity = self.placement.capacity(chosen.heartbeat, now)
         most = capacity if capacity >= chosen.heartbeat.slots else capacity - 1
-        return SlotRequest(chosen, most, max_queue_length(self.engine))
+        return SlotRequest(chosen, most, queue, is_last=True)
 
-    def on_refused(self, slot_request: SlotRequest) -> None:
+    def on_refused(self, slot_request: SlotRequest, lacks_memory: bool = False) -> None:
         """Record that an agent refused a slot."""
-        self.refused.add(slot_request.candidate.heartbeat.endpoint)
+        endpoint = slot_request.candidate.heartbeat.endpoint
+        self.refused.add(endpoint)
+        if lacks_memory:
+            self.without_memory.add(endpoint)
--- a/tests/adapter/test_odd_values.py
+++ b/tests/adapter/test_odd_values.py
@@ -57,6 +57,24 @@
     return read_heartbeat("runner-1", body)
 
 
+@pytest.mark.parametrize(
+    ("text", "counts"),
+    [
+        ("714,26", (714, 26)),
+        (" 714 , 0", (714, 0)),
+        ("", None),
+        ("714", None),
+        ("714,-1", None),
+        ("714,1e3", None),
+        ("1" * 16 + ",1", None),
+    ],
+)
+def test_unreadable_token_counts_are_unknown(text: str, counts: tuple[int, int] | None) -> None:
+    """A caller's odd header must neither fail its request nor count as a small one."""
+    head = RequestHead("POST", "/", (("bergamotchute-token-counts", text),))
+    assert REQUEST_FORMAT.read_request(head).token_counts == counts
+
+
 @pytest.mark.parametrize("field", ["slots", "seq"])
 @pytest.mark.parametrize("value", ODD_NUMBERS, ids=repr)
 def test_heartbeat_with_an_odd_number_is_passed_on(field: str, value: Any) -> None:
--- a/tests/direct/test_slot_reservations.py
+++ b/tests/direct/test_slot_reservations.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import anyio
 import anyio.lowlevel
 from anyio.abc import SocketStream
 
+from bergamotchute_daemon.direct.routing_table import RoutingTable
 from bergamotchute_daemon.direct.slot_reservations import (
     AGENT_ANSWER_TIMEOUT_S,
     SlotOutcome,
@@ -14,7 +17,9 @@
 from bergamotchute_daemon.ranks.slot_reservation_server import SlotReservationServer
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
 from bergamotchute_model.identifiers import Address
+from bergamotchute_model.versioned_configuration import EnginePerformance, ServiceRule
 from support.entry_fixture import (
+    CONFIGURATION,
     EntryFixture,
     ReceivedRequest,
     chunked,
@@ -24,6 +29,7 @@
 )
 
 SLOTS = 6
+ENGINE = EnginePerformance(SLOTS, 9_000, 0.005, 0.0007, 2e-8, 74_800.0, 512, 6, 835.0, 159.0)
 
 
 def make_slot_request(queue: int = 0, wait_s: float = 0.0) -> SlotRequest:
@@ -168,3 +174,28 @@
             path.network.stop_serving("agent-1")
 
     run_with_entry(body)
+
+
+def test_requests_are_placed_and_refused_by_the_memory_of_endpoints() -> None:
+    """An endpoint with one long prompt seems to be the emptiest but has no room for another."""
+
+    async def body(path: EntryFixture) -> None:
+        service = ServiceRule("model", 100, ENGINE)
+        path.routing_table = RoutingTable(replace(CONFIGURATION, services=(service,)))
+        first = await path.add_endpoint("runner-1", send_stream)
+        second = await path.add_endpoint("runner-2", send_stream)
+        long_prompts = await add_agent(path, first, 1)
+        short_prompts = await add_agent(path, second, 2)
+        held = replace(make_slot_request(), tokens=8_000, engine=ENGINE)
+        assert await path.slots.reserve(first.address, held) is not None
+        short_prompts.ledger.on_request_count(3)
+        path.placement.on_load_reported(second, 3, anyio.current_time())
+        response = await path.send_request("stream", bergamotchute_token_counts="1200,300")
+        assert response.whole
+        assert [request.endpoint for request in path.received_requests] == ["runner-2"]
+        assert long_prompts.ledger.requests == 1
+        response = await path.send_request("stream", bergamotchute_token_counts="8900,101")
+        assert response.status == 413
+        assert len(path.received_requests) == 1
+
+    run_with_entry(body)
--- a/tests/policy/test_slot_ledger.py
+++ b/tests/policy/test_slot_ledger.py
@@ -108,6 +108,55 @@
     assert ledger.reserve_for_next(9.0) is None
 
 
+def _reserve_tokens(ledger: SlotLedger, number: int, tokens: int, queue: int = 0) -> SlotState:
+    request = WaitingRequest("entry-1", number, SLOTS - 1, 10.0, tokens=tokens)
+    return ledger.reserve_slot(request, queue, 9.0)
+
+
+def test_requests_beyond_the_memory_get_no_slot_until_others_end() -> None:
+    """An engine that is sent more tokens than its memory holds fails all of its requests."""
+    ledger = SlotLedger()
+    ledger.set_memory(10_000, 1_000)
+    ledger.set_memory(0, 0)
+    assert _reserve_tokens(ledger, 1, 6_000) is SlotState.RESERVED
+    assert _reserve_tokens(ledger, 2, 0) is SlotState.RESERVED
+    ledger.on_request_count(3)
+    assert _reserve_tokens(ledger, 3, 2_001) is SlotState.REFUSED
+    assert _reserve_tokens(ledger, 4, 2_001, 4) is SlotState.WAITING
+    # One that would fit alone must not overtake the waiting request for ever.
+    assert _reserve_tokens(ledger, 5, 500, 4) is SlotState.WAITING
+    assert _reserve_tokens(ledger, 6, 10_001, 4) is SlotState.REFUSED
+    assert ledger.reserve_for_next(9.0) is None
+    ledger.release_slot("entry-1", 1)
+    served = [ledger.reserve_for_next(9.0) for _ in range(3)]
+    assert [each and each.number for each in served] == [4, 5, None]
+
+
+def test_without_figures_of_the_memory_only_slots_count() -> None:
+    """Entries of earlier builds don't send the figures."""
+    ledger = SlotLedger()
+    for number in range(SLOTS):
+        assert _reserve_tokens(ledger, number, 10**9) is SlotState.RESERVED
+    assert _reserve_tokens(ledger, SLOTS, 1) is SlotState.REFUSED
+
+
+def test_a_request_that_lacks_memory_is_placed_elsewhere() -> None:
+    """An endpoint with few long prompts has the lowest load and would be chosen again."""
+    placement = DirectPlacement("north", Random(1))
+    endpoints = [_endpoint(number) for number in range(2)]
+    placement.on_load_reported(endpoints[1], 3, 10.0)
+    search = SlotSearch(placement, (), ENGINE)
+    asked: list[str] = []
+    while (slot_request := search.next_slot_request(endpoints, 10.0)) is not None:
+        asked.append(slot_request.candidate.heartbeat.endpoint)
+        if slot_request.is_last:
+            break
+        search.on_refused(slot_request, lacks_memory=True)
+    assert asked[:2] == ["r0", "r1"]
+    assert slot_request is not None
+    assert slot_request.queue
+
+
 def test_the_search_ends_at_the_least_loaded_endpoint() -> None:
     """When all endpoints are full, a request must not ask forever or pick an arbitrary one."""
     placement = DirectPlacement("north", Random(1))
