Let no request go beyond the slots of an endpoint where priorities differ

A request that found all endpoints full took a place in an engine beyond its slots. The engine starts it in order of arrival, so that urgent requests waited there behind others. Services whose routes and teams give different priorities now let it wait at the agent, by priority.

A late request that has its turn no longer holds up the queue while it must leave slots free. The group bench counts the time to hand a slot over (handover_s).

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/admitted_request.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/admitted_request.py
@@ -24,6 +24,7 @@
         has less time left than the route's timeout; the difference is the time since then.
     :param deadline: when the complete response is due, on the runtime's clock.
     :param version: the version of the configuration that admitted the request.
+    :param has_priorities: whether the requests of its service have different priorities.
     """
 
     head: RequestHead
@@ -37,6 +38,7 @@
     first_sent_at: float
     deadline: float
     version: int
+    has_priorities: bool = False
 
     @cached_property
     def digest(self) -> str:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/endpoint_chooser.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/endpoint_chooser.py
@@ -132,7 +132,9 @@
         :raises RequestRefused: if every endpoint is overloaded.
         """
         engine = request.service.engine
-        search = SlotSearch(self.placement, failed_endpoints, engine, is_retry)
+        search = SlotSearch(
+            self.placement, failed_endpoints, engine, is_retry, request.has_priorities
+        )
         route = request.route
         first_event_s = self.stream_pace(request).first_event_s
         caller_patience_s = patience_s(route.objective_s, route.gap_objective_s)
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/filters.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/filters.py
@@ -85,4 +85,5 @@
         first_sent_at=arrived_at - (route.timeout_s - time_left_s),
         deadline=arrived_at + time_left_s,
         version=routing_table.configuration.version,
+        has_priorities=service.name in routing_table.services_with_priorities,
     )
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/routing_table.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/routing_table.py
@@ -33,6 +33,22 @@
         for route in configuration.routes:
             self._routes_by_host[route.host.lower()][route.path_prefix] = route
         self.engine_timings = self._compute_engine_timings()
+        self.services_with_priorities = self._find_services_with_priorities()
+
+    def _find_services_with_priorities(self) -> frozenset[str]:
+        """Return the services whose requests have different priorities.
+
+        The priority of a team goes before that of the route.
+        """
+        priorities: dict[str, set[int]] = defaultdict(set)
+        for route in self.configuration.routes:
+            teams = self.configuration.teams
+            found = {route.priority if each.priority is None else each.priority for each in teams}
+            if route.open_to_all or not teams:
+                found.add(route.priority)
+            for share in route.shares:
+                priorities[share.service] |= found
+        return frozenset(name for name, found in priorities.items() if len(found) > 1)
 
     def _compute_engine_timings(self) -> dict[str, EngineTiming]:
         """Return the timing of each service's engines, for its streams' strictest gap objective."""
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
@@ -208,6 +208,7 @@
             "rank_pace": self.reported_pace or 0.0,
             "commanding": float(self.commanding is not None),
             "rank_silent": float(self.is_rank_unresponsive),
+            "used_tokens": float(self.slots.ledger.used_tokens),
         }
 
     async def _poll_rank(self) -> None:
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/slot_ledger.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/slot_ledger.py
@@ -53,6 +53,16 @@
         """The number of requests at the endpoint or on their way to it."""
         return self._reservation_count() + self.unreserved
 
+    @property
+    def used_tokens(self) -> int:
+        """The tokens of the requests at the endpoint or on their way to it."""
+        reserved = sum(
+            self._tokens(tokens)
+            for numbers in self.reserved.values()
+            for tokens in numbers.values()
+        )
+        return reserved + self.unreserved * self._tokens(0)
+
     def _reservation_count(self) -> int:
         return sum(len(numbers) for numbers in self.reserved.values())
 
@@ -70,13 +80,8 @@
         """Return whether a request fits into the memory beside the others at the endpoint."""
         if not self.memory_tokens:
             return True
-        reserved = sum(
-            self._tokens(tokens)
-            for numbers in self.reserved.values()
-            for tokens in numbers.values()
-        )
-        others = reserved + self.unreserved * self._tokens(0) + waiting_tokens
-        return others + self._tokens(request.tokens) <= self.memory_tokens
+        needed = self.used_tokens + waiting_tokens + self._tokens(request.tokens)
+        return needed <= self.memory_tokens
 
     def _tokens(self, tokens: int) -> int:
         return tokens or min(self.usual_tokens, self.memory_tokens)
@@ -117,9 +122,15 @@
         While the next request lacks memory, those behind it wait too; otherwise small requests
         would take the memory again and again, and a large one would never fit.
         """
-        next_request = self.line.next_request(now)
-        if next_request is None or self.requests > self._max_other_requests(next_request, now):
+        first, next_request = self.line.first_in_order(now), self.line.next_request(now)
+        if first is None or next_request is None:
             return None
+        if self.requests > self._max_other_requests(next_request, now):
+            # A late request that has its turn may have to leave slots free for those in time, and
+            # would hold these up if it were the only one considered.
+            next_request = first
+            if self.requests > self._max_other_requests(first, now):
+                return None
         if not self._fits(next_request):
             return None
         self.line.mark_served(next_request, now)
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/slot_queue.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/slot_queue.py
@@ -118,11 +118,15 @@
         self.waiting.remove(last)
         return last is not request, None if last is request else last
 
+    def first_in_order(self, now: float) -> WaitingRequest | None:
+        """Return the first request by the order alone; ``None`` while the queue is empty."""
+        return min(self.waiting, key=lambda each: self._sort_key(each, now), default=None)
+
     def next_request(self, now: float) -> WaitingRequest | None:
         """Return the request that gets the next slot; ``None`` while the queue is empty."""
-        if not self.waiting:
+        next_request = self.first_in_order(now)
+        if next_request is None:
             return None
-        next_request = min(self.waiting, key=lambda each: self._sort_key(each, now))
         if (self.served_count + 1) % LESS_URGENT_PERIOD == 0:
             less_urgent = (each for each in self.waiting if each.priority > next_request.priority)
             return next(less_urgent, next_request)
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/slot_search.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/slot_search.py
@@ -73,6 +73,7 @@
     :param engine: the engine's figures; ``None`` when they are unknown.
     :param is_retry: whether the request was sent before; it then takes the best endpoint, whatever
         the endpoint's load.
+    :param has_priorities: whether the requests of the service have different priorities.
     :param refused: identifiers of endpoints whose agents refused a slot.
     :param without_memory: those of them where the request did not fit into the memory.
     """
@@ -81,6 +82,7 @@
     avoided: Collection[str]
     engine: EnginePerformance | None
     is_retry: bool = False
+    has_priorities: bool = False
     refused: set[str] = field(default_factory=set)
     without_memory: set[str] = field(default_factory=set)
 
@@ -117,8 +119,11 @@
         # Allow one request more than there are slots: the engine starts it in the pass after
         # another request ends. Without it, the value of the served requests was lower on each of
         # six replayed days of production load. A limit that leaves slots free has no such gap.
+        # Where priorities differ, the engine would start that request in order of arrival, before a
+        # more urgent one that comes later.
         capacity = self.placement.capacity(chosen.heartbeat, now)
-        most = capacity if capacity >= chosen.heartbeat.slots else capacity - 1
+        has_extra_place = capacity >= chosen.heartbeat.slots and not self.has_priorities
+        most = capacity if has_extra_place else capacity - 1
         return SlotRequest(chosen, most, queue, is_last=True)
 
     def on_refused(self, slot_request: SlotRequest, lacks_memory: bool = False) -> None:
--- a/tests/direct/test_slot_reservations.py
+++ b/tests/direct/test_slot_reservations.py
@@ -17,7 +17,7 @@
 from bergamotchute_daemon.ranks.slot_reservation_server import SlotReservationServer
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
 from bergamotchute_model.identifiers import Address
-from bergamotchute_model.versioned_configuration import EnginePerformance, ServiceRule
+from bergamotchute_model.versioned_configuration import EnginePerformance, ServiceRule, TeamRule
 from support.entry_fixture import (
     CONFIGURATION,
     EntryFixture,
@@ -199,3 +199,22 @@
         assert len(path.received_requests) == 1
 
     run_with_entry(body)
+
+
+def test_priorities_of_a_service_follow_from_its_teams_before_its_routes() -> None:
+    """A service whose requests all have one priority is served as if there were none."""
+
+    def services(teams: tuple[int | None, ...], routes: tuple[int, ...]) -> frozenset[str]:
+        route = replace(CONFIGURATION.routes[0], open_to_all=False)
+        configuration = replace(
+            CONFIGURATION,
+            routes=tuple(replace(route, priority=each) for each in routes),
+            teams=tuple(TeamRule(f"team-{each}", (f"key-{each}",), each) for each in teams),
+        )
+        return RoutingTable(configuration).services_with_priorities
+
+    assert not services((1,), (0, 2))
+    assert not services((1, None), (1, 1))
+    assert services((1, 2), (0, 0)) == {"model"}
+    assert services((1, None), (0, 0)) == {"model"}
+    assert services((), (0, 2)) == {"model"}
--- a/tests/policy/test_worst_load.py
+++ b/tests/policy/test_worst_load.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import heapq
 from random import Random
 
 import pytest
 
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat, EndpointPhase
 from bergamotchute_model.identifiers import Address
+from bergamotchute_model.node_messages import SlotState
+from bergamotchute_model.versioned_configuration import EnginePerformance
 from bergamotchute_policy import slot_ledger
 from bergamotchute_policy.concurrency_limit import (
     INITIAL_MAP_S,
@@ -18,7 +21,8 @@
     GroupLoad,
 )
 from bergamotchute_policy.direct_placement import DirectPlacement
-from bergamotchute_policy.slot_search import patience_s
+from bergamotchute_policy.slot_queue import LESS_URGENT_PERIOD, WaitingRequest
+from bergamotchute_policy.slot_search import SlotSearch, patience_s
 from support.lock_step_engines import (
     ADDED_PASS_S_PER_REQUEST,
     EMPTY_PASS_S,
@@ -214,3 +218,90 @@
         placement.on_load_reported(ranks[number % 12], 3, now)
         placement.on_stream_pause(ranks[number % 12], 0.1, now)
     assert placement.limits["group"].max_requests(now) == pytest.approx(0.074 / 0.02, rel=0.1)
+
+
+def shares_in_time(seed: int, most: int) -> tuple[float, float]:
+    """Return which share of the urgent and of the other requests start in time at one endpoint.
+
+    :param most: maximum number of other requests there; those without a slot wait in the engine,
+        which starts them in order of arrival.
+    """
+    random = Random(seed)
+    ledger, now, number = slot_ledger.SlotLedger(), 0.0, 0
+    ends: list[tuple[float, int]] = []
+    due_times: dict[int, tuple[int, float]] = {}
+    in_engine: list[int] = []
+    in_time, arrived = [0, 0], [0, 0]
+
+    def start(started: int, at: float) -> None:
+        heapq.heappush(ends, (at + random.uniform(1.2, 1.8), started))
+        priority, due_at = due_times[started]
+        in_time[priority] += at <= due_at
+
+    def send(sent: int, at: float) -> None:
+        if len(ends) < SLOTS_PER_ENGINE:
+            start(sent, at)
+        else:
+            in_engine.append(sent)
+
+    while now < 30.0:
+        next_at = now + random.expovariate(1.5 * SLOTS_PER_ENGINE / 1.5)
+        while ends and ends[0][0] <= next_at:
+            now, ended = heapq.heappop(ends)
+            if in_engine:
+                start(in_engine.pop(0), now)
+            ledger.release_slot("entry", ended)
+            while (served := ledger.reserve_for_next(now)) is not None:
+                # It misses half a pass on average.
+                send(served.number, now + EMPTY_PASS_S)
+        now, number = next_at, number + 1
+        ledger.take_rejected(now)
+        priority = int(random.random() > 0.35)
+        arrived[priority] += 1
+        due_times[number] = priority, now + 0.25
+        request = WaitingRequest("entry", number, most, now + 0.25, priority, now + 1.75)
+        if ledger.reserve_slot(request, 5, now) is SlotState.RESERVED:
+            send(number, now)
+    return in_time[0] / arrived[0], in_time[1] / arrived[1]
+
+
+def test_urgent_requests_do_not_wait_in_the_engine_behind_others() -> None:
+    """Demand of two priorities is 1.5 times the capacity of an endpoint.
+
+    An engine starts in order of arrival, so that a place beyond its slots goes round the priorities.
+    """
+    engine = EnginePerformance(
+        SLOTS_PER_ENGINE, 247_000, 0.005, 0.0007, 2e-8, 74_800.0, 512, 6, 835.0, 159.0
+    )
+    most = {}
+    for has_priorities in (False, True):
+        placement = DirectPlacement("a", Random(1))
+        search = SlotSearch(placement, (), engine, has_priorities=has_priorities)
+        first = search.next_slot_request([rank_heartbeat(1)], 0.0)
+        assert first is not None
+        search.on_refused(first)
+        last = search.next_slot_request([rank_heartbeat(1)], 0.0)
+        assert last is not None
+        assert last.is_last
+        most[has_priorities] = last.most
+    assert most == {False: SLOTS_PER_ENGINE, True: SLOTS_PER_ENGINE - 1}
+    urgent, others = (
+        [sum(shares_in_time(seed, each)[kind] for seed in range(20)) for each in most.values()]
+        for kind in (0, 1)
+    )
+    assert urgent[1] > 1.1 * urgent[0]
+    assert others[1] > 0.95 * others[0]
+
+
+def test_a_late_request_that_has_its_turn_does_not_hold_up_urgent_ones() -> None:
+    """Late requests leave half of the slots free; waiting for that, all slots became idle."""
+    ledger = slot_ledger.SlotLedger()
+    for number in range(5):
+        ledger.reserve_slot(WaitingRequest("entry", number, 4, 10.0), 0, 9.0)
+    ledger.line.served_count = LESS_URGENT_PERIOD - 1
+    ledger.reserve_slot(WaitingRequest("entry", 10, 4, 8.0, 2), 4, 9.0)
+    ledger.reserve_slot(WaitingRequest("entry", 11, 4, 10.0, 0), 4, 9.0)
+    ledger.release_slot("entry", 0)
+    served = ledger.reserve_for_next(9.1)
+    assert served is not None
+    assert served.number == 11
--- a/tools/group_bench/group_file.py
+++ b/tools/group_bench/group_file.py
@@ -18,6 +18,8 @@
     :param zones: count of availability zones, over which ranks and entries are spread evenly.
     :param first_event_s: time from the end of the pass that reads the end of a prompt to the first
         event, in seconds.
+    :param handover_s: time from the end of a request until the next one of the queue has reached the
+        endpoint, in seconds; it misses the pass that begins meanwhile.
     :param switch_s: time to prepare all ranks and to hold and arm a pass, without copying, in
         seconds.
     :param plan_step_s: time of one planning step on the VM that plans maps, in seconds.
@@ -27,6 +29,7 @@
     entries: int
     zones: int = 3
     first_event_s: float = 0.07
+    handover_s: float = 0.0
     switch_s: float = 0.2
     plan_step_s: float = 0.001
 
--- a/tools/group_bench/group_simulation.py
+++ b/tools/group_bench/group_simulation.py
@@ -5,6 +5,7 @@
 import heapq
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from itertools import count
 from random import Random
 
@@ -209,7 +210,8 @@
         patience = patience_s(kind.objective_s, kind.pause_s)
         self._call_at(self.now + patience, lambda: self._leave_without_event(request))
         entry = self.random.choice(self.entries)
-        search = SlotSearch(entry.placement, (), self.engine)
+        has_priorities = len({each.priority for each in self.file.kinds}) > 1
+        search = SlotSearch(entry.placement, (), self.engine, has_priorities=has_priorities)
         due_at = request.first_asked_at + kind.objective_s - entry.pace.first_event_s
         gives_up_at = min(request.first_asked_at + kind.deadline_s, self.now + patience)
         wait_until = gives_up_at - entry.pace.first_event_s
@@ -299,9 +301,17 @@
         ledger = self.ledgers[number]
         while (served := ledger.reserve_for_next(self.now)) is not None:
             request = self.waiting.pop(served.number)
-            self._start(request, number, self.places[request.number][1])
+            handover_s = self.file.group.handover_s
+            if not handover_s:
+                self._hand_over(request, number)
+                continue
+            self._call_at(self.now + handover_s, partial(self._hand_over, request, number))
         self._tell_rejected(number)
 
+    def _hand_over(self, request: SimulatedRequest, number: int) -> None:
+        if not request.outcome:
+            self._start(request, number, self.places[request.number][1])
+
     def _tell_rejected(self, number: int) -> None:
         for rejected in self.ledgers[number].take_rejected(self.now):
             request = self.waiting.pop(rejected.number, None)
