Merge capacity in tokens and priorities under scarce capacity

A request that is larger than the memory of its service's engines is refused with 503 in place of 413: endpoints refuse it as if they were full, and a 4xx would say that its caller is at fault.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/admitted_request.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/admitted_request.py
@@ -24,6 +24,7 @@
         has less time left than the route's timeout; the difference is the time since then.
     :param deadline: when the complete response is due, on the runtime's clock.
     :param version: the version of the configuration that admitted the request.
+    :param has_priorities: whether the requests of its service have different priorities.
     """
 
     head: RequestHead
@@ -37,6 +38,7 @@
     first_sent_at: float
     deadline: float
     version: int
+    has_priorities: bool = False
 
     @cached_property
     def digest(self) -> str:
@@ -48,6 +50,11 @@
         """What a crash of an endpoint could be due to: this request, and parts of its prompt."""
         return (request_name(self.digest), *self.metadata.shared_parts)
 
+    @property
+    def tokens(self) -> int:
+        """The tokens of the prompt and the longest output; 0 if unknown."""
+        return sum(self.metadata.token_counts or ())
+
     @property
     def is_stream(self) -> bool:
         """Whether the response is a stream of events."""
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/endpoint_chooser.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/endpoint_chooser.py
@@ -139,7 +139,9 @@
         :raises RequestRefused: if every endpoint is overloaded.
         """
         engine = request.service.engine
-        search = SlotSearch(self.placement, failed_endpoints, engine, is_retry)
+        search = SlotSearch(
+            self.placement, failed_endpoints, engine, is_retry, request.has_priorities
+        )
         route = request.route
         first_event_s = self.stream_pace(request).first_event_s
         caller_patience_s = patience_s(route.objective_s, route.gap_objective_s)
@@ -162,6 +164,8 @@
                 wait_until,
                 request.priority,
                 self.rate_permits.cold_limits.most_per_s(endpoint.service),
+                request.tokens,
+                engine,
             )
             outcome = await self.slots.reserve(endpoint.address, slot_request)
             if outcome is None:
@@ -178,15 +182,17 @@
                 outcome.reservation.release()
                 search.on_refused(target)
                 continue
-            if target.most >= UNLIMITED_REQUESTS:
+            if target.most >= UNLIMITED_REQUESTS and not outcome.lacks_memory:
                 self.placement.on_pause_requested(
                     endpoint, LIMITED_AGENT_PAUSE_S, anyio.current_time()
                 )
-            if target.queue:
+            if target.is_last and is_retry:
+                return None
+            if target.is_last:
                 self._refuse_overloaded(
                     request, outcome.requests / max(1, endpoint.slots), outcome.waited_s
                 )
-            search.on_refused(target)
+            search.on_refused(target, outcome.lacks_memory)
 
     async def reserve_now(
         self, request: AdmittedRequest, candidate: EndpointCandidate
@@ -196,7 +202,16 @@
         An endpoint without an agent has no reservation. One whose agent does not answer is not used.
         """
         endpoint, now = candidate.heartbeat, anyio.current_time()
-        slot_request = SlotRequest(candidate.most, 0, now, now, request.priority)
+        slot_request = SlotRequest(
+            candidate.most,
+            0,
+            now,
+            now,
+            request.priority,
+            self.rate_permits.cold_limits.most_per_s(endpoint.service),
+            request.tokens,
+            request.service.engine,
+        )
         outcome = await self.slots.reserve(endpoint.address, slot_request)
         reservation = None if outcome is None else outcome.reservation
         if outcome is not None:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/slot_reservations.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/slot_reservations.py
@@ -21,6 +21,7 @@
     SlotAnswer,
     SlotState,
 )
+from bergamotchute_model.versioned_configuration import EnginePerformance
 from bergamotchute_wire.link import Dial, DialFailed, Link, LinkClosed
 from bergamotchute_wire.outbox import Outbox, open_outbox
 
@@ -78,11 +79,13 @@
     :param reservation: ``None`` if the agent refused or the wait timed out.
     :param requests: other requests that run at the endpoint or wait for it.
     :param waited_s: how long the request waited for its slot, in seconds.
+    :param lacks_memory: whether the request does not fit into the endpoint's memory now.
     """
 
     reservation: Reservation | None
     requests: int
     waited_s: float = 0.0
+    lacks_memory: bool = False
 
 
 @dataclass(frozen=True)
@@ -96,6 +99,8 @@
     :param priority: 0 is the most urgent.
     :param most_per_s: the most reservations at the endpoint that may exist in any second; 0 for no
         bound.
+    :param tokens: tokens of its prompt and its longest output; 0 if unknown.
+    :param engine: the figures of the endpoint's engine; ``None`` for a plain endpoint.
     """
 
     most: int
@@ -104,6 +109,8 @@
     wait_until: float
     priority: int = 0
     most_per_s: int = 0
+    tokens: int = 0
+    engine: EnginePerformance | None = None
 
 
 @dataclass
@@ -165,6 +172,7 @@
         number = self.asked_count
         sender, receiver = anyio.create_memory_object_stream[SlotAnswer](2)
         link.answer_senders[number] = sender
+        engine = slot_request.engine
         outbox.post(
             ReserveSlot(
                 number,
@@ -174,6 +182,9 @@
                 slot_request.priority,
                 round(slot_request.wait_until - now, 3),
                 slot_request.most_per_s,
+                slot_request.tokens,
+                engine.memory_tokens if engine is not None else 0,
+                round(engine.usual_prompt + engine.usual_output) if engine is not None else 0,
             )
         )
         reservation: Reservation | None = None
@@ -183,7 +194,7 @@
                 link.paused_until = now + SILENT_AGENT_PAUSE_S
                 self.log.emit(events.AGENT_SILENT, peer=str(agent), waited_s=AGENT_ANSWER_TIMEOUT_S)
                 return None
-            requests = answer.requests
+            requests, lacks_memory = answer.requests, answer.lacks_memory
             if answer.state is SlotState.WAITING:
                 answer = await _next_answer(receiver, slot_request.wait_until)
                 if answer is None and link.outbox is not outbox:
@@ -198,7 +209,7 @@
                 # The agent may have reserved the slot although its answer was late or the caller
                 # has left.
                 outbox.post(ReleaseSlot(number))
-        return SlotOutcome(reservation, requests, anyio.current_time() - now)
+        return SlotOutcome(reservation, requests, anyio.current_time() - now, lacks_memory)
 
     def _ensure_link(self, agent: Address) -> _AgentLink:
         """Return the link to an agent, and begin to connect it if it is new."""
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/rank_agent_process.py
@@ -210,6 +210,7 @@
             "commanding": float(self.commanding is not None),
             "rank_silent": float(self.is_rank_unresponsive),
             "reservations_refused_by_rate_total": float(self.slots.rate.refused_count),
+            "used_tokens": float(self.slots.ledger.used_tokens),
         }
 
     async def _poll_rank(self) -> None:
--- a/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/node_messages.py
@@ -365,6 +365,10 @@
         seconds.
     :param most_per_s: the most reservations that may exist in any second; 0 for no bound, ``None``
         if the entry doesn't say.
+    :param tokens: tokens of its prompt and its longest output; 0 if unknown.
+    :param memory_tokens: count of tokens that fit into the endpoint's memory; 0 if unknown.
+    :param usual_tokens: tokens of a usual prompt and output, which count for a request whose own
+        are unknown.
     """
 
     number: int
@@ -374,6 +378,9 @@
     priority: int
     patience_s: float
     most_per_s: int | None = None
+    tokens: int = 0
+    memory_tokens: int = 0
+    usual_tokens: int = 0
     kind: Literal["reserve_slot"] = "reserve_slot"
 
 
@@ -382,11 +389,13 @@
     """An agent's answer to :class:`ReserveSlot`; a second answer follows when a wait ends.
 
     :param requests: count of other requests that run at the endpoint or wait for it.
+    :param lacks_memory: whether the request does not fit into the endpoint's memory now.
     """
 
     number: int
     state: SlotState
     requests: int
+    lacks_memory: bool = False
     kind: Literal["slot_answer"] = "slot_answer"
 
 
--- a/tests/direct/test_slot_reservations.py
+++ b/tests/direct/test_slot_reservations.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import anyio
 import anyio.lowlevel
 from anyio.abc import SocketStream
 
+from bergamotchute_daemon.direct.routing_table import RoutingTable
 from bergamotchute_daemon.direct.slot_reservations import (
     AGENT_ANSWER_TIMEOUT_S,
     SlotOutcome,
     SlotRequest,
 )
+from bergamotchute_model.versioned_configuration import EnginePerformance, ServiceRule, TeamRule
 from support.entry_fixture import (
+    CONFIGURATION,
     EntryFixture,
     ReceivedRequest,
     add_agent,
@@ -22,6 +27,7 @@
 )
 
 SLOTS = 6
+ENGINE = EnginePerformance(SLOTS, 9_000, 0.005, 0.0007, 2e-8, 74_800.0, 512, 6, 835.0, 159.0)
 
 
 def make_slot_request(queue: int = 0, wait_s: float = 0.0) -> SlotRequest:
@@ -152,3 +158,47 @@
             path.network.stop_serving("agent-1")
 
     run_with_entry(body)
+
+
+def test_requests_are_placed_and_refused_by_the_memory_of_endpoints() -> None:
+    """An endpoint with one long prompt seems to be the emptiest but has no room for another."""
+
+    async def body(path: EntryFixture) -> None:
+        service = ServiceRule("model", 100, ENGINE)
+        path.routing_table = RoutingTable(replace(CONFIGURATION, services=(service,)))
+        first = await path.add_endpoint("runner-1", send_stream)
+        second = await path.add_endpoint("runner-2", send_stream)
+        long_prompts = await add_agent(path, first, 1)
+        short_prompts = await add_agent(path, second, 2)
+        held = replace(make_slot_request(), tokens=8_000, engine=ENGINE)
+        assert await path.slots.reserve(first.address, held) is not None
+        short_prompts.ledger.on_request_count(3)
+        path.placement.on_load_reported(second, 3, anyio.current_time())
+        response = await path.send_request("stream", bergamotchute_token_counts="1200,300")
+        assert response.whole
+        assert [request.endpoint for request in path.received_requests] == ["runner-2"]
+        assert long_prompts.ledger.requests == 1
+        response = await path.send_request("stream", bergamotchute_token_counts="8900,101")
+        assert response.status == 503
+        assert len(path.received_requests) == 1
+
+    run_with_entry(body)
+
+
+def test_priorities_of_a_service_follow_from_its_teams_before_its_routes() -> None:
+    """A service whose requests all have one priority is served as if there were none."""
+
+    def services(teams: tuple[int | None, ...], routes: tuple[int, ...]) -> frozenset[str]:
+        route = replace(CONFIGURATION.routes[0], open_to_all=False)
+        configuration = replace(
+            CONFIGURATION,
+            routes=tuple(replace(route, priority=each) for each in routes),
+            teams=tuple(TeamRule(f"team-{each}", (f"key-{each}",), each) for each in teams),
+        )
+        return RoutingTable(configuration).services_with_priorities
+
+    assert not services((1,), (0, 2))
+    assert not services((1, None), (1, 1))
+    assert services((1, 2), (0, 0)) == {"model"}
+    assert services((1, None), (0, 0)) == {"model"}
+    assert services((), (0, 2)) == {"model"}
--- a/tools/group_bench/group_simulation.py
+++ b/tools/group_bench/group_simulation.py
@@ -5,6 +5,7 @@
 import heapq
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from itertools import count
 from random import Random
 
@@ -72,6 +73,7 @@
 
     :param requests: all requests, in order of their first arrival.
     :param passes: all passes with work.
+    :param free_at_refusals: share of the slots that were free at each refusal.
     """
 
     def __init__(self, file: GroupFile, seed: int) -> None:
@@ -81,6 +83,7 @@
         self.now = 0.0
         self.requests: list[SimulatedRequest] = []
         self.passes: list[PassRecord] = []
+        self.free_at_refusals: list[float] = []
         self.demand = ExpertDemand(file.engine, file.demand, Random(seed + 1000))
         self.ranks = [SimulatedRank() for _ in range(file.group.ranks)]
         self.ledgers = [SlotLedger() for _ in self.ranks]
@@ -207,7 +210,8 @@
         patience = patience_s(kind.objective_s, kind.pause_s)
         self._call_at(self.now + patience, lambda: self._leave_without_event(request))
         entry = self.random.choice(self.entries)
-        search = SlotSearch(entry.placement, (), self.engine)
+        has_priorities = len({each.priority for each in self.file.kinds}) > 1
+        search = SlotSearch(entry.placement, (), self.engine, has_priorities=has_priorities)
         due_at = request.first_asked_at + kind.objective_s - entry.pace.first_event_s
         gives_up_at = min(request.first_asked_at + kind.deadline_s, self.now + patience)
         wait_until = gives_up_at - entry.pace.first_event_s
@@ -248,6 +252,8 @@
 
     def _refuse(self, request: SimulatedRequest, entry: SimulatedEntry) -> None:
         request.refusals += 1
+        request.refusal_waits_s.append(self.now - request.asked_at)
+        self.free_at_refusals.append(self._free_share())
         if request.refusals > CALLER_RETRIES:
             request.outcome = "refused"
             return
@@ -255,6 +261,11 @@
         delay_s = min(entry.placement.random_retry_delay_s(self.engine), left_s / 3)
         self._call_at(self.now + delay_s, lambda: self._ask(request))
 
+    def _free_share(self) -> float:
+        """Return the share of the slots that no request has."""
+        taken = sum(min(self.engine.slots, ledger.requests) for ledger in self.ledgers)
+        return 1.0 - taken / (self.engine.slots * len(self.ledgers))
+
     def _stop_waiting(self, request: SimulatedRequest) -> None:
         if self.waiting.pop(request.number, None) is not None:
             number, entry = self.places.pop(request.number)
@@ -290,9 +301,17 @@
         ledger = self.ledgers[number]
         while (served := ledger.reserve_for_next(self.now)) is not None:
             request = self.waiting.pop(served.number)
-            self._start(request, number, self.places[request.number][1])
+            handover_s = self.file.group.handover_s
+            if not handover_s:
+                self._hand_over(request, number)
+                continue
+            self._call_at(self.now + handover_s, partial(self._hand_over, request, number))
         self._tell_rejected(number)
 
+    def _hand_over(self, request: SimulatedRequest, number: int) -> None:
+        if not request.outcome:
+            self._start(request, number, self.places[request.number][1])
+
     def _tell_rejected(self, number: int) -> None:
         for rejected in self.ledgers[number].take_rejected(self.now):
             request = self.waiting.pop(rejected.number, None)
