--- a/tools/node_bench/__main__.py
+++ b/tools/node_bench/__main__.py
@@ -175,6 +175,7 @@
             name: 100 * (processor_s(each.pid) - before[name]) / took_s
             for name, each in nodes.processes.items()
         }
+        by_status = ", ".join(f"{count} x {status}" for status, count in Counter(statuses).items())
         for name in list(nodes.processes):
             nodes.processes[name].terminate()
         for name in list(nodes.processes):
@@ -182,7 +183,6 @@
                 await asyncio.to_thread(nodes.processes[name].wait, 15.0)
         for task in running:
             task.cancel()
-    by_status = ", ".join(f"{count} x {status}" for status, count in Counter(statuses).items())
     print(f"streams by status: {by_status}; load of the machine {os.getloadavg()[0]:.1f}")
     print(f"{'process':<12} % of a core")
     for name, percent in sorted(spent.items()):
