Send no hedged request to a cold endpoint

Cause: the parts were built side by side; the choice of the second endpoint did not know cold ones. Result: the new case failed before and passes now.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/hedged_requests.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/hedged_requests.py
@@ -169,7 +169,12 @@
     async def _choose(self, first: EndpointAttempt) -> ChosenEndpoint | None:
         """Reserve a free slot and get a permit without a wait; ``None`` if there is none."""
         request = first.request
-        known = self.chooser.endpoints(request.service.name)
+        cold_limits = self.chooser.rate_permits.cold_limits
+        known = [
+            each
+            for each in self.chooser.endpoints(request.service.name)
+            if not cold_limits.left_s(each)
+        ]
         target = select_hedge_target(
             self.chooser.placement,
             known,
--- a/tests/direct/test_hedged_requests.py
+++ b/tests/direct/test_hedged_requests.py
@@ -11,6 +11,8 @@
 from anyio.abc import SocketStream
 
 from bergamotchute_daemon.direct.routing_table import RoutingTable
+from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
+from bergamotchute_model.identifiers import Address
 from bergamotchute_policy.hedging import MIN_KNOWN_TIMES, FirstAnswerTimes, HedgeLimit
 from support.entry_fixture import (
     CONFIGURATION,
@@ -162,6 +164,20 @@
     entry.hedges.share = 0.0
 
 
+def cool_second_endpoint(entry: EntryFixture) -> None:
+    """Let the second endpoint be cold, for a service that names no rate for cold endpoints."""
+    limits = entry.forwarder.rate_permits.cold_limits
+    announce = entry.announce
+
+    def announce_cold(name: str, address: Address) -> EndpointHeartbeat:
+        heartbeat = announce(name, address)
+        if name == "runner-2":
+            limits.table.on_heartbeat(replace(heartbeat, cold_left_s=9.0), anyio.current_time())
+        return heartbeat
+
+    entry.announce = announce_cold  # type: ignore[method-assign]
+
+
 @pytest.mark.parametrize(
     ("route", "first", "prevent", "occupied"),
     [
@@ -172,12 +188,13 @@
         ("status", SlowEndpoint(0.2), use_up_limit, 0),
         ("status", SlowEndpoint(0.2), use_up_retries, 0),
         ("status", SlowEndpoint(0.2), enable, 6),
+        ("status", SlowEndpoint(0.2), cool_second_endpoint, 0),
     ],
 )
 def test_request_that_may_not_be_sent_twice_is(
     route: str, first: SlowEndpoint, prevent: Callable[[EntryFixture], None], occupied: int
 ) -> None:
-    """Orders, streams after their first event, without a limit that is left, or without a slot."""
+    """Orders, streams after their first event, without a limit that is left, a slot or a warm endpoint."""
 
     async def body(entry: EntryFixture) -> None:
         enable(entry)
