--- a/tools/group_bench/group_simulation.py
+++ b/tools/group_bench/group_simulation.py
@@ -18,7 +18,7 @@
 from bergamotchute_policy.endpoint_subset import nested_subsets
 from bergamotchute_policy.engine_model import engine_timing
 from bergamotchute_policy.even_map_planner import initial_map
-from bergamotchute_policy.rank_pace import pace_weight
+from bergamotchute_policy.rank_pace import SLOW_PACE, pace_weight
 from bergamotchute_policy.slot_ledger import SlotLedger
 from bergamotchute_policy.slot_queue import WaitingRequest
 from bergamotchute_policy.slot_search import SlotSearch, patience_s
@@ -43,12 +43,16 @@
 
     :param skew: load of the most loaded rank over the mean, summed over the sets.
     :param requests: mean count of requests at a rank.
+    :param requests_at_slow: mean count of requests at a slow rank.
+    :param slow_load: share of the selections of all sets that slow ranks serve.
     """
 
     at: float
     duration_s: float
     skew: float
     requests: float
+    requests_at_slow: float = 0.0
+    slow_load: float = 0.0
 
 
 @dataclass
@@ -321,7 +325,10 @@
             duration_s *= COPY_SLOWDOWN
         skew = float(self.fractions.max(axis=1).mean() * len(self.ranks))
         requests = sum(len(rank.requests) for rank in self.ranks) / len(self.ranks)
-        self.passes.append(PassRecord(self.now, duration_s, skew, requests))
+        slow = [number for number, rank in enumerate(self.ranks) if rank.pace >= SLOW_PACE]
+        at_slow = sum(len(self.ranks[number].requests) for number in slow) / max(1, len(slow))
+        slow_load = float(self.fractions[:, slow].sum(axis=1).mean())
+        self.passes.append(PassRecord(self.now, duration_s, skew, requests, at_slow, slow_load))
         return duration_s
 
     def _end_pass(self, running: set[int]) -> None:
--- a/tools/group_bench/ways.py
+++ b/tools/group_bench/ways.py
@@ -15,6 +15,7 @@
     },
     "slow ranks keep requests": {f"{_POLICY}.direct_placement.SLOW_PACE": 1e9},
     "slow ranks keep experts": {"tools.group_bench.commander.pace_weight": lambda pace: 1.0},
+    "a quarter avoided": {f"{_POLICY}.direct_placement.MAX_AVOIDED_SHARE": 0.25},
     "ratio 0.85": {f"{_POLICY}.concurrency_limit.PASS_TO_PAUSE_RATIO": 0.85},
     "ratio 1.05": {f"{_POLICY}.concurrency_limit.PASS_TO_PAUSE_RATIO": 1.05},
     "no slots kept": {f"{_POLICY}.slot_ledger.TIMELY_SLOT_RATIO": 0.0},
--- a/tools/measure_groups.py
+++ b/tools/measure_groups.py
@@ -1,7 +1,8 @@
 """Measure how a rank group serves its callers under load, with several ways to decide.
 
 ``python -m tools.measure_groups FILE...`` plays group files with a few seeds and prints a table. Each
-way replaces one decision of the product; ``present`` replaces none.
+way replaces one decision of the product; ``present`` replaces none. ``--by-second`` prints what each
+second was like, means over the seeds.
 """
 
 from __future__ import annotations
@@ -10,7 +11,7 @@
 from collections.abc import Callable, Iterator
 from concurrent.futures import ProcessPoolExecutor
 from contextlib import ExitStack, contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from unittest.mock import patch
 
@@ -18,6 +19,8 @@
 
 from tools.group_bench.group_file import read_group_file
 from tools.group_bench.group_simulation import GroupSimulation
+from tools.group_bench.simulated_request import SimulatedRequest
+from tools.group_bench.timeline import SecondFigures, by_second, seconds_table
 from tools.group_bench.ways import WAYS
 
 PROCESSES = 3
@@ -31,6 +34,7 @@
     :param worth: value earned over value owed.
     :param worst_kind: the same for the kind where it is least.
     :param worst_windows: the same for the two worst spans of :data:`WINDOW_S`.
+    :param worth_slow: the same for requests that were first sent while ranks were slow.
     :param late_first: share of the requests that were served and whose first event was late.
     :param late_pause: the same for those with a pause that was too long.
     :param refused_twice: share of the requests that were refused, came back and got nothing.
@@ -40,6 +44,7 @@
     worst_kind: float
     worst_windows: float
     in_time: float
+    worth_slow: float
     late_first: float
     late_pause: float
     served: float
@@ -51,6 +56,7 @@
     skew: float
     requests: float
     changes: int
+    seconds: list[SecondFigures] = field(default_factory=list)
 
 
 @contextmanager
@@ -80,10 +86,17 @@
             sums[1] += each.owed
     durations = [each.duration_s * 1000 for each in simulation.passes]
     return Figures(
-        worth=sum(each.earned for each in ended) / sum(each.owed for each in ended),
+        worth=_worth(ended),
         worst_kind=min(earned / owed for earned, owed in kinds.values()),
         worst_windows=float(np.mean(sorted(e / o for e, o in windows.values())[:2])),
         in_time=float(np.mean([each.is_in_time for each in ended])),
+        worth_slow=_worth(
+            [
+                each
+                for each in ended
+                if any(slow.at <= each.first_asked_at < slow.at + slow.for_s for slow in file.slow)
+            ]
+        ),
         late_first=float(np.mean([each.is_late_to_begin for each in ended])),
         late_pause=float(np.mean([each.has_long_pause for each in ended])),
         served=float(np.mean([each.outcome == "done" for each in ended])),
@@ -96,9 +109,16 @@
         skew=float(np.mean([each.skew for each in simulation.passes])),
         requests=float(np.mean([each.requests for each in simulation.passes])),
         changes=simulation.commander.changes,
+        seconds=by_second(simulation),
     )
 
 
+def _worth(requests: list[SimulatedRequest]) -> float:
+    """Return the value earned over the value owed; 0 without requests."""
+    owed = sum(each.owed for each in requests)
+    return sum(each.earned for each in requests) / owed if owed else 0.0
+
+
 def table(rows: dict[tuple[str, str], list[Figures]]) -> str:
     """Return the mean of each figure over the seeds, a line for each file and way."""
     columns: list[tuple[str, Callable[[float], str]]] = [
@@ -106,6 +126,7 @@
         ("worst_kind", "{:.3f}".format),
         ("worst_windows", "{:.3f}".format),
         ("in_time", "{:.3f}".format),
+        ("worth_slow", "{:.3f}".format),
         ("late_first", "{:.3f}".format),
         ("late_pause", "{:.3f}".format),
         ("served", "{:.3f}".format),
@@ -135,6 +156,7 @@
     parser.add_argument("--way", action="append", choices=sorted(WAYS), help="default: all")
     parser.add_argument("--seeds", type=int, default=4)
     parser.add_argument("--processes", type=int, default=PROCESSES)
+    parser.add_argument("--by-second", action="store_true", help="print each second of a run too")
     options = parser.parse_args()
     ways = options.way or list(WAYS)
     runs = [
@@ -147,6 +169,9 @@
         ):
             rows.setdefault((path.stem, way), []).append(figures)
     print(table(rows))
+    if options.by_second:
+        for (file, way), figures in rows.items():
+            print(f"\n{file} {way}\n{seconds_table([each.seconds for each in figures])}")
 
 
 if __name__ == "__main__":
