--- a/packages/bergamotchute-policy/src/bergamotchute_policy/concurrency_limit.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/concurrency_limit.py
@@ -14,11 +14,6 @@
 were counted for the requests of each rank alone, a rank with few requests would seem to be full
 whenever passes are long.
 
-Load pattern: two fifths of the ranks become twelve times slower for some seconds. Passes are then too
-long for any stream, even without requests, and a stream that begins takes as long as its deadline
-allows. Half of the slots are then kept free: passes are shorter, so that more callers get their first
-event before they give up, and the group serves in time again within a second after its ranks do.
-
 An entry times passes by the pauses between the events of its streams. Pass numbers, which agents
 read a few times a second, are too coarse for passes of a tenth of a second.
 """
@@ -48,9 +43,7 @@
 
 MIN_SLOT_RATIO = 0.5
 """Share of the slots below which no limit is set. Where fewer requests would still miss their
-objective, as with a slow rank, a limit only delays more of them. If several ranks are slow and even
-passes without requests miss it, this share is the limit. With one slow rank of 12, that limit lowered
-the value of the worst seconds."""
+objective, as with a slow rank, a limit only delays more of them."""
 
 MEMORY_S = 5.0
 """Time for which a slow pass limits the requests; demand moves to other experts about as often."""
@@ -69,12 +62,10 @@
 
     :param mean_requests: mean number of requests at a rank; ``None`` if too few are known.
     :param slowest_pace: how many times longer than usual the slowest rank's part of a pass takes.
-    :param slow_ranks: the number of slow ranks.
     """
 
     mean_requests: float | None
     slowest_pace: float = 1.0
-    slow_ranks: int = 0
 
 
 @dataclass
@@ -86,8 +77,7 @@
         group may use its initial map.
     :param window_began_at: start of the current window.
     :param window_pauses_s: pauses in the current window, in seconds.
-    :param slowest_pace: pace of the slowest rank of the group, as last reported.
-    :param slow_ranks: the number of slow ranks of the group.
+    :param slowest_pace: pace of the slowest rank of the group, at the end of the last window.
     :param added_s: ends of windows, and the time that a request added to a pass then, in seconds.
         Only those that no later one exceeds are kept.
     """
@@ -97,7 +87,6 @@
     window_began_at: float = 0.0
     window_pauses_s: list[float] = field(default_factory=list)
     slowest_pace: float = 1.0
-    slow_ranks: int = 0
     added_s: deque[tuple[float, float]] = field(default_factory=deque)
 
     def on_pause(self, pause_s: float, now: float, group_load: Callable[[], GroupLoad]) -> None:
@@ -115,7 +104,10 @@
 
     def _record_pass(self, pass_s: float, load: GroupLoad, now: float) -> None:
         timing, requests = self.timing, load.mean_requests
-        if self.on_paces(load.slowest_pace, load.slow_ranks):
+        if is_notable_change(self.slowest_pace, load.slowest_pace):
+            # Passes before the change tell nothing about those after it.
+            self.slowest_pace = load.slowest_pace
+            self.added_s.clear()
             return
         if requests is None or requests < LIMITING_REQUEST_RATIO * timing.slots:
             return
@@ -126,24 +118,12 @@
             self.added_s.pop()
         self.added_s.append((now, added_s))
 
-    def on_paces(self, pace: float, slow_ranks: int) -> bool:
-        """Record the pace of the slowest rank; return whether it differs notably."""
-        self.slow_ranks = slow_ranks
-        if not is_notable_change(self.slowest_pace, pace):
-            return False
-        # Passes before the change tell nothing about those after it.
-        self.slowest_pace = pace
-        self.added_s.clear()
-        return True
-
     def _empty_pass_s(self) -> float:
         return self.timing.empty_pass_s + (self.slowest_pace - 1.0) * self.timing.steps_s
 
     def max_requests(self, now: float) -> float | None:
         """Return the mean number of requests that may run at a rank; ``None`` for no limit."""
         timing = self.timing
-        if self.slow_ranks > 1 and self._empty_pass_s() > timing.pause_s:
-            return MIN_SLOT_RATIO * timing.slots
         while self.added_s and self.added_s[0][0] < now - MEMORY_S:
             self.added_s.popleft()
         added_s = self.added_s[0][1] if self.added_s else 0.0
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/direct_placement.py
@@ -307,13 +307,12 @@
         for their low load are known, which says nothing about the others.
         """
         known = [load for load in self.loads.values() if load.group == group]
-        paces = self._slow_paces(group, now)
-        slowest_pace = max(paces, default=1.0)
+        slowest_pace = max((load.pace for load in known if load.is_slow(now)), default=1.0)
         recent = [load for load in known if now - load.reported_at < LOAD_TTL_S]
         if len(recent) < MIN_RECENT_SHARE * len(known):
-            return GroupLoad(None, slowest_pace, len(paces))
+            return GroupLoad(None, slowest_pace)
         requests = sum(load.in_flight + load.reported_others for load in recent)
-        return GroupLoad(requests / max(1, len(recent)), slowest_pace, len(paces))
+        return GroupLoad(requests / max(1, len(recent)), slowest_pace)
 
     def on_group_state(self, endpoint: Address, group: str, takes_work: bool) -> bool:
         """Record the group of an endpoint and whether it takes work; return whether this is new."""
@@ -386,18 +385,7 @@
         load = self.load(endpoint)
         was_slow = load.is_slow(now)
         load.pace, load.pace_reported_at = pace, now
-        is_changed = load.is_slow(now) != was_slow
-        if is_changed and load.group in self.limits:
-            # Long passes bring too few pauses in time to tell an entry with few streams.
-            paces = self._slow_paces(load.group, now)
-            self.limits[load.group].on_paces(max(paces, default=1.0), len(paces))
-        return is_changed
-
-    def _slow_paces(self, group: str, now: float) -> list[float]:
-        """Return the paces of the ranks of a group that are known to be slow."""
-        return [
-            load.pace for load in self.loads.values() if load.group == group and load.is_slow(now)
-        ]
+        return load.is_slow(now) != was_slow
 
     def on_success(self, endpoint: EndpointHeartbeat) -> None:
         """Clear the failures and the ejection of an endpoint that answered successfully."""
