Use one piece of code where the new parts had written it again, and do less per configuration

Found by reading the change. No behaviour changes, and no test asserts less. The services that are wholly evacuated were computed at each change of an endpoint; they are derived when a request finds no endpoint. The handler of explanations is imported with the first request to the metrics port, not while callers wait for the entry to start. The next request of a queue was searched twice. The ledger now says how many reservations ended, in place of its server looking into it. An order to evacuate that is not confirmed is logged in one place; the calls reach EvacuationOrders without a method in between. Tests: a group of control VMs that restarts at once is one method of its fixture.

--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/control_process.py
@@ -7,7 +7,7 @@
 import anyio
 
 from bergamotchute_daemon.control_log import ControlLog, ControlUnavailable
-from bergamotchute_daemon.evacuations.evacuation_orders import EvacuationOrders, OrderOutcome
+from bergamotchute_daemon.evacuations.evacuation_orders import EvacuationOrders
 from bergamotchute_daemon.event_log import EventLog
 from bergamotchute_daemon.event_loop_monitor import EventLoopMonitor
 from bergamotchute_daemon.heartbeat_updates import apply_heartbeat
@@ -171,7 +171,7 @@
         command = PutConfiguration(version, text)
         try:
             if self.voter.state.state.known_result(command) is None:
-                self._check_disk()
+                self.check_disk()
             committed = await self.control.commit(command, COMMIT_TIMEOUT_S)
         except ControlUnavailable as error:
             self.log.emit(
@@ -200,7 +200,7 @@
         """Return the newest configuration, or ``None`` when no quorum confirms it in time."""
         began = anyio.current_time()
         try:
-            self._check_disk()
+            self.check_disk()
             attempts = await self.control.confirm(COMMIT_TIMEOUT_S)
         except ControlUnavailable as error:
             self.log.emit(
@@ -221,21 +221,7 @@
         )
         return held
 
-    async def order_evacuation(self, availability_zone: str, is_evacuated: bool) -> OrderOutcome:
-        """Commit an operator's order to evacuate a zone, or to end its evacuation."""
-        try:
-            self._check_disk()
-        except ControlUnavailable as error:
-            self.log.emit(
-                events.EVACUATION_UNCONFIRMED,
-                availability_zone=availability_zone,
-                is_evacuated=is_evacuated,
-                detail=str(error),
-            )
-            return OrderOutcome.UNCONFIRMED
-        return await self.evacuations.order(availability_zone, is_evacuated)
-
-    def _check_disk(self) -> None:
+    def check_disk(self) -> None:
         """Refuse an operator's call while the disk keeps failing, as another VM can serve it.
 
         :raises ControlUnavailable: when the disk has failed for longer than a moment.
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/direct_entry.py
@@ -75,7 +75,6 @@
 
     :param drain_bound_s: the longest that a stop may take, in seconds.
     :param configured: set once the first configuration is in force.
-    :param evacuated_services: the services whose endpoints are all in evacuated zones.
     :param endpoints_by_service: the endpoints that may be sent requests, without evacuated ones.
     :param subsets_by_service: growing subsets of the endpoints of each service, smallest first.
     """
@@ -96,7 +95,6 @@
     configured: anyio.Event = field(default_factory=anyio.Event)
     stopping: bool = False
     evacuations: EvacuationTable = field(default_factory=EvacuationTable)
-    evacuated_services: frozenset[str] = frozenset()
     endpoints_by_address: dict[Address, EndpointHeartbeat] = field(default_factory=dict)
     endpoints_by_service: dict[str, list[EndpointHeartbeat]] = field(default_factory=dict)
     subsets_by_service: dict[str, list[list[EndpointHeartbeat]]] = field(default_factory=dict)
@@ -234,8 +232,6 @@
         for heartbeat in newest.values():
             if not self.evacuations.is_evacuated(heartbeat):
                 self.endpoints_by_service.setdefault(heartbeat.service, []).append(heartbeat)
-        services = frozenset(heartbeat.service for heartbeat in newest.values())
-        self.evacuated_services = services - self.endpoints_by_service.keys()
         self.subsets_by_service = {
             service: nested_subsets(self.name, self.availability_zone, endpoints)
             for service, endpoints in self.endpoints_by_service.items()
@@ -276,7 +272,9 @@
 
     def is_evacuated(self, service: str) -> bool:
         """Return whether a service has endpoints, all of them in evacuated zones."""
-        return service in self.evacuated_services
+        return service not in self.endpoints_by_service and any(
+            heartbeat.service == service for heartbeat in self.endpoints_by_address.values()
+        )
 
     def on_configuration(self, configuration: VersionedConfiguration) -> None:
         """Route requests by a newer configuration."""
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/endpoint_chooser.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/endpoint_chooser.py
@@ -157,15 +157,13 @@
                     self._refuse_evacuated(request)
                 return None
             endpoint = target.candidate.heartbeat
-            slot_request = SlotRequest(
-                target.most,
-                target.queue,
-                self._due_at(request),
-                wait_until,
-                request.priority,
-                self.rate_permits.cold_limits.most_per_s(endpoint.service),
-                request.tokens,
-                engine,
+            slot_request = self._slot_request(
+                request,
+                endpoint,
+                most=target.most,
+                queue=target.queue,
+                due_at=self._due_at(request),
+                wait_until=wait_until,
             )
             outcome = await self.slots.reserve(endpoint.address, slot_request)
             if outcome is None:
@@ -194,6 +192,28 @@
                 )
             search.on_refused(target, outcome.lacks_memory)
 
+    def _slot_request(
+        self,
+        request: AdmittedRequest,
+        endpoint: EndpointHeartbeat,
+        *,
+        most: int,
+        queue: int,
+        due_at: float,
+        wait_until: float,
+    ) -> SlotRequest:
+        """Return a request for a slot, with what the agent needs to keep the endpoint's limits."""
+        return SlotRequest(
+            most,
+            queue,
+            due_at,
+            wait_until,
+            request.priority,
+            self.rate_permits.cold_limits.most_per_s(endpoint.service),
+            request.tokens,
+            request.service.engine,
+        )
+
     async def reserve_now(
         self, request: AdmittedRequest, candidate: EndpointCandidate
     ) -> ChosenEndpoint | None:
@@ -202,15 +222,8 @@
         An endpoint without an agent has no reservation. One whose agent does not answer is not used.
         """
         endpoint, now = candidate.heartbeat, anyio.current_time()
-        slot_request = SlotRequest(
-            candidate.most,
-            0,
-            now,
-            now,
-            request.priority,
-            self.rate_permits.cold_limits.most_per_s(endpoint.service),
-            request.tokens,
-            request.service.engine,
+        slot_request = self._slot_request(
+            request, endpoint, most=candidate.most, queue=0, due_at=now, wait_until=now
         )
         outcome = await self.slots.reserve(endpoint.address, slot_request)
         reservation = None if outcome is None else outcome.reservation
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/explain_api.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/explain_api.py
@@ -14,6 +14,7 @@
 
 from bergamotchute_daemon.direct.admitted_request import RequestRefused
 from bergamotchute_daemon.direct.direct_entry import DirectEntry
+from bergamotchute_daemon.direct.filters import host_without_port
 from bergamotchute_daemon.direct.routing_table import RoutingTable
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
 from bergamotchute_model.versioned_configuration import RouteRule, ServiceRule
@@ -151,7 +152,7 @@
         if routing_table is None:
             raise RequestRefused(503, "no configuration is confirmed yet")
         explanation["version"] = routing_table.configuration.version
-        route = routing_table.find_route(_without_port(explained.host), explained.path)
+        route = routing_table.find_route(host_without_port(explained.host), explained.path)
         if route is None:
             raise RequestRefused(404, "no route matches")
         explanation["route"] = _describe_route(route)
@@ -172,10 +173,6 @@
     return explanation
 
 
-def _without_port(host: str) -> str:
-    return host.rpartition(":")[0] or host
-
-
 def _describe_route(route: RouteRule) -> dict[str, Any]:
     return {
         "name": route.name,
@@ -196,7 +193,7 @@
     team = next((each for each in teams if each.name == name), None) if name else None
     if team is None and (name or (teams and not route.open_to_all)):
         raise RequestRefused(401, f"no team {name!r}" if name else "the route needs a team's key")
-    return route.priority if team is None or team.priority is None else team.priority
+    return route.priority_for(None if team is None else team.priority)
 
 
 def _explain_service(service: ServiceRule, knowledge: EntryKnowledge, now: float) -> dict[str, Any]:
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/filters.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/filters.py
@@ -21,9 +21,14 @@
     return routing_table
 
 
+def host_without_port(host: str) -> str:
+    """Return the name in a ``Host`` header."""
+    return host.rpartition(":")[0] or host
+
+
 def find_route(routing_table: RoutingTable, request: CallerRequest) -> RouteRule:
     """Return the route for the host and path of a request."""
-    host = request.head.get_header("host").rpartition(":")[0] or request.head.get_header("host")
+    host = host_without_port(request.head.get_header("host"))
     path = request.head.target.partition("?")[0]
     route = routing_table.find_route(host, path)
     if route is None:
@@ -37,7 +42,7 @@
     """Return the name of the caller's team and the priority of the request."""
     team = routing_table.teams.get(metadata.team_key)
     if team is not None:
-        return team.name, route.priority if team.priority is None else team.priority
+        return team.name, route.priority_for(team.priority)
     if routing_table.configuration.teams and not route.open_to_all:
         raise RequestRefused(401, "the API key is missing or unknown")
     return "", route.priority
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/routing_table.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/direct/routing_table.py
@@ -41,10 +41,10 @@
         The priority of a team goes before that of the route.
         """
         priorities: dict[str, set[int]] = defaultdict(set)
+        team_priorities = {team.priority for team in self.configuration.teams}
         for route in self.configuration.routes:
-            teams = self.configuration.teams
-            found = {route.priority if each.priority is None else each.priority for each in teams}
-            if route.open_to_all or not teams:
+            found = {route.priority_for(each) for each in team_priorities}
+            if route.open_to_all or not team_priorities:
                 found.add(route.priority)
             for share in route.shares:
                 priorities[share.service] |= found
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/evacuations/evacuation_orders.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/evacuations/evacuation_orders.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -69,6 +69,7 @@
 
     :param state: returns the state that the log was applied to on this VM.
     :param holder: identifies this process as the holder of fences.
+    :param require_disk: raises :class:`ControlUnavailable` while the disk keeps failing.
     :param known_zones: returns the names of the zones that the deployment has, as far as known.
     :param on_committed: called with each order that was committed here, before it is acknowledged.
     """
@@ -77,21 +78,23 @@
     state: Callable[[], ControlState]
     holder: str
     log: EventLog
+    require_disk: Callable[[], None]
     known_zones: Callable[[], frozenset[str]]
     on_committed: Callable[[ZoneEvacuation], None]
 
     async def order(self, availability_zone: str, is_evacuated: bool) -> OrderOutcome:
-        """Put an order in force, or confirm that it already is."""
-        known = self.known_zones()
-        if availability_zone not in known:
-            self.log.emit(
-                events.EVACUATION_REFUSED,
-                availability_zone=availability_zone,
-                known=", ".join(sorted(known)),
-            )
-            return OrderOutcome.UNKNOWN_ZONE if known else OrderOutcome.UNCONFIRMED
+        """Put an order to evacuate a zone, or to end that, in force, or confirm that it already is."""
         began = anyio.current_time()
         try:
+            self.require_disk()
+            known = self.known_zones()
+            if availability_zone not in known:
+                self.log.emit(
+                    events.EVACUATION_REFUSED,
+                    availability_zone=availability_zone,
+                    known=", ".join(sorted(known)),
+                )
+                return OrderOutcome.UNKNOWN_ZONE if known else OrderOutcome.UNCONFIRMED
             with anyio.fail_after(ORDER_TIMEOUT_S):
                 committed = await self._commit(availability_zone, is_evacuated)
         except (ControlUnavailable, TimeoutError) as error:
@@ -120,15 +123,15 @@
         while True:
             await self.control.confirm(ORDER_TIMEOUT_S)
             state = self.state()
+            current = ZoneEvacuation(availability_zone, 0, False)
             decision = state.decisions.in_force.get(name)
-            version = decision.version if decision is not None else 0
-            current = _read_evacuation(decision) if decision is not None and version else None
-            if (current is not None and current.is_evacuated) == is_evacuated:
-                known = current or ZoneEvacuation(availability_zone, 0, False)
-                self.on_committed(known)
-                return known
+            if decision is not None and decision.version:
+                current = _read_evacuation(decision)
+            if current.is_evacuated == is_evacuated:
+                self.on_committed(current)
+                return current
             fence = state.fences.number(name) or await self._issue_fence(name)
-            command = RecordDecision(name, fence, version, _encode(is_evacuated))
+            command = RecordDecision(name, fence, current.version, _encode(is_evacuated))
             result = (await self.control.commit(command, ORDER_TIMEOUT_S)).result
             assert isinstance(result, DecisionResult)
             if result.granted:
@@ -145,5 +148,5 @@
 
     def gauges(self) -> dict[str, float]:
         """Return the gauges by name."""
-        evacuations: Iterable[ZoneEvacuation] = read_evacuations(self.state())
+        evacuations = read_evacuations(self.state())
         return {"evacuated_zones": float(sum(each.is_evacuated for each in evacuations))}
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_composition_root.py
@@ -258,10 +258,11 @@
         state=lambda: voter.state.state,
         holder=settings.name,
         log=environment.log,
+        require_disk=lambda: process.check_disk(),
         known_zones=lambda: frozenset(settings.zones) | hub.known_zones(),
         on_committed=hub.send_evacuation,
     )
-    return ControlProcess(
+    process = ControlProcess(
         address=settings.link_address,
         voter=voter,
         control=control,
@@ -270,6 +271,7 @@
         evacuations=evacuations,
         log=environment.log,
     )
+    return process
 
 
 def compose_rank_agent(
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_runner.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/node_runner.py
@@ -30,7 +30,12 @@
 from bergamotchute_model.identifiers import Address
 from bergamotchute_model.node_messages import NodeMessage
 from bergamotchute_model.versioned_configuration import VersionedConfiguration
-from bergamotchute_wire.http1_server import Http1Server, RequestHandler
+from bergamotchute_wire.http1_server import (
+    CallerRequest,
+    Http1Server,
+    RequestHandler,
+    ResponseWriter,
+)
 from bergamotchute_wire.message_codec import MessageCodec
 from bergamotchute_wire.web_socket_link import LinkTiming
 from bergamotchute_wire.web_socket_transport import (
@@ -126,8 +131,6 @@
 
     :param ready_handler: answers the platform's readiness checks.
     """
-    from bergamotchute_daemon.direct.explain_api import explain_handler
-
     environment = create_node_environment(settings, "entry")
     process = compose_direct_entry(settings, request_format, environment)
     environment.log.emit(events.PROCESS_STARTED, listen=settings.listen.callers)
@@ -135,7 +138,7 @@
         tasks.start_soon(process.run)
         guard, metrics = process.forwarder.prompt_guard, process.forwarder.metrics
         handler = prompt_part_handler(guard.table, guard.clear, metrics.handle_request)
-        _serve_metrics(tasks, settings, explain_handler(process, handler))
+        _serve_metrics(tasks, settings, _explain_or(process, handler))
         ready = Http1Server(ready_handler(process))
         tasks.start_soon(ready.serve, Address.parse(settings.listen.ready))
         await _run_until_stopped(
@@ -143,6 +146,18 @@
         )
 
 
+def _explain_or(process: DirectEntry, others: RequestHandler) -> RequestHandler:
+    """Return the handler of explanations, which is imported with the first request."""
+
+    async def handle(request: CallerRequest, writer: ResponseWriter) -> None:
+        # Callers wait for an entry to start; operators who ask for an explanation come later.
+        from bergamotchute_daemon.direct.explain_api import explain_handler
+
+        await explain_handler(process, others)(request, writer)
+
+    return handle
+
+
 async def run_control(
     file: SettingsFile,
     settings: NodeSettings,
--- a/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/slot_reservation_server.py
+++ b/packages/bergamotchute-daemon/src/bergamotchute_daemon/ranks/slot_reservation_server.py
@@ -38,9 +38,7 @@
                 while True:
                     self._handle_message(outbox, await link.receive())
             finally:
-                ended = len(self.ledger.reserved.get(outbox, ()))
-                self.ledger.release_holder(outbox)
-                self.rate.on_ended(ended, anyio.current_time())
+                self.rate.on_ended(self.ledger.release_holder(outbox), anyio.current_time())
                 self._answer_waiting()
 
     def on_request_count(self, requests: int) -> None:
@@ -72,8 +70,7 @@
             outbox.post(SlotAnswer(message.number, state, requests, lacks_memory))
             self._answer_waiting()
         elif isinstance(message, ReleaseSlot):
-            ended = message.number in self.ledger.reserved.get(outbox, ())
-            self.ledger.release_slot(outbox, message.number)
+            ended = self.ledger.release_slot(outbox, message.number)
             self.rate.on_ended(ended, anyio.current_time())
             self._answer_waiting()
 
@@ -85,8 +82,7 @@
             self._post_answer(turned_away, SlotState.REFUSED, self.ledger.requests)
 
     def _may_grant(self, now: float) -> bool:
-        existing = sum(len(numbers) for numbers in self.ledger.reserved.values())
-        return self.rate.may_grant(existing, now)
+        return self.rate.may_grant(self.ledger.reservation_count, now)
 
     def _post_answer(self, request: WaitingRequest, state: SlotState, other_requests: int) -> None:
         """Send an entry the result of a request that waited for a slot."""
--- a/packages/bergamotchute-model/src/bergamotchute_model/versioned_configuration.py
+++ b/packages/bergamotchute-model/src/bergamotchute_model/versioned_configuration.py
@@ -64,6 +64,13 @@
             self.kind is RouteKind.STREAM and self.resumable
         )
 
+    def priority_for(self, team_priority: int | None) -> int:
+        """Return the priority of a request: that of its team goes before that of the route.
+
+        :param team_priority: ``None`` if the team has none, or there is no team.
+        """
+        return self.priority if team_priority is None else team_priority
+
 
 @dataclass(frozen=True)
 class EnginePerformance:
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/engine_model.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/engine_model.py
@@ -50,13 +50,17 @@
     return engine.stride * (engine.step_s + requests * engine.step_per_request_s * skew_factor)
 
 
+def usual_prefill_s(engine: EnginePerformance) -> float:
+    """Return how long reading a prompt of usual length takes, in seconds."""
+    return engine.usual_prompt / engine.prefill_tokens_per_s
+
+
 def engine_timing(engine: EnginePerformance, pause_s: float) -> EngineTiming:
     """Return the timing of an engine whose streams have an objective for their pauses.
 
     :param pause_s: longest pause between two events of a stream that meets its objective.
     """
-    prefill_s = engine.usual_prompt / engine.prefill_tokens_per_s
-    empty_s = pass_s(engine, 0.0) + prefill_s
+    empty_s = pass_s(engine, 0.0) + usual_prefill_s(engine)
     added_s = pass_s(engine, 1.0, INITIAL_MAP_SKEW) - pass_s(engine, 0.0)
     return EngineTiming(engine.slots, empty_s, added_s, pause_s, pass_s(engine, 0.0))
 
@@ -64,7 +68,7 @@
 def request_duration_s(engine: EnginePerformance, requests: float) -> float:
     """Return the duration of a typical request, from its start to its last event, in seconds."""
     passes = math.ceil(engine.usual_output / engine.stride)
-    return passes * pass_s(engine, requests) + engine.usual_prompt / engine.prefill_tokens_per_s
+    return passes * pass_s(engine, requests) + usual_prefill_s(engine)
 
 
 def queue_drain_s(engine: EnginePerformance, waiting: int) -> float:
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/hedging.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/hedging.py
@@ -15,7 +15,7 @@
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
 from bergamotchute_model.versioned_configuration import EnginePerformance
 from bergamotchute_policy.direct_placement import DirectPlacement, EndpointCandidate
-from bergamotchute_policy.engine_model import pass_s
+from bergamotchute_policy.engine_model import pass_s, usual_prefill_s
 
 MIN_QUANTILE = 0.95
 """Lowest quantile of the recent times from which a request counts as slow."""
@@ -58,8 +58,7 @@
     """
     if engine is None:
         return ROUND_TRIPS_S
-    prefill_s = engine.usual_prompt / engine.prefill_tokens_per_s
-    return ROUND_TRIPS_S + pass_s(engine, engine.slots) + prefill_s
+    return ROUND_TRIPS_S + pass_s(engine, engine.slots) + usual_prefill_s(engine)
 
 
 @dataclass
--- a/packages/bergamotchute-policy/src/bergamotchute_policy/slot_ledger.py
+++ b/packages/bergamotchute-policy/src/bergamotchute_policy/slot_ledger.py
@@ -51,7 +51,7 @@
     @property
     def requests(self) -> int:
         """The number of requests at the endpoint or on their way to it."""
-        return self._reservation_count() + self.unreserved
+        return self.reservation_count + self.unreserved
 
     @property
     def used_tokens(self) -> int:
@@ -63,7 +63,9 @@
         )
         return reserved + self.unreserved * self._tokens(0)
 
-    def _reservation_count(self) -> int:
+    @property
+    def reservation_count(self) -> int:
+        """The number of reservations."""
         return sum(len(numbers) for numbers in self.reserved.values())
 
     def set_memory(self, memory_tokens: int, usual_tokens: int) -> None:
@@ -122,14 +124,14 @@
         While the next request lacks memory, those behind it wait too; otherwise small requests
         would take the memory again and again, and a large one would never fit.
         """
-        first, next_request = self.line.first_in_order(now), self.line.next_request(now)
-        if first is None or next_request is None:
+        next_request = self.line.next_request(now)
+        if next_request is None:
             return None
         if self.requests > self._max_other_requests(next_request, now):
             # A late request that has its turn may have to leave slots free for those in time, and
             # would hold these up if it were the only one considered.
-            next_request = first
-            if self.requests > self._max_other_requests(first, now):
+            next_request = self.line.first_in_order(now)
+            if next_request is None or self.requests > self._max_other_requests(next_request, now):
                 return None
         if not self._fits(next_request):
             return None
@@ -142,16 +144,21 @@
         rejected, self.rejected = self.rejected, []
         return rejected + self.line.take_unservable(now)
 
-    def release_slot(self, holder: Hashable, number: int) -> None:
-        """End a reservation or a wait; an unknown number has no effect."""
-        self.reserved.get(holder, {}).pop(number, None)
+    def release_slot(self, holder: Hashable, number: int) -> int:
+        """End a reservation or a wait; an unknown number has no effect.
+
+        :return: how many reservations ended.
+        """
+        ended = self.reserved.get(holder, {}).pop(number, None)
         self.line.remove(holder, number)
+        return 0 if ended is None else 1
 
-    def release_holder(self, holder: Hashable) -> None:
-        """End all reservations and waits of a holder."""
-        self.reserved.pop(holder, None)
+    def release_holder(self, holder: Hashable) -> int:
+        """End all reservations and waits of a holder; return how many reservations ended."""
+        ended = self.reserved.pop(holder, {})
         self.line.remove(holder)
+        return len(ended)
 
     def on_request_count(self, requests: int) -> None:
         """Update the count by the endpoint's own, which includes unreserved requests."""
-        self.unreserved = max(0, requests - self._reservation_count())
+        self.unreserved = max(0, requests - self.reservation_count)
--- a/tests/daemon/test_control_process.py
+++ b/tests/daemon/test_control_process.py
@@ -106,12 +106,7 @@
     async def body(group: ControlGroup) -> None:
         await group.found(5)
         assert await group.processes[2].put_configuration(3, b"three")
-        for number in range(5):
-            group.kill(number, power)
-        await anyio.sleep(0.5)
-        for number in range(5):
-            group.start(number)
-        await group.wait_until(lambda: group.leader is not None)
+        await group.restart_all(power)
         assert await configuration_at(group, 1) == (3, b"three")
 
     run_control(body)
--- a/tests/daemon/test_evacuations.py
+++ b/tests/daemon/test_evacuations.py
@@ -28,7 +28,7 @@
 
 
 async def order(group: ControlGroup, number: int, is_evacuated: bool) -> OrderOutcome:
-    return await group.processes[number].order_evacuation("north", is_evacuated)
+    return await group.processes[number].evacuations.order("north", is_evacuated)
 
 
 def state_at(group: ControlGroup, number: int) -> tuple[ZoneEvacuation, ...]:
@@ -112,12 +112,7 @@
     async def body(group: ControlGroup) -> None:
         await found_with_zone(group, 5)
         assert await order(group, 2, True) is OrderOutcome.ACKNOWLEDGED
-        for number in range(5):
-            group.kill(number, with_power_loss)
-        await anyio.sleep(0.5)
-        for number in range(5):
-            group.start(number)
-        await group.wait_until(lambda: group.leader is not None)
+        await group.restart_all(with_power_loss)
         heard: list[NodeMessage] = []
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(follow, group, 3, heard)
@@ -204,10 +199,10 @@
     async def body(group: ControlGroup) -> None:
         await group.found(3)
         process = group.processes[0]
-        assert await process.order_evacuation("north", True) is OrderOutcome.UNCONFIRMED
+        assert await process.evacuations.order("north", True) is OrderOutcome.UNCONFIRMED
         await process.on_heartbeat(heartbeat(1))
-        assert await process.order_evacuation("nowhere", True) is OrderOutcome.UNKNOWN_ZONE
+        assert await process.evacuations.order("nowhere", True) is OrderOutcome.UNKNOWN_ZONE
         group.isolate(0)
-        assert await process.order_evacuation("north", True) is OrderOutcome.UNCONFIRMED
+        assert await process.evacuations.order("north", True) is OrderOutcome.UNCONFIRMED
 
     run_control(body)
--- a/tests/direct/test_cold_endpoints.py
+++ b/tests/direct/test_cold_endpoints.py
@@ -8,11 +8,11 @@
 
 from bergamotchute_model.endpoint_heartbeat import EndpointHeartbeat
 from bergamotchute_model.versioned_configuration import ServiceRule
-from direct.test_slot_reservations import add_agent
 from support.entry_fixture import (
     CallerResponse,
     EntryFixture,
     ReceivedRequest,
+    add_agent,
     answer,
     respond_with,
     run_with_entry,
--- a/tests/support/control_group.py
+++ b/tests/support/control_group.py
@@ -101,6 +101,15 @@
         if with_power_loss:
             self.disks[number].lose_power()
 
+    async def restart_all(self, with_power_loss: bool) -> None:
+        """Kill all processes at once, start them after half a second and wait for a leader."""
+        for number in self.processes:
+            self.kill(number, with_power_loss)
+        await anyio.sleep(0.5)
+        for number in list(self.processes):
+            self.start(number)
+        await self.wait_until(lambda: self.leader is not None)
+
     def wipe(self, number: int) -> None:
         """Kill a process and erase its disk."""
         self.kill(number)
