--- a/review/lib2/cold_runner.py
+++ b/review/lib2/cold_runner.py
@@ -61,7 +61,9 @@
         self.options = options
         self.deployment = Deployment(CONTROL_COUNT, ENTRY_COUNT)
         self.reachable = list(range(CONTROL_COUNT))
+        self.cold_since = float("inf")
         self.cold_until = 0.0
+        self.beat_sent = asyncio.Event()
         self.beat_now = asyncio.Event()
         self.born_ms = int(time.time() * 1000)
         self.record: list[str] = []
@@ -111,20 +113,26 @@
         tasks = [asyncio.create_task(self._send_heartbeats(name))]
         tasks.append(asyncio.create_task(self._watch_own_loop()))
         await self._wait_until_served()
-        self.cold_until = time.monotonic() + COLD_S
-        self.beat_now.set()
-        await asyncio.sleep(0.5)
-        began = time.monotonic()
-        self._write(f"runner {name} cold for {self.cold_until - began:.2f} s more, bound {BOUND}")
+        began = await self.begin(name)
         for number in range(ENTRY_COUNT):
             tasks.append(asyncio.create_task(self._watch_entry(number, began)))
         if os.environ.get("TROUBLE") != "0":
-            tasks.append(asyncio.create_task(self._kill_and_restart(killed, began)))
+            tasks.append(asyncio.create_task(self.disturb(killed, began)))
         await self._send_traffic(began)
         for task in tasks:
             task.cancel()
         return self._judge(arrivals, began)
 
+    async def begin(self, name: str) -> float:
+        """Let the runner be cold and say so; return when the traffic begins."""
+        self.cold_since = time.monotonic()
+        self.cold_until = self.cold_since + COLD_S
+        self.beat_now.set()
+        await asyncio.sleep(0.5)
+        began = time.monotonic()
+        self.write(f"runner {name} cold for {self.cold_until - began:.2f} s more, bound {BOUND}")
+        return began
+
     async def _send_heartbeats(self, name: str) -> None:
         sequence = 0
         while True:
@@ -143,6 +151,7 @@
             host = self.deployment.control_host(random.choice(self.reachable))
             path = f"/bergamotchute/instances/{name}/heartbeat"
             await call(host, CONTROL_PORT, "POST", path, body=json.dumps(body).encode())
+            self.beat_sent.set()
             try:
                 await asyncio.wait_for(self.beat_now.wait(), 1.2)
                 self.beat_now.clear()
@@ -189,14 +198,15 @@
         host = self.deployment.entry_host(entry)
         return await call(host, CALLER_PORT, "POST", "/batch/x", headers, b"{}", timeout_s=8.5)
 
-    async def _kill_and_restart(self, number: int, began: float) -> None:
+    async def disturb(self, number: int, began: float) -> None:
+        """Kill a control VM and start it again."""
         await asyncio.sleep(self.options.kill_at_s)
         self.reachable.remove(number)
         self.deployment.kill(f"control-{number}")
-        self._write(f"{time.monotonic() - began:7.3f} control-{number} killed")
+        self.write(f"{time.monotonic() - began:7.3f} control-{number} killed")
         await asyncio.sleep(RESTART_DELAY_S)
         self.deployment.start_control(number)
-        self._write(f"{time.monotonic() - began:7.3f} control-{number} started again")
+        self.write(f"{time.monotonic() - began:7.3f} control-{number} started again")
 
     async def _send_traffic(self, began: float) -> None:
         requests: list[asyncio.Task[None]] = []
@@ -212,7 +222,7 @@
         status = 0 if answer is None else answer[0]
         self.answers.append((f"q-{number}", sent_at, time.monotonic() - began, status))
 
-    def _write(self, line: str) -> None:
+    def write(self, line: str) -> None:
         self.record.append(line)
         print(line)
 
@@ -223,7 +233,7 @@
         runs = sorted(
             (each["arrived_at"] - began, each["request"]) for each in found if "request" in each
         )
-        times = [at for at, _ in runs if -0.5 <= at < cold_left_s]
+        times = [at for at, _ in runs if self.cold_since - began <= at < cold_left_s]
         most, since = max(
             ((sum(first <= at < first + 1.0 for at in times), first) for first in times),
             default=(0, 0.0),
@@ -238,36 +248,36 @@
         quarters = [
             sum(q / 4 <= at < (q + 1) / 4 for at in times) for q in range(int(cold_left_s * 4))
         ]
-        self._write(f"arrivals at the cold runner by quarter of a second: {quarters}")
+        self.write(f"arrivals at the cold runner by quarter of a second: {quarters}")
         gaps = {f"entry-{number}": round(gap, 2) for number, gap in self.entry_gaps.items()}
-        self._write(f"longest time without an answer to the readiness check, s: {gaps}")
+        self.write(f"longest time without an answer to the readiness check, s: {gaps}")
         statuses = [status for *_, status in self.answers]
         counts = {status: statuses.count(status) for status in sorted(set(statuses))}
-        self._write(f"answers by status (0: none): {counts}")
-        self._write(
+        self.write(f"answers by status (0: none): {counts}")
+        self.write(
             f"most arrivals in one second while cold: {most}, from {since:.3f}; bound {BOUND}"
         )
         own_delay_s = max([*delays, *self.own_delays], default=0.0)
         if own_delay_s > MAX_OWN_DELAY_S:
             raise CannotRun(f"a stand-in was late by {own_delay_s:.2f} s")
-        if not times:
+        if not runs:
             raise CannotRun("the runner got nothing")
         verdict = "FAILBACK is broken" if most > BOUND else "FAILBACK holds"
-        self._write(verdict)
+        self.write(verdict)
         return 1 if most > BOUND else 0
 
 
-def main() -> int:
-    """Play the case once and write ``record.txt`` into its folder."""
-    parser = argparse.ArgumentParser(description=__doc__)
+def main(kind: type[ColdRunner]) -> int:
+    """Play a case once and write ``record.txt`` into its folder."""
+    parser = argparse.ArgumentParser()
     parser.add_argument("folder", type=Path)
-    parser.add_argument("--slo-ms", type=int, required=True)
-    parser.add_argument("--per-s", type=float, default=120.0)
-    parser.add_argument("--kill-at-s", type=float, required=True)
+    parser.add_argument("--slo-ms", type=int, default=400)
+    parser.add_argument("--per-s", type=float, required=True)
+    parser.add_argument("--kill-at-s", type=float, default=0.0)
     options = parser.parse_args()
     case = None
     try:
-        case = ColdRunner(options)
+        case = kind(options)
         return asyncio.run(case.run())
     except CannotRun as error:
         print(f"could not run: {error}")
@@ -280,4 +290,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(ColdRunner))
