--- a/review/lib2/first_start.py
+++ b/review/lib2/first_start.py
@@ -21,9 +21,9 @@
 CONTROL_COUNT, ENTRY_COUNT = 5, 2
 LOST_SEED = 1
 START_ORDER = (1, 3, 4, 0, 2)
-"""The last seed starts 0.3 s after the one that loses its disk, so that the group isn't founded yet."""
+"""The last seed starts within 0.3 s of the one that loses its disk, so that the group isn't founded yet."""
 
-START_WINDOW_S = 0.3
+START_WINDOW_S = 0.25
 BACK_AFTER_S = 1.0
 PLAY_S = 30.0
 READ_BACK_S = 5.0
